Stream requests and answers on traffic threads

The thin proxy held whole messages in memory on one thread. Now each traffic thread has its own io_context, connections to upstreams and deadlines; a caller's connection is one coroutine, bodies pass through a fixed buffer for each direction, heads are checked byte by byte before they are parsed, and the router's own answers say whether the request ran.

--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -19,7 +19,12 @@
 int run(const entry_settings& settings) {
   start_log({settings.level, settings.name});
   metrics counters;
-  proxy traffic(settings.listen_callers, counters);
+  proxy traffic({.listen_callers = settings.listen_callers,
+                 .listen_forward = settings.listen_forward,
+                 .threads = settings.threads,
+                 .instance = settings.name,
+                 .domain = settings.domain},
+                counters);
   control_plane control(settings, counters, [&](std::shared_ptr<const routing_snapshot> snapshot) {
     traffic.set_snapshot(std::move(snapshot));
   });
--- /dev/null
+++ b/src/entry/attempt.cc
@@ -0,0 +1,385 @@
+// The part of an exchange that sends a request to one destination and relays its answer.
+#include <boost/asio/ip/tcp.hpp>
+
+#include "entry/exchange.h"
+#include "entry/heads.h"
+#include "entry/worker.h"
+#include "http/address.h"
+#include "upstream/grant_codec.h"
+
+namespace plantainpaddle {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
+
+body_frame frame_of(const message_parser<true>& request) {
+  if (const auto length = request.content_length()) return {body_framing::length, *length};
+  if (!request.chunked()) return {};
+  if (request.is_done()) return {body_framing::length, request.body().size()};
+  return {body_framing::chunked};
+}
+
+// An answer without a body may still name its length (HEAD, 304).
+body_frame frame_of(const message_parser<false>& answer) {
+  if (const auto length = answer.content_length()) return {body_framing::length, *length};
+  if (!answer.chunked()) return {};
+  if (answer.is_done()) return {body_framing::length, answer.body().size()};
+  return {body_framing::chunked};
+}
+
+}  // namespace
+
+exchange::attempt_end exchange::failed(const destination& to, step at, run_state known,
+                                       const std::string& detail,
+                                       std::optional<failure_kind> judged) const {
+  const bool slow = judged == failure_kind::silent || judged == failure_kind::timeout;
+  attempt_end end;
+  end.known = known;
+  end.judged = judged;
+  end.status = known == run_state::not_run ? status_unavailable : (slow ? 504U : 502U);
+  end.why = {slow ? errc::timed_out : errc::unavailable, at, to.address, detail};
+  return end;
+}
+
+task<exchange::attempt_end> exchange::attempt(const destination& to) {
+  ++attempts_;
+  auto& state = *traffic().upstreams[to.upstream];
+  state.outstanding.fetch_add(1, std::memory_order_relaxed);
+  attempt_end end = co_await attempt_admitted(to);
+  state.outstanding.fetch_sub(1, std::memory_order_relaxed);
+  caller_.set_active(nullptr);
+  if (connection_) release_connection(false);
+  leave_gate(false);
+  home_.buffers().give(std::move(answer_buffer_));
+  co_return end;
+}
+
+task<exchange::attempt_end> exchange::attempt_admitted(const destination& to) {
+  if (!to.hop) {
+    if (auto end = co_await enter_gate(to)) co_return *end;
+  }
+  if (auto end = co_await connect(to)) co_return *end;
+  if (auto end = co_await send_request(to)) co_return *end;
+  if (auto end = co_await read_answer_head(to)) co_return *end;
+  if (auto end = refused_by_upstream(to)) co_return *end;
+  co_return co_await relay_answer(to);
+}
+
+task<std::optional<exchange::attempt_end>> exchange::enter_gate(const destination& to) {
+  const auto now = monotonic_now();
+  gate_owner_ = traffic().upstreams[to.upstream];
+  gate_id_ = home_.next_id();
+  caller_.await_decision(gate_id_);
+  auto verdict = gate_owner_->gate.enter(
+      {gate_id_, match_.route->klass, tenant_id{std::string(tenant_)}, deadline_}, now,
+      [&home = home_, session = caller_.id(), id = gate_id_](bool admitted) {
+        home.decide(session, id, admitted);
+      });
+  if (verdict == admission_verdict::queued) {
+    if (messages_.request->is_done()) {
+      caller_.watch_until(deadline_);
+    } else {
+      caller_.set_deadline(deadline_);
+    }
+    while (!caller_.decision() && !caller_.caller_gone() && monotonic_now() < deadline_) {
+      co_await caller_.pause_until(deadline_);
+    }
+    verdict = caller_.decision().value_or(false) ? admission_verdict::admitted
+                                                 : admission_verdict::refused;
+  }
+  if (verdict == admission_verdict::admitted) co_return std::nullopt;
+  leave_gate(false);
+  attempt_end end;
+  end.status = status_unavailable;
+  end.why = {errc::limit_exceeded, step::admit, to.address, "the upstream's slots are taken"};
+  co_return end;
+}
+
+void exchange::leave_gate(bool observe) {
+  if (!gate_owner_) return;
+  gate_owner_->gate.leave(gate_id_, monotonic_now(), observe);
+  gate_owner_.reset();
+}
+
+// Fills connection_.
+task<std::optional<exchange::attempt_end>> exchange::connect(const destination& to) {
+  const auto& limits = home_.settings().limits;
+  const std::size_t limit =
+      to.hop ? std::max<std::size_t>(1, limits.hop_connections / home_.settings().threads)
+             : traffic().upstreams[to.upstream]->thread_connections.load();
+  while (true) {
+    const auto now = monotonic_now();
+    if (!fresh_connection_) connection_ = home_.pool().take_idle(to.address, now);
+    if (connection_) co_return std::nullopt;
+    connection_ = home_.pool().reserve(to.address, limit);
+    if (connection_) break;
+    const auto ticket = home_.pool().wait(to.address, [&home = home_, id = caller_.id()] {
+      if (auto* waiting = home.find(id)) waiting->wake();
+    });
+    if (ticket != 0) {
+      co_await caller_.pause_until(deadline_);
+      const bool in_time = monotonic_now() < deadline_ && !caller_.caller_gone();
+      home_.pool().stop_waiting(to.address, ticket, in_time);
+      if (in_time) continue;
+    }
+    co_return failed(to, step::connect, run_state::not_run, "all connections are in use",
+                     std::nullopt);
+  }
+  const auto endpoint = parse_address(to.address);
+  caller_.set_active(&connection_->socket);
+  caller_.set_deadline(std::min(deadline_, monotonic_now() + limits.connect_time));
+  if (endpoint) {
+    auto [code] = co_await connection_->socket.async_connect(*endpoint, as_task);
+    if (!code) {
+      prepare_socket(connection_->socket);
+      co_return std::nullopt;
+    }
+  }
+  release_connection(false);
+  auto end = failed(to, step::connect, run_state::not_run, "no connection", failure_kind::refused);
+  end.wait_for_owner = service().service.keyed || to.hop;
+  co_return end;
+}
+
+void exchange::release_connection(bool reusable) {
+  caller_.set_active(nullptr);
+  if (reusable) {
+    home_.pool().keep(std::move(connection_), monotonic_now());
+  } else {
+    home_.pool().drop(std::move(connection_));
+  }
+}
+
+task<std::optional<exchange::attempt_end>> exchange::send_request(const destination& to) {
+  auto& request = *messages_.request;
+  const auto now = monotonic_now();
+  if (now >= deadline_) {
+    co_return failed(to, step::send_request, run_state::not_run, "the deadline has passed",
+                     std::nullopt);
+  }
+  sent_ = now;
+  request_additions added{.request_id = messages_.request_id,
+                          .forwarded = caller_.forwarded(),
+                          .remaining = deadline_ - now};
+  if (service().service.keyed) {
+    added.shard = shard_;
+    added.fence = to.owner.fence;
+  }
+  if (to.hop) added.hop = home_.settings().instance;
+  if (attempts_ > 1) added.retried_by = home_.settings().instance;
+  const body_frame frame = frame_of(request);
+  messages_.head.clear();
+  write_request_head(messages_.head, request, added, frame);
+  caller_.set_active(&connection_->socket);
+  outgoing pieces;
+  pieces.add(messages_.head);
+  const bool whole = request.is_done();
+  if (whole) pieces.add(request.body());
+  progress_window progress(caller_, deadline_);
+  const auto sent = co_await write_pieces(pieces, connection_->socket, caller_, progress,
+                                          relay_end::upstream_failed, relay_end::upstream_slow);
+  if (sent != relay_end::whole && pieces.written() == 0) {
+    co_return failed(to, step::send_request, run_state::not_run, "the connection broke",
+                     std::nullopt);
+  }
+  if (sent != relay_end::whole) co_return relay_failed(to, sent);
+  if (whole) co_return std::nullopt;
+  streamed_ = true;
+  const auto end = co_await relay_request_body(caller_, request, connection_->socket, head_size_,
+                                               match_.route->body_limit, deadline_);
+  if (end == relay_end::answered_early) co_return std::nullopt;
+  if (end != relay_end::whole) co_return relay_failed(to, end);
+  pipelined_ = !caller_.buffer().unread().empty();
+  co_return std::nullopt;
+}
+
+exchange::attempt_end exchange::relay_failed(const destination& to, relay_end end) const {
+  switch (end) {
+    case relay_end::too_large: {
+      auto made = failed(to, step::parse_request, run_state::unknown, "the body is too large",
+                         std::nullopt);
+      made.status = 413;
+      made.why.code = errc::limit_exceeded;
+      return made;
+    }
+    case relay_end::caller_slow: {
+      auto made = failed(to, step::parse_request, run_state::unknown, "the body came too slowly",
+                         std::nullopt);
+      made.status = 408;
+      made.why.code = errc::timed_out;
+      return made;
+    }
+    case relay_end::caller_failed: {
+      auto made = failed(to, step::parse_request, run_state::unknown,
+                         "the body ended early or is no body", std::nullopt);
+      made.status = 400;
+      made.why.code = errc::bad_input;
+      return made;
+    }
+    case relay_end::upstream_slow:
+      return failed(to, step::send_request, run_state::unknown, "the upstream takes no bytes",
+                    failure_kind::silent);
+    default:
+      return failed(to, step::send_request, run_state::unknown, "the connection broke",
+                    failure_kind::error);
+  }
+}
+
+// Leaves interim answers out. The deadline and the class's time of silence bound the wait.
+task<std::optional<exchange::attempt_end>> exchange::read_answer_head(const destination& to) {
+  const auto klass = static_cast<std::size_t>(match_.route->klass);
+  const auto silent_at = monotonic_now() + home_.settings().limits.silence[klass];
+  const bool silence_first = silent_at < deadline_;
+  answer_buffer_ = home_.buffers().take();
+  wire_buffer& buffer = *answer_buffer_;
+  auto& socket = connection_->socket;
+  messages_.answer.emplace();
+  std::size_t searched = 0;
+  if (messages_.request->is_done()) {
+    caller_.watch_until(std::min(silent_at, deadline_));
+  } else {
+    caller_.set_deadline(std::min(silent_at, deadline_));
+  }
+  bool wait = true;
+  while (true) {
+    if (wait) {
+      co_await socket.async_wait(tcp_socket::wait_read, as_task);
+      if (caller_.caller_gone()) {
+        co_return failed(to, step::read_answer, run_state::unknown, "the caller went away",
+                         std::nullopt);
+      }
+      if (caller_.expired()) {
+        co_return failed(to, step::read_answer, run_state::unknown, "no answer in time",
+                         silence_first ? failure_kind::silent : failure_kind::timeout);
+      }
+    }
+    boost::system::error_code code;
+    buffer.end += socket.read_some(buffer.space(), code);
+    if (code && code != asio::error::would_block) {
+      // A kept connection that the upstream closes just now says nothing of the upstream.
+      const bool stale = connection_->reused && buffer.end == 0;
+      co_return failed(to, step::read_answer, run_state::unknown, "the connection broke",
+                       stale ? std::nullopt : std::optional(failure_kind::error));
+    }
+    wait = true;
+    const auto size = find_head_end(buffer.unread(), searched);
+    if (size == 0 && buffer.unread().size() < max_head_bytes) {
+      searched = buffer.unread().size();
+      continue;
+    }
+    auto& answer = *messages_.answer;
+    boost::beast::error_code parse_code;
+    if (messages_.request->method() == http::verb::head) answer.skip(true);
+    if (size != 0) answer.parse_head(buffer, size, parse_code);
+    if (size == 0 || parse_code || answer.need_eof()) {
+      auto end = failed(to, step::read_answer, run_state::unknown, "no HTTP answer with a length",
+                        failure_kind::error);
+      end.why.code = errc::protocol;
+      co_return end;
+    }
+    if (answer.status() >= 200) co_return std::nullopt;
+    messages_.answer.emplace();
+    searched = 0;
+    wait = buffer.unread().empty();
+  }
+}
+
+// What the upstream says that it didn't run: nothing of it is relayed.
+std::optional<exchange::attempt_end> exchange::refused_by_upstream(const destination& to) {
+  auto& answer = *messages_.answer;
+  const bool says_not_run = answer.find(outcome_header) == outcome_name(run_outcome::not_run);
+  const bool misdirected = answer.status() == status_misdirected;
+  if (!misdirected && (!says_not_run || to.hop || answer.status() != status_unavailable)) {
+    return std::nullopt;
+  }
+  boost::beast::error_code code;
+  answer.parse_body(*answer_buffer_, code);
+  const bool whole = !code && answer.is_done() && answer_buffer_->unread().empty();
+  release_connection(whole && answer.keep_alive() && messages_.request->is_done());
+  attempt_end end;
+  end.wait_for_owner = misdirected;
+  end.status = status_unavailable;
+  end.why = {misdirected ? errc::not_owner : errc::refused, step::read_answer, to.address,
+             misdirected ? "the upstream doesn't own the shard" : "the upstream sheds load"};
+  if (!misdirected) end.judged = failure_kind::overload;
+  return end;
+}
+
+task<exchange::attempt_end> exchange::relay_answer(const destination& to) {
+  auto& answer = *messages_.answer;
+  attempt_end end;
+  end.answered = true;
+  end.known = run_state::unknown;
+  boost::beast::error_code code;
+  answer.parse_body(*answer_buffer_, code);
+  if (code) {
+    auto broken = failed(to, step::read_answer, run_state::unknown, "the answer's body is bad",
+                         failure_kind::error);
+    broken.why.code = errc::protocol;
+    co_return broken;
+  }
+  const body_frame frame = frame_of(answer);
+  const auto told = answer.find(outcome_header);
+  const bool keep = may_keep();
+  messages_.head.clear();
+  write_answer_head(
+      messages_.head, answer,
+      {.request_id = messages_.request_id,
+       .outcome = to.hop && !told.empty() ? told : outcome_name(run_outcome::complete),
+       .close = !keep},
+      frame);
+  outgoing pieces;
+  pieces.add(messages_.head);
+  if (frame.kind == body_framing::chunked) {
+    pieces.add_chunk(answer.body());
+  } else {
+    pieces.add(answer.body());
+  }
+  const auto reusable = [&] {
+    return answer.keep_alive() && answer_buffer_->unread().empty() && messages_.request->is_done();
+  };
+  if (answer.is_done()) {
+    // A slow caller holds neither connection nor slot.
+    release_connection(reusable());
+    leave_gate(true);
+  }
+  progress_window progress(caller_, monotonic_time::max());
+  auto relayed = co_await write_pieces(pieces, caller_.socket(), caller_, progress,
+                                       relay_end::caller_failed, relay_end::caller_slow);
+  if (relayed == relay_end::whole && !answer.is_done()) {
+    relayed = co_await relay_answer_body(caller_, answer, connection_->socket, *answer_buffer_);
+    if (relayed == relay_end::whole) release_connection(reusable());
+    leave_gate(relayed == relay_end::whole);
+  }
+  if (relayed == relay_end::whole) end.known = run_state::complete;
+  if (relayed == relay_end::upstream_failed) end.judged = failure_kind::error;
+  if (relayed == relay_end::upstream_slow) end.judged = failure_kind::silent;
+  home_.counters().add("requests_total",
+                       {{"class", std::string(class_name(match_.route->klass))},
+                        {"status", std::to_string(answer.status())},
+                        {"outcome", relayed == relay_end::whole ? "complete" : "broken"}});
+  co_return end;
+}
+
+// What an attempt says of the upstream; a hop says nothing of it.
+void exchange::judge(const destination& to, const attempt_end& end) {
+  if (end.judged == failure_kind::silent) {
+    fresh_connection_ = true;
+    home_.pool().close_idle(to.address);
+  }
+  if (to.hop) return;
+  auto& health = *traffic().health;
+  const auto now = monotonic_now();
+  if (end.judged) {
+    health.on_failure(to.upstream, *end.judged, now);
+  } else if (end.answered && end.known == run_state::complete) {
+    health.on_success(to.upstream, now - sent_, now);
+  }
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/body_relay.cc
@@ -0,0 +1,149 @@
+#include "entry/body_relay.h"
+
+#include "entry/worker.h"
+
+namespace plantainpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Notices an answer that begins before the request is whole. The handler may outlive the relay.
+struct early_answer {
+  session* caller = nullptr;  // nullptr: the relay is over
+  bool seen = false;
+};
+
+std::shared_ptr<early_answer> watch_for_answer(session& caller, tcp_socket& upstream) {
+  auto watch = std::make_shared<early_answer>();
+  watch->caller = &caller;
+  upstream.async_wait(tcp_socket::wait_read, [watch](const boost::system::error_code& code) {
+    if (code || watch->caller == nullptr) return;
+    watch->seen = true;
+    watch->caller->cancel();
+  });
+  return watch;
+}
+
+template <class Parser>
+void add_body(outgoing& pieces, const Parser& message) {
+  if (!message.chunked()) return pieces.add(message.body());
+  pieces.add_chunk(message.body());
+  if (message.is_done()) pieces.add_last_chunk();
+}
+
+}  // namespace
+
+progress_window::progress_window(session& caller, monotonic_time latest)
+    : caller_(caller), limits_(caller.home().settings().limits), latest_(latest) {
+  restart();
+}
+
+void progress_window::restart() {
+  bytes_ = 0;
+  caller_.set_deadline(std::min(latest_, monotonic_now() + limits_.body_time));
+}
+
+void progress_window::moved(std::size_t bytes) {
+  bytes_ += bytes;
+  if (bytes_ >= limits_.body_progress) restart();
+}
+
+task<relay_end> write_pieces(outgoing& pieces, tcp_socket& to, session& caller,
+                             progress_window& progress, relay_end failed, relay_end slow) {
+  while (true) {
+    const auto before = pieces.written();
+    const auto code = pieces.write_some(to);
+    progress.moved(pieces.written() - before);
+    if (!code) co_return relay_end::whole;
+    if (code != asio::error::would_block) co_return failed;
+    auto [wait_code] = co_await to.async_wait(tcp_socket::wait_write, as_task);
+    if (caller.caller_gone()) co_return relay_end::caller_failed;
+    if (caller.expired()) co_return slow;
+    if (wait_code) co_return failed;
+  }
+}
+
+namespace {
+
+task<relay_end> relay_request_pieces(session& caller, message_parser<true>& request,
+                                     tcp_socket& upstream, std::size_t window,
+                                     std::uint64_t body_limit, monotonic_time deadline,
+                                     const early_answer& watch) {
+  progress_window progress(caller, deadline);
+  wire_buffer& buffer = caller.buffer();
+  while (true) {
+    if (request.body_bytes() > body_limit) co_return relay_end::too_large;
+    outgoing pieces;
+    add_body(pieces, request);
+    const auto written = co_await write_pieces(
+        pieces, upstream, caller, progress, relay_end::upstream_failed, relay_end::upstream_slow);
+    if (watch.seen) co_return relay_end::answered_early;
+    if (written != relay_end::whole) co_return written;
+    if (request.is_done()) co_return relay_end::whole;
+    request.clear_body();
+    buffer.move_unread(window);
+    if (buffer.full()) co_return relay_end::caller_failed;  // a chunk's frame without end
+    boost::system::error_code code;
+    const auto size = caller.socket().read_some(buffer.space(), code);
+    if (code == asio::error::would_block) {
+      auto [wait_code] = co_await caller.socket().async_wait(tcp_socket::wait_read, as_task);
+      if (watch.seen) co_return relay_end::answered_early;
+      if (caller.expired()) co_return relay_end::caller_slow;
+      if (wait_code) co_return relay_end::caller_failed;
+      continue;
+    }
+    if (code) co_return relay_end::caller_failed;
+    buffer.end += size;
+    progress.moved(size);
+    boost::beast::error_code parse_code;
+    request.parse_body(buffer, parse_code);
+    if (parse_code) co_return relay_end::caller_failed;
+  }
+}
+
+}  // namespace
+
+task<relay_end> relay_request_body(session& caller, message_parser<true>& request,
+                                   tcp_socket& upstream, std::size_t window,
+                                   std::uint64_t body_limit, monotonic_time deadline) {
+  const auto watch = watch_for_answer(caller, upstream);
+  const auto end = co_await relay_request_pieces(caller, request, upstream, window, body_limit,
+                                                 deadline, *watch);
+  watch->caller = nullptr;
+  co_return end;
+}
+
+task<relay_end> relay_answer_body(session& caller, message_parser<false>& answer,
+                                  tcp_socket& upstream, wire_buffer& buffer) {
+  progress_window progress(caller, monotonic_time::max());
+  caller.watch();
+  while (!answer.is_done()) {
+    answer.clear_body();
+    buffer.move_unread(0);
+    if (buffer.full()) co_return relay_end::upstream_failed;
+    boost::system::error_code code;
+    const auto size = upstream.read_some(buffer.space(), code);
+    if (code == asio::error::would_block) {
+      auto [wait_code] = co_await upstream.async_wait(tcp_socket::wait_read, as_task);
+      if (caller.caller_gone()) co_return relay_end::caller_failed;
+      if (caller.expired()) co_return relay_end::upstream_slow;
+      if (wait_code) co_return relay_end::upstream_failed;
+      continue;
+    }
+    if (code) co_return relay_end::upstream_failed;
+    buffer.end += size;
+    progress.moved(size);
+    boost::beast::error_code parse_code;
+    answer.parse_body(buffer, parse_code);
+    if (parse_code) co_return relay_end::upstream_failed;
+    outgoing pieces;
+    add_body(pieces, answer);
+    const auto written = co_await write_pieces(pieces, caller.socket(), caller, progress,
+                                               relay_end::caller_failed, relay_end::caller_slow);
+    if (written != relay_end::whole) co_return written;
+  }
+  co_return relay_end::whole;
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/exchange.h
@@ -0,0 +1,111 @@
+// One request of a caller, from its head to the last byte of its answer.
+//
+//   exchange work(session, messages, head_size);
+//   bool keep = co_await work.run();      // whether the caller's connection may carry another
+//
+// The rules of what may be sent again: docs/CALLERS.md.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "entry/body_relay.h"
+#include "entry/message_state.h"
+#include "entry/own_answer.h"
+#include "entry/session.h"
+#include "entry/traffic_state.h"
+#include "upstream/pool.h"
+
+namespace plantainpaddle {
+
+class exchange {
+ public:
+  // The session's buffer begins with a whole, checked head of head_size bytes.
+  exchange(session& caller, message_state& messages, std::size_t head_size);
+  ~exchange();
+  exchange(const exchange&) = delete;
+  exchange& operator=(const exchange&) = delete;
+
+  task<bool> run();
+  // Bytes of a next request had come before this one was answered.
+  bool pipelined() const { return pipelined_; }
+
+ private:
+  // Where a request is sent.
+  struct destination {
+    std::size_t upstream = 0;  // index in the service
+    std::string address;
+    shard_target owner;
+    bool hop = false;  // to the upstream's dispatcher
+  };
+
+  // How an attempt ended. Without `answered`, `why` and `known` say what to tell the caller.
+  struct attempt_end {
+    bool answered = false;
+    bool wait_for_owner = false;  // not run, and a new owner may come
+    run_state known = run_state::not_run;
+    unsigned status = 503;
+    error why;
+    std::optional<failure_kind> judged;  // what it says of the upstream
+  };
+
+  // Before anything is sent.
+  std::optional<own_answer> open(std::size_t head_size);
+  std::optional<own_answer> match_view();
+  std::optional<own_answer> check_deadline();
+  std::optional<own_answer> check_limits();
+  task<std::optional<own_answer>> gather_body();
+
+  // Where to.
+  std::optional<destination> choose(std::optional<std::size_t> except);
+  task<std::optional<own_answer>> wait_for_owner(const error& why);
+
+  // Sending.
+  task<attempt_end> attempt(const destination& to);
+  task<attempt_end> attempt_admitted(const destination& to);
+  task<std::optional<attempt_end>> enter_gate(const destination& to);
+  task<std::optional<attempt_end>> connect(const destination& to);
+  task<std::optional<attempt_end>> send_request(const destination& to);
+  task<std::optional<attempt_end>> read_answer_head(const destination& to);
+  std::optional<attempt_end> refused_by_upstream(const destination& to);
+  task<attempt_end> relay_answer(const destination& to);
+  void release_connection(bool reusable);
+  void leave_gate(bool observe);
+  attempt_end failed(const destination& to, step at, run_state known, const std::string& detail,
+                     std::optional<failure_kind> judged) const;
+  attempt_end relay_failed(const destination& to, relay_end end) const;
+  void judge(const destination& to, const attempt_end& end);
+  task<std::optional<own_answer>> plan_retry(const attempt_end& end);
+
+  task<bool> answer(own_answer own);
+  bool may_keep() const;
+  bool repeatable() const;
+  const service_snapshot& service() const { return *match_.service; }
+  const service_traffic& traffic() const;
+
+  session& caller_;
+  worker& home_;
+  message_state& messages_;
+  std::size_t head_size_;
+  std::shared_ptr<const traffic_view> view_;
+  route_match match_;
+  std::optional<std::string> key_;
+  shard_id shard_;
+  std::string_view tenant_;
+  monotonic_time started_{};
+  monotonic_time sent_{};
+  monotonic_time deadline_{};
+  duration pause_{0};  // last wait for an owner
+  std::unique_ptr<upstream_connection> connection_;
+  std::unique_ptr<wire_buffer> answer_buffer_;
+  std::shared_ptr<upstream_traffic> gate_owner_;  // whose gate was entered
+  admission_id gate_id_ = 0;
+  std::uint32_t attempts_ = 0;
+  bool fresh_connection_ = false;  // the last attempt's was silent
+  bool continue_sent_ = false;
+  bool streamed_ = false;  // body bytes have left the buffer: the request can't be sent again
+  bool pipelined_ = false;
+};
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/message_state.h
@@ -0,0 +1,40 @@
+// The parsers and texts of one exchange, kept for the next one.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "upstream/message_parser.h"
+
+namespace plantainpaddle {
+
+struct message_state {
+  std::optional<message_parser<true>> request;
+  std::optional<message_parser<false>> answer;
+  std::string head;  // the head that is being sent
+  std::string request_id;
+};
+
+// Not thread-safe; one for each traffic thread.
+class message_pool {
+ public:
+  static constexpr std::size_t max_free = 128;
+
+  std::unique_ptr<message_state> take() {
+    if (free_.empty()) return std::make_unique<message_state>();
+    auto state = std::move(free_.back());
+    free_.pop_back();
+    return state;
+  }
+
+  void give(std::unique_ptr<message_state> state) {
+    if (state && free_.size() < max_free) free_.push_back(std::move(state));
+  }
+
+ private:
+  std::vector<std::unique_ptr<message_state>> free_;
+};
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/own_answer.h
@@ -0,0 +1,35 @@
+// Answers that the router makes itself: JSON with a stable code, the step, the peer, a detail and
+// whether the request ran. docs/CALLERS.md lists them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "base/time.h"
+
+namespace plantainpaddle {
+
+// What happened to a request, as far as the router knows it.
+enum class run_outcome { complete, not_run, unknown };
+inline constexpr std::size_t run_outcome_count = 3;
+std::string_view outcome_name(run_outcome outcome) noexcept;
+
+struct own_answer {
+  unsigned status = 503;
+  error why;
+  run_outcome outcome = run_outcome::not_run;
+  duration retry_after{0};  // 0: no Retry-After
+};
+
+struct own_answer_frame {
+  std::string_view request_id;
+  bool head_only = false;  // the request's method is HEAD
+  bool close = false;
+};
+
+// The whole message.
+std::string format_own_answer(const own_answer& answer, const own_answer_frame& frame);
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/prober.cc
@@ -0,0 +1,55 @@
+// A connection alone proves little: the kernel accepts for a process that is frozen. So the probe
+// is a request, and one byte of an answer is the proof.
+#include "entry/prober.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/address.h"
+#include "upstream/stream.h"
+
+namespace plantainpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+task<bool> ask(tcp_socket& socket, asio::ip::tcp::endpoint endpoint, std::string address) {
+  auto [connect_code] = co_await socket.async_connect(endpoint, as_task);
+  if (connect_code) co_return false;
+  const std::string request = "GET " + std::string(probe_target) + " HTTP/1.1\r\nHost: " + address +
+                              "\r\nConnection: close\r\n\r\n";
+  auto [write_code, written] = co_await asio::async_write(socket, asio::buffer(request), as_task);
+  if (write_code) co_return false;
+  std::array<char, 64> answer{};
+  auto [read_code, size] = co_await socket.async_read_some(asio::buffer(answer), as_task);
+  co_return !read_code && size != 0;
+}
+
+task<void> probe(io_executor executor, std::shared_ptr<service_health> health, std::size_t upstream,
+                 std::string address) {
+  const auto endpoint = parse_address(address);
+  if (!endpoint) co_return;
+  auto socket = std::make_shared<tcp_socket>(executor);
+  task_timer timer(executor);
+  timer.expires_after(probe_time);
+  timer.async_wait([socket](const boost::system::error_code& code) {
+    boost::system::error_code ignored;
+    if (!code) socket->close(ignored);
+  });
+  const bool answered = co_await ask(*socket, *endpoint, address);
+  timer.cancel();
+  health->on_probe(upstream, answered, monotonic_now());
+}
+
+}  // namespace
+
+void start_probe(asio::io_context& io, std::shared_ptr<service_health> health, std::size_t upstream,
+                 const std::string& address) {
+  asio::co_spawn(io, probe(io.get_executor(), std::move(health), upstream, address),
+                 asio::detached);
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/prober.h
@@ -0,0 +1,20 @@
+// Asks an upstream for any answer on a fresh connection, before it is judged by one that is silent.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "entry/traffic_state.h"
+
+namespace plantainpaddle {
+
+inline constexpr std::string_view probe_target = "/plantainpaddle/v1/probe";
+inline constexpr duration probe_time = milliseconds(200);
+
+// Tells `health` whether an answer came within probe_time. Any status will do: that the process
+// answers is what is asked.
+void start_probe(boost::asio::io_context& io, std::shared_ptr<service_health> health,
+                 std::size_t upstream, const std::string& address);
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/traffic_state.cc
@@ -0,0 +1,173 @@
+#include "entry/traffic_state.h"
+
+#include <algorithm>
+
+namespace plantainpaddle {
+
+void service_health::on_success(std::size_t upstream, duration latency, monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  tracker_.on_success(upstream, latency, now);
+}
+
+void service_health::on_failure(std::size_t upstream, failure_kind kind, monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  tracker_.on_failure(upstream, kind, now);
+}
+
+void service_health::on_report(std::size_t upstream, const load_report& report,
+                               monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  tracker_.on_report(upstream, report, now);
+}
+
+void service_health::on_probe(std::size_t upstream, bool answered, monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  tracker_.on_probe(upstream, answered, now);
+}
+
+std::vector<std::size_t> service_health::probes_due(monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  return tracker_.probes_due(now);
+}
+
+bool service_health::usable(std::size_t upstream, monotonic_time now) const {
+  const std::lock_guard lock(mutex_);
+  return tracker_.usable(upstream, now);
+}
+
+double service_health::share(std::size_t upstream, monotonic_time now) const {
+  const std::lock_guard lock(mutex_);
+  return tracker_.share(upstream, now);
+}
+
+void service_retries::on_request() {
+  const std::lock_guard lock(mutex_);
+  budget_.on_request();
+}
+
+retry_decision service_retries::decide(const retry_question& question, std::uint64_t random) {
+  const std::lock_guard lock(mutex_);
+  return decide_retry(budget_, question, random);
+}
+
+traffic_state::traffic_state(proxy_settings settings)
+    : settings_(std::move(settings)), view_(std::make_shared<const traffic_view>()), limiter_({}) {
+  auto empty = std::make_shared<traffic_view>();
+  empty->snapshot = std::make_shared<const routing_snapshot>();
+  view_ = std::move(empty);
+}
+
+std::shared_ptr<const traffic_view> traffic_state::view() const {
+  const std::lock_guard lock(mutex_);
+  return view_;
+}
+
+std::shared_ptr<const traffic_view> traffic_state::make_view(
+    std::shared_ptr<const routing_snapshot> snapshot, monotonic_time now) {
+  const auto previous = view();
+  auto made = std::make_shared<traffic_view>();
+  for (const auto& service : snapshot->services) {
+    const service_traffic* before = nullptr;
+    const auto& old = previous->snapshot->services;
+    for (std::size_t i = 0; i < old.size(); ++i) {
+      if (old[i].service.name == service.service.name) before = &previous->services[i];
+    }
+    made->services.push_back(make_service(service, before, now));
+    const std::lock_guard lock(limits_mutex_);
+    limiter_.set_limits(service.service.name, service.limits);
+  }
+  made->snapshot = std::move(snapshot);
+  const std::lock_guard lock(mutex_);
+  view_ = made;
+  return made;
+}
+
+service_traffic traffic_state::make_service(const service_snapshot& service,
+                                            const service_traffic* previous,
+                                            monotonic_time now) const {
+  service_traffic made;
+  for (const auto& row : service.upstreams) {
+    made.names.push_back(row.name.value + "@" + row.address);
+    std::shared_ptr<upstream_traffic> kept;
+    if (previous != nullptr) {
+      const auto place =
+          std::find(previous->names.begin(), previous->names.end(), made.names.back());
+      if (place != previous->names.end()) {
+        kept = previous->upstreams[static_cast<std::size_t>(place - previous->names.begin())];
+      }
+    }
+    if (!kept) {
+      kept = std::make_shared<upstream_traffic>(admission_config{.slots = row.slots});
+      // At the instance's own start nothing is known of their age: they count as warm.
+      kept->added = previous == nullptr ? now - service.service.cold_start : now;
+    }
+    kept->thread_connections = std::max<std::size_t>(1, row.connections / settings_.threads);
+    kept->gate.set_slots(row.slots, now);
+    made.upstreams.push_back(std::move(kept));
+  }
+  const bool same = previous != nullptr && previous->names == made.names;
+  made.health = same
+                    ? previous->health
+                    : std::make_shared<service_health>(
+                          health_config{.set_aside = service.service.set_aside}, made.names.size());
+  made.retries = previous != nullptr ? previous->retries : std::make_shared<service_retries>();
+  return made;
+}
+
+limit_decision traffic_state::check_limits(const service_id& service, const tenant_id& tenant,
+                                           request_class klass, monotonic_time now) {
+  const std::lock_guard lock(limits_mutex_);
+  return limiter_.check(service, tenant, klass, now);
+}
+
+std::vector<limit_use> traffic_state::limit_usage(monotonic_time now) {
+  const std::lock_guard lock(limits_mutex_);
+  return limiter_.usage(now);
+}
+
+void traffic_state::on_limit_usage(const instance_id& from, const std::vector<limit_use>& entries,
+                                   monotonic_time now) {
+  const std::lock_guard lock(limits_mutex_);
+  limiter_.on_usage(from, entries, now);
+}
+
+void traffic_state::on_load_report(const service_id& service, const upstream_id& upstream,
+                                   const load_report& report, monotonic_time now) {
+  const auto current = view();
+  for (std::size_t i = 0; i < current->services.size(); ++i) {
+    const auto& snapshot = current->snapshot->services[i];
+    if (snapshot.service.name != service) continue;
+    for (std::size_t j = 0; j < snapshot.upstreams.size(); ++j) {
+      if (snapshot.upstreams[j].name == upstream) {
+        current->services[i].health->on_report(j, report, now);
+      }
+    }
+  }
+}
+
+std::optional<std::size_t> choose_unkeyed(const service_snapshot& service,
+                                          const service_traffic& traffic, const domain_id& domain,
+                                          monotonic_time now, std::uint64_t random,
+                                          std::optional<std::size_t> except) {
+  std::vector<balance_candidate> near(service.upstreams.size());
+  bool any_near = false;
+  for (std::size_t i = 0; i < near.size(); ++i) {
+    const auto& row = service.upstreams[i];
+    const auto& state = *traffic.upstreams[i];
+    near[i] = {.weight = row.weight,
+               .slots = row.slots,
+               .outstanding = state.outstanding.load(std::memory_order_relaxed),
+               .share = traffic.health->share(i, now) *
+                        cold_start_share(now - state.added, service.service.cold_start),
+               .usable = row.state == upstream_state::active && traffic.health->usable(i, now)};
+    any_near = any_near || (near[i].usable && row.domain == domain && except != i);
+  }
+  if (any_near) {
+    for (std::size_t i = 0; i < near.size(); ++i) {
+      near[i].usable = near[i].usable && service.upstreams[i].domain == domain;
+    }
+  }
+  return choose_upstream(near, random, except);
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/worker.cc
@@ -0,0 +1,136 @@
+#include "entry/worker.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+
+#include "base/log.h"
+#include "entry/prober.h"
+#include "entry/session.h"
+
+namespace plantainpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration retire_period = seconds(1);
+
+// A control block of the thread's own, so that copying the pointer touches no other thread's cache
+// line.
+std::shared_ptr<const traffic_view> thread_local_copy(std::shared_ptr<const traffic_view> view) {
+  const auto* target = view.get();
+  return {std::make_shared<std::shared_ptr<const traffic_view>>(std::move(view)), target};
+}
+
+}  // namespace
+
+worker::worker(traffic_state& shared, metrics& counters, std::size_t index)
+    : shared_(shared),
+      counters_(counters),
+      index_(index),
+      work_(asio::make_work_guard(io_)),
+      sweep_timer_(io_),
+      view_(thread_local_copy(shared.view())),
+      pool_(io_.get_executor()),
+      random_(random_number()) {}
+
+worker::~worker() { stop(); }
+
+void worker::start() {
+  thread_ = std::thread([this] {
+    schedule_sweep();
+    io_.run();
+  });
+}
+
+void worker::stop() {
+  if (!thread_.joinable()) return;
+  asio::post(io_, [this] {
+    stopping_ = true;
+    abort_sessions();
+  });
+  thread_.join();
+}
+
+void worker::abort_sessions() {
+  for (auto& [id, open] : sessions_) open->abort();
+  if (sessions_.empty()) work_.reset();
+}
+
+void worker::adopt(std::shared_ptr<const traffic_view> view) {
+  asio::post(io_, [this, view = std::move(view)]() mutable {
+    view_ = thread_local_copy(std::move(view));
+    wake_waiting();
+  });
+}
+
+void worker::wake_waiting() {
+  for (const auto id : waiting_for_owner_) {
+    if (auto* waiting = find(id)) waiting->wake();
+  }
+}
+
+session* worker::find(std::uint64_t id) {
+  const auto place = sessions_.find(id);
+  return place == sessions_.end() ? nullptr : place->second.get();
+}
+
+void worker::take(tcp_socket socket, bool internal) {
+  asio::post(io_, [this, internal, socket = std::move(socket)]() mutable {
+    const auto id = next_id();
+    auto& opened =
+        *sessions_.emplace(id, std::make_unique<session>(*this, id, std::move(socket), internal))
+             .first->second;
+    asio::co_spawn(io_, opened.run(), [this, id](const std::exception_ptr& thrown) {
+      if (thrown) log_line(log_level::error, {.message = "a connection ended in an exception"});
+      sessions_.erase(id);
+      --shared_.connections;
+    });
+  });
+}
+
+void worker::begin_drain() {
+  asio::post(io_, [this] {
+    draining_ = true;
+    const auto close_at = monotonic_now() + settings().limits.drain_idle_time;
+    for (auto& [id, open] : sessions_) open->begin_drain(close_at);
+  });
+}
+
+void worker::decide(std::uint64_t session, admission_id id, bool admitted) {
+  asio::post(io_, [this, session, id, admitted] {
+    if (auto* waiting = find(session)) waiting->decide(id, admitted);
+  });
+}
+
+void worker::schedule_sweep() {
+  sweep_timer_.expires_after(deadline_sweeper::sweep_period);
+  sweep_timer_.async_wait([this](const boost::system::error_code& code) {
+    if (code) return;
+    const auto now = monotonic_now();
+    sweeper_.sweep(now);
+    if (now >= next_retire_) {
+      next_retire_ = now + retire_period;
+      pool_.retire_idle(now);
+    }
+    if (index_ == 0) sweep_shared(now);
+    if (stopping_) {
+      abort_sessions();
+      if (sessions_.empty()) return;
+    }
+    schedule_sweep();
+  });
+}
+
+// The first thread looks after what the threads share.
+void worker::sweep_shared(monotonic_time now) {
+  for (std::size_t i = 0; i < view_->services.size(); ++i) {
+    const auto& service = view_->services[i];
+    for (const auto& upstream : service.upstreams) upstream->gate.expire(now);
+    for (const auto due : service.health->probes_due(now)) {
+      start_probe(io_, service.health, due, view_->snapshot->services[i].upstreams[due].address);
+    }
+  }
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/worker.h
@@ -0,0 +1,95 @@
+// One traffic thread: its io_context, callers' connections, connections to upstreams, deadlines.
+//
+//   worker w(shared, counters, 0);
+//   w.start();
+//   w.adopt(view);                      // any thread
+//   w.take(std::move(socket), false);   // any thread; the socket belongs to w.io()
+//   w.begin_drain();  ...  w.stop();    // any other thread
+//
+// Everything without that note is called on the worker's thread.
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+#include "entry/deadlines.h"
+#include "entry/message_state.h"
+#include "entry/traffic_state.h"
+#include "metrics/metrics.h"
+#include "upstream/pool.h"
+
+namespace plantainpaddle {
+
+class session;
+
+class worker {
+ public:
+  worker(traffic_state& shared, metrics& counters, std::size_t index);
+  ~worker();
+  worker(const worker&) = delete;
+  worker& operator=(const worker&) = delete;
+
+  boost::asio::io_context& io() { return io_; }
+  void start();
+  // Cuts off what is under way. Any thread but the worker's own.
+  void stop();
+  // Any thread.
+  void adopt(std::shared_ptr<const traffic_view> view);
+  void take(tcp_socket socket, bool internal);
+  void begin_drain();
+  // The request of this session and admission got its slot, or won't get one. Any thread.
+  void decide(std::uint64_t session, admission_id id, bool admitted);
+
+  traffic_state& shared() { return shared_; }
+  const proxy_settings& settings() const { return shared_.settings(); }
+  metrics& counters() { return counters_; }
+  // A reference count of its own for each thread: copies are cheap.
+  std::shared_ptr<const traffic_view> view() const { return view_; }
+  connection_pool& pool() { return pool_; }
+  buffer_pool& buffers() { return buffers_; }
+  deadline_sweeper& sweeper() { return sweeper_; }
+  message_pool& messages() { return messages_; }
+  bool draining() const { return draining_; }
+  std::uint64_t random() { return random_(); }
+  std::uint64_t next_id() { return (std::uint64_t{index_} << 48) | ++last_id_; }
+  std::size_t index() const { return index_; }
+  std::size_t sessions() const { return sessions_.size(); }
+  session* find(std::uint64_t id);
+
+  // Sessions that wait for a new view.
+  std::set<std::uint64_t>& waiting_for_owner() { return waiting_for_owner_; }
+
+ private:
+  void schedule_sweep();
+  void sweep_shared(monotonic_time now);
+  void wake_waiting();
+  void abort_sessions();
+
+  traffic_state& shared_;
+  metrics& counters_;
+  std::size_t index_;
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<io_executor> work_;
+  task_timer sweep_timer_;
+  std::shared_ptr<const traffic_view> view_;
+  connection_pool pool_;
+  buffer_pool buffers_;
+  deadline_sweeper sweeper_;
+  message_pool messages_;
+  std::mt19937_64 random_;
+  std::uint64_t last_id_ = 0;
+  bool draining_ = false;
+  bool stopping_ = false;
+  monotonic_time next_retire_{};
+  std::set<std::uint64_t> waiting_for_owner_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<session>> sessions_;
+  std::thread thread_;
+};
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/upstream/pool.h
@@ -0,0 +1,81 @@
+// Connections of one traffic thread to upstreams and dispatchers, by address.
+//
+//   if (auto used = pool.take_idle(address, now)) ...     // alive when it was taken
+//   else if (pool.reserve(address, limit)) ...            // a new one may be opened
+//   else wait, pool.on_free() wakes in turn
+//   pool.keep(std::move(used), now);  or  pool.drop(address);
+//
+// A pool counts the connections that it lent or keeps; open ones never exceed the limit given. Not
+// thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "upstream/stream.h"
+#include "upstream/wire_buffer.h"
+
+namespace plantainpaddle {
+
+struct upstream_connection {
+  explicit upstream_connection(const io_executor& executor) : socket(executor) {}
+
+  tcp_socket socket;
+  std::string address;
+  std::unique_ptr<wire_buffer> buffer;  // only while an answer is read
+  monotonic_time idle_since{};
+  bool reused = false;
+};
+
+class connection_pool {
+ public:
+  static constexpr duration idle_time = seconds(15);  // kept unused for at most so long
+  static constexpr std::size_t max_waiting = 1024;    // requests that wait for a connection
+
+  explicit connection_pool(io_executor executor) : executor_(std::move(executor)) {}
+
+  // The connection used last, if the other side hasn't closed it; nullptr if there is none.
+  std::unique_ptr<upstream_connection> take_idle(const std::string& address, monotonic_time now);
+  // A new unconnected one, counted as open; nullptr if `limit` are.
+  std::unique_ptr<upstream_connection> reserve(const std::string& address, std::size_t limit);
+  void keep(std::unique_ptr<upstream_connection> done, monotonic_time now);
+  void drop(std::unique_ptr<upstream_connection> done);
+
+  // Calls `wake` once when a connection of this address is kept or dropped; 0 if too many wait.
+  std::uint64_t wait(const std::string& address, std::function<void()> wake);
+  // To be called for each ticket; took: the one that waited has got a connection.
+  void stop_waiting(const std::string& address, std::uint64_t ticket, bool took);
+
+  void retire_idle(monotonic_time now);
+  void close_idle();
+  // A silent connection puts all its idle neighbours in doubt: they are closed.
+  void close_idle(const std::string& address);
+  std::size_t open(const std::string& address) const;
+  std::size_t idle() const;
+
+ private:
+  struct waiter {
+    std::uint64_t ticket;
+    std::function<void()> wake;
+  };
+  struct address_state {
+    std::vector<std::unique_ptr<upstream_connection>> idle;  // last used last
+    std::size_t open = 0;                                    // idle and lent
+    std::deque<waiter> waiting;
+  };
+
+  static void wake_next(address_state& state);
+
+  io_executor executor_;
+  std::unordered_map<std::string, address_state> addresses_;
+  std::uint64_t tickets_ = 0;
+  std::size_t waiting_ = 0;
+};
+
+}  // namespace plantainpaddle
