--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -75,7 +75,7 @@
   gate_owner_ = traffic().upstreams[to.upstream];
   gate_id_ = home_.next_id();
   caller_.await_decision(gate_id_);
-  auto verdict = gate_owner_->gate.enter(
+  auto [verdict, reason] = gate_owner_->gate.enter(
       {gate_id_, match_.route->klass, tenant_id{std::string(tenant_)}, deadline_}, now,
       [&home = home_, session = caller_.id(), id = gate_id_](bool admitted) {
         home.decide(session, id, admitted);
@@ -96,7 +96,10 @@
   leave_gate(false);
   attempt_end end;
   end.status = status_unavailable;
-  end.why = {errc::limit_exceeded, step::admit, to.address, "the upstream's slots are taken"};
+  end.too_late = reason == refusal::too_late;
+  end.why = {errc::limit_exceeded, step::admit, to.address,
+             end.too_late ? "too late to be served before the deadline"
+                          : "the upstream's slots are taken"};
   co_return end;
 }
 
@@ -245,9 +248,9 @@
   } else {
     caller_.set_deadline(std::min(silent_at, deadline_));
   }
-  bool wait = true;
+  bool more = true;  // bytes are wanted before there can be a head
   while (true) {
-    if (wait) {
+    if (more) {
       co_await socket.async_wait(tcp_socket::wait_read, as_task);
       if (caller_.caller_gone()) {
         co_return failed(to, step::read_answer, run_state::unknown, "the caller went away",
@@ -257,16 +260,16 @@
         co_return failed(to, step::read_answer, run_state::unknown, "no answer in time",
                          silence_first ? failure_kind::silent : failure_kind::timeout);
       }
+      boost::system::error_code code;
+      buffer.end += socket.read_some(buffer.space(), code);
+      if (code && code != asio::error::would_block) {
+        // A kept connection that the upstream closes just now says nothing of the upstream.
+        const bool stale = connection_->reused && buffer.end == 0;
+        co_return failed(to, step::read_answer, run_state::unknown, "the connection broke",
+                         stale ? std::nullopt : std::optional(failure_kind::error));
+      }
     }
-    boost::system::error_code code;
-    buffer.end += socket.read_some(buffer.space(), code);
-    if (code && code != asio::error::would_block) {
-      // A kept connection that the upstream closes just now says nothing of the upstream.
-      const bool stale = connection_->reused && buffer.end == 0;
-      co_return failed(to, step::read_answer, run_state::unknown, "the connection broke",
-                       stale ? std::nullopt : std::optional(failure_kind::error));
-    }
-    wait = true;
+    more = true;
     const auto size = find_head_end(buffer.unread(), searched);
     if (size == 0 && buffer.unread().size() < max_head_bytes) {
       searched = buffer.unread().size();
@@ -285,7 +288,7 @@
     if (answer.status() >= 200) co_return std::nullopt;
     messages_.answer.emplace();
     searched = 0;
-    wait = buffer.unread().empty();
+    more = buffer.unread().empty();
   }
 }
 
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -81,6 +81,11 @@
       home_.counters().add("cancelled_total", {});
       co_return false;
     }
+    if (end.too_late && attempts_ > 1) {
+      // Why it became late. Named: g++ 12 destroys an aggregate made inside co_await twice.
+      own_answer late{503, last, run_outcome::not_run};
+      co_return co_await answer(std::move(late));
+    }
     if (end.wait_for_owner && !streamed_) {
       last = end.why;
       if (auto give_up = co_await wait_for_owner(last)) {
@@ -88,6 +93,7 @@
       }
       continue;
     }
+    last = end.why;
     if (auto give_up = co_await plan_retry(end)) co_return co_await answer(std::move(*give_up));
     except = to->upstream;
   }
@@ -239,12 +245,14 @@
 // Waits for a new view or a short while, at most until the deadline; then the view is read anew.
 task<std::optional<own_answer>> exchange::wait_for_owner(const error& why) {
   if (caller_.internal()) {
-    co_return own_answer{status_misdirected, why, run_outcome::not_run};
+    own_answer misdirected{status_misdirected, why, run_outcome::not_run};
+    co_return misdirected;
   }
   auto& waiting = home_.waiting_for_owner();
   const auto now = monotonic_now();
   if (now >= deadline_ || caller_.caller_gone()) {
-    co_return own_answer{503, why, run_outcome::not_run};
+    own_answer given_up{503, why, run_outcome::not_run};
+    co_return given_up;
   }
   if (waiting.size() >= home_.settings().limits.waiting_for_owner) {
     co_return not_run(503, errc::limit_exceeded, step::ownership,
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -44,6 +44,7 @@
   struct attempt_end {
     bool answered = false;
     bool wait_for_owner = false;  // not run, and a new owner may come
+    bool too_late = false;        // refused a slot because of the deadline
     run_state known = run_state::not_run;
     unsigned status = 503;
     error why;
--- a/src/entry/gate.cc
+++ b/src/entry/gate.cc
@@ -15,22 +15,22 @@
   for (const auto& [handler, admitted] : made) handler(admitted);
 }
 
-admission_verdict upstream_gate::enter(const admission_request& request, monotonic_time now,
-                                       decision_handler on_decision) {
+upstream_gate::entrance upstream_gate::enter(const admission_request& request, monotonic_time now,
+                                             decision_handler on_decision) {
   decisions made;
-  admission_verdict verdict{};
+  entrance made_entrance;
   {
     const std::lock_guard lock(mutex_);
     const auto offer = admission_.offer(request, now);
-    verdict = offer.verdict;
-    if (verdict == admission_verdict::queued) {
+    made_entrance = {offer.verdict, offer.reason};
+    if (offer.verdict == admission_verdict::queued) {
       waiting_.emplace(request.id, std::move(on_decision));
     }
     gather(made, offer.displaced, false);
     gather(made, offer.expired, false);
   }
   tell(made);
-  return verdict;
+  return made_entrance;
 }
 
 void upstream_gate::leave(admission_id id, monotonic_time now, bool observe) {
--- a/src/entry/gate.h
+++ b/src/entry/gate.h
@@ -22,8 +22,12 @@
 
   explicit upstream_gate(admission_config config) : admission_(config) {}
 
-  admission_verdict enter(const admission_request& request, monotonic_time now,
-                          decision_handler on_decision);
+  struct entrance {
+    admission_verdict verdict = admission_verdict::refused;
+    refusal reason = refusal::none;
+  };
+  entrance enter(const admission_request& request, monotonic_time now,
+                 decision_handler on_decision);
   // observe: the time since admission tells how long the upstream takes.
   void leave(admission_id id, monotonic_time now, bool observe);
   // Refuses what waits and can't be served in time.
