--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -1,5 +1,7 @@
 #include "entry/worker.h"
 
+#include <pthread.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 
@@ -38,6 +40,7 @@
 
 void worker::start() {
   thread_ = std::thread([this] {
+    ::pthread_setname_np(::pthread_self(), ("traffic-" + std::to_string(index_)).c_str());
     schedule_sweep();
     io_.run();
   });
