Split the control thread by concern; planned leave; standbys outside of the own domain

Cause: control.cc held spreading, roles and glue in one file, each instance pushed to all others, and a domain with one entry instance left lost its right when the store stalled: its only standby was itself or a dead instance (seen: 3 of 48 requests refused in 4 s of a stalled store). Change: instance_directory, state_spreader and cell_runner are files of their own; a watcher and a deputy per failure domain follow the store; a leaving instance hands its cells to one standby; instances that don't answer are no candidates until heard of; for isolation 'stay' instances of other domains fill the list of standbys after those of the own one.

--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -16,6 +16,8 @@
 namespace plantainpaddle {
 namespace {
 
+constexpr duration leave_time = seconds(3);
+
 int run(const entry_settings& settings) {
   start_log({settings.level, settings.name});
   metrics counters;
@@ -32,6 +34,7 @@
     }
     if (request.target == "/status") co_return json_response(200, control.describe());
     if (request.target == "/healthz") co_return json_response(200, "{}");
+    if (request.target == "/readyz") co_return json_response(control.is_ready() ? 200 : 503, "{}");
     co_return json_response(404, R"({"error":"no such page"})");
   };
   for (const auto& started :
@@ -45,6 +48,8 @@
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const auto&, int) { io.stop(); });
   io.run();
+  control.leave(leave_time);
+  log_line(log_level::info, {.message = "stops"});
   return exit_ok;
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "base/error.h"
+#include "base/time.h"
 #include "entry/settings.h"
 #include "metrics/metrics.h"
 #include "routing/snapshot.h"
@@ -32,8 +33,14 @@
   result<std::string> start();
   void stop();
 
-  // The state as JSON, for the operators' port; may be called on any thread.
+  // Hands the cells of this instance over to their standbys; returns when that is done or time is
+  // up.
+  void leave(duration within);
+
+  // The state as JSON, for the operators' port; may be called on any thread, as the next one.
   std::string describe();
+  // True once a table is known and until the instance leaves.
+  bool is_ready();
 
  private:
   struct impl;
--- /dev/null
+++ b/src/entry/state_spreader.cc
@@ -0,0 +1,142 @@
+#include "entry/state_spreader.h"
+
+#include <set>
+
+#include "base/log.h"
+
+namespace plantainpaddle {
+namespace {
+
+constexpr duration digest_period = seconds(1);
+constexpr duration resync_period = seconds(1);  // between two reads of the whole state
+constexpr duration peer_timeout = milliseconds(500);
+constexpr std::size_t max_push_bytes = 4 << 20;
+
+}  // namespace
+
+state_spreader::state_spreader(state_cache& cache, const instance_directory& directory,
+                               store_client& store, peer_network& network, domain_id domain,
+                               std::uint64_t seed, std::function<void(std::function<void()>)> post,
+                               std::function<void()> on_change,
+                               std::function<void(const peer_identity&)> on_peer)
+    : cache_(cache),
+      directory_(directory),
+      store_(store),
+      network_(network),
+      domain_(std::move(domain)),
+      random_(seed),
+      post_(std::move(post)),
+      on_change_(std::move(on_change)),
+      on_peer_(std::move(on_peer)) {}
+
+void state_spreader::tick(monotonic_time now) {
+  follow_store(now);
+  exchange_digest(now);
+}
+
+void state_spreader::follow_store(monotonic_time now) {
+  if (!directory_.is_watcher()) {
+    watch_.reset();
+    return;
+  }
+  if (watch_ || reading_ || now < next_read_) return;
+  reading_ = true;
+  next_read_ = now + resync_period;
+  store_.range(cache_.keys().prefix, [this](result<range_answer> answer) {
+    reading_ = false;
+    if (!answer) return log_error(log_level::warning, answer.error());
+    std::vector<state_item> items;
+    for (auto& value : answer->values) {
+      items.push_back({std::move(value.key), value.version, std::move(value.value)});
+    }
+    apply(items, origin::store);
+    start_watch(answer->revision);
+  });
+}
+
+void state_spreader::start_watch(std::uint64_t after_revision) {
+  watch_ = store_.watch(
+      cache_.keys().prefix, after_revision, [this](result<std::vector<watch_event>> events) {
+        if (!events) {
+          log_error(log_level::warning, events.error());
+          post_([this] { watch_.reset(); });  // not from within its own call
+          return;
+        }
+        std::vector<state_item> items;
+        for (auto& event : *events) {
+          if (event.removed) continue;
+          auto& value = event.value;
+          items.push_back({std::move(value.key), value.version, std::move(value.value)});
+        }
+        apply(items, origin::store);
+      });
+}
+
+void state_spreader::exchange_digest(monotonic_time now) {
+  if (now < next_digest_) return;
+  next_digest_ = now + digest_period;
+  std::vector<const instance_info*> others;
+  for (const auto& info : directory_.list()) {
+    if (info.name != directory_.self_name()) others.push_back(&info);
+  }
+  if (others.empty()) return;
+  const auto* chosen = others[random_() % others.size()];
+  network_.call(chosen->peers, cache_.digest(), peer_timeout, [this](result<peer_answer> answer) {
+    if (!answer) return;
+    post_([this, answer = std::move(*answer)] {
+      on_peer_(answer.from);
+      if (const auto* push = std::get_if<state_push>(&answer.reply)) {
+        received(answer.from.domain, *push);
+      }
+    });
+  });
+}
+
+void state_spreader::written(const state_item& item) { apply({item}, origin::written_here); }
+
+void state_spreader::received(const domain_id& from, const state_push& push) {
+  apply(push.items, from == domain_ ? origin::own_domain : origin::other_domain);
+}
+
+state_push state_spreader::missing(const state_digest& theirs) const {
+  return cache_.newer_than(theirs, max_push_bytes);
+}
+
+void state_spreader::apply(const std::vector<state_item>& items, origin from) {
+  state_push fresh;
+  for (const auto& item : items) {
+    const auto applied = cache_.apply(item);
+    if (!applied) {
+      error e = applied.error();
+      e.peer = item.key;
+      log_error(log_level::error, e);
+    } else if (*applied) {
+      fresh.items.push_back(item);
+    }
+  }
+  if (fresh.items.empty()) return;
+  pass_on(fresh, from);
+  on_change_();
+}
+
+void state_spreader::pass_on(const state_push& push, origin from) {
+  const bool to_own_domain = from == origin::written_here || directory_.is_watcher();
+  if (from == origin::own_domain) return;
+  if (to_own_domain) push_to(directory_.live_in(domain_), push);
+  if (from != origin::written_here) return;
+  std::set<domain_id> domains;
+  for (const auto& info : directory_.list()) {
+    if (info.domain != domain_) domains.insert(info.domain);
+  }
+  for (const auto& domain : domains) push_to(directory_.watchers_of(domain), push);
+}
+
+void state_spreader::push_to(const std::vector<std::string>& names, const state_push& push) {
+  for (const auto& name : names) {
+    const auto* info = directory_.find(name);
+    if (info == nullptr || name == directory_.self_name()) continue;
+    network_.call(info->peers, push, peer_timeout, [](const result<peer_answer>&) {});
+  }
+}
+
+}  // namespace plantainpaddle
