--- a/src/base/time.h
+++ b/src/base/time.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <chrono>
+#include <thread>
 
 namespace plantainpaddle {
 
@@ -30,6 +31,9 @@
 
 inline monotonic_time monotonic_now() noexcept { return process_clock::now(); }
 
+// Processor time that a running thread has used.
+duration thread_cpu_time(std::thread& thread) noexcept;
+
 // Microseconds since 1970-01-01 UTC, for logs and history only: never for leases or deadlines.
 duration wall_time() noexcept;
 
--- a/src/entry/status.cc
+++ b/src/entry/status.cc
@@ -31,6 +31,14 @@
           {"shards", std::move(shards)}};
 }
 
+json::object to_json(const traffic_totals& traffic, duration cpu_time) {
+  return {{"cpu_us", cpu_time.count()},
+          {"messages_sent", traffic.messages_sent},
+          {"bytes_sent", traffic.bytes_sent},
+          {"messages_received", traffic.messages_received},
+          {"bytes_received", traffic.bytes_received}};
+}
+
 }  // namespace
 
 std::string format_status(const status_head& head, const state_cache& cache,
@@ -51,6 +59,7 @@
   return json::serialize(json::object{{"instance", head.instance.value},
                                       {"domain", head.domain.value},
                                       {"leaving", head.leaving},
+                                      {"control", to_json(head.traffic, head.cpu_time)},
                                       {"tables", std::move(tables)},
                                       {"cells", std::move(cells)}});
 }
--- a/src/entry/status.h
+++ b/src/entry/status.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "base/traffic_counter.h"
 #include "entry/cell_runner.h"
 #include "entry/state_cache.h"
 
@@ -13,9 +14,12 @@
   instance_id instance;
   domain_id domain;
   bool leaving = false;
+  traffic_totals traffic;  // of the control part
+  duration cpu_time{0};    // of the control part's threads
 };
 
-// {"instance", "domain", "leaving", "tables": {service: revision}, "cells": [{"cell", "term",
+// {"instance", "domain", "leaving", "control": {"cpu_us", "messages_sent", "bytes_sent",
+// "messages_received", "bytes_received"}, "tables": {service: revision}, "cells": [{"cell", "term",
 // "revision", "assigner", "standbys", "shards": {owner: count}, and of an assigner here: "phase",
 // "has_right", "moves", "suspected"}]}
 std::string format_status(const status_head& head, const state_cache& cache,
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -31,6 +31,7 @@
 struct http_client::state {
   asio::any_io_executor executor;
   http_client_limits limits;
+  traffic_counter traffic;
   std::map<std::string, std::vector<std::unique_ptr<connection>>> idle;
 
   std::unique_ptr<connection> take_idle(const std::string& address) {
@@ -91,6 +92,8 @@
 
 http_client::~http_client() = default;
 
+traffic_totals http_client::traffic() const { return state_->traffic.totals(); }
+
 void http_client::forget(const std::string& address) { state_->idle.erase(address); }
 
 void http_client::send(const std::string& address, http_request request, duration timeout,
@@ -114,10 +117,12 @@
     used->stream.expires_after(timeout);
     auto message = to_beast(request, address);
     auto [write_code, written] = co_await http::async_write(used->stream, message, as_result);
+    self->traffic.sent(written);
     if (write_code) co_return failed(write_code, step::send_request, address, errc::protocol);
     http::response_parser<http::string_body> parser;
     parser.body_limit(self->limits.body_bytes);
     auto [code, size] = co_await http::async_read(used->stream, used->buffer, parser, as_result);
+    self->traffic.received(size);
     if (code) co_return failed(code, step::read_answer, address, errc::protocol);
     used->stream.expires_never();
     const bool keep = parser.get().keep_alive();
@@ -146,8 +151,9 @@
   auto shared = std::make_shared<token>();
   shared->used = std::make_shared<connection>(state_->executor);
   shared->on_line = std::move(on_line);
-  auto work = [](std::shared_ptr<token> self, std::string address, http_request request,
-                 duration idle, std::size_t limit) -> asio::awaitable<void> {
+  auto work = [](std::shared_ptr<state> client, std::shared_ptr<token> self, std::string address,
+                 http_request request, duration idle) -> asio::awaitable<void> {
+    const std::size_t limit = client->limits.body_bytes;
     const auto end = [&](error e) {
       if (!self->stopped) self->on_line(std::move(e));
     };
@@ -159,6 +165,7 @@
     if (code) co_return end(failed(code, step::connect, address, errc::unavailable));
     auto message = to_beast(request, address);
     auto [write_code, written] = co_await http::async_write(stream, message, as_result);
+    client->traffic.sent(written);
     if (write_code) co_return end(failed(write_code, step::send_request, address, errc::protocol));
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
@@ -168,6 +175,7 @@
       stream.expires_after(idle);
       auto [read_code, size] =
           co_await http::async_read_some(stream, self->used->buffer, parser, as_result);
+      client->traffic.received(size);
       if (read_code) co_return end(failed(read_code, step::read_answer, address, errc::protocol));
       text.append(parser.get().body(), seen);
       parser.get().body().clear();
@@ -184,8 +192,7 @@
       if (parser.is_done()) co_return end({errc::unavailable, step::read_answer, address, "ended"});
     }
   };
-  asio::co_spawn(state_->executor,
-                 work(shared, address, std::move(request), idle, state_->limits.body_bytes),
+  asio::co_spawn(state_->executor, work(state_, shared, address, std::move(request), idle),
                  asio::detached);
   return {nullptr, [shared](void*) {
             shared->stopped = true;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -20,6 +20,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "base/traffic_counter.h"
 #include "http/message.h"
 
 namespace plantainpaddle {
@@ -50,6 +51,8 @@
   [[nodiscard]] std::shared_ptr<void> stream(const std::string& address, http_request request,
                                              duration idle, chunk_handler on_line);
 
+  traffic_totals traffic() const;
+
   // Closes the idle connections to an address.
   void forget(const std::string& address);
 
--- a/src/peer/network.cc
+++ b/src/peer/network.cc
@@ -44,6 +44,7 @@
   kj::TaskSet* tasks = nullptr;
   std::map<std::string, std::shared_ptr<outgoing>> connections;
   std::uint64_t last_connection = 0;
+  traffic_counter traffic;
 
   void post(std::function<void()> work) {
     {
@@ -69,14 +70,23 @@
   void taskFailed(kj::Exception&&) override {}  // a lost connection; each call has its own error
 };
 
+template <class Message>
+std::uint64_t bytes_of(const Message& message) {
+  return message.totalSize().wordCount * sizeof(capnp::word);
+}
+
 // Serves one connection's requests after its identity has been accepted.
 class peer_server final : public wire::Peer::Server {
  public:
   peer_server(peer_identity from, peer_network::serve_handler serve,
-              std::function<void(std::function<void()>)> post)
-      : from_(std::move(from)), serve_(std::move(serve)), post_(std::move(post)) {}
+              std::function<void(std::function<void()>)> post, traffic_counter& traffic)
+      : from_(std::move(from)),
+        serve_(std::move(serve)),
+        post_(std::move(post)),
+        traffic_(traffic) {}
 
   kj::Promise<void> call(CallContext context) override {
+    traffic_.received(bytes_of(context.getParams().getRequest()));
     auto request = read_request(context.getParams().getRequest());
     if (!request) return KJ_EXCEPTION(FAILED, to_string(request.error()).c_str());
     auto pair = kj::newPromiseAndFulfiller<peer_reply>();
@@ -88,8 +98,10 @@
         (*fulfiller)->fulfill(std::move(reply));
       });
     });
-    return pair.promise.then([context](peer_reply reply) mutable {
-      write_reply(reply, context.getResults().initReply());
+    return pair.promise.then([this, context](peer_reply reply) mutable {
+      auto to = context.getResults().initReply();
+      write_reply(reply, to);
+      traffic_.sent(bytes_of(to.asReader()));
     });
   }
 
@@ -97,13 +109,14 @@
   peer_identity from_;
   peer_network::serve_handler serve_;
   std::function<void(std::function<void()>)> post_;
+  traffic_counter& traffic_;
 };
 
 class gate_server final : public wire::Gate::Server {
  public:
   gate_server(peer_identity own, peer_network::serve_handler serve,
-              std::function<void(std::function<void()>)> post)
-      : own_(std::move(own)), serve_(std::move(serve)), post_(std::move(post)) {}
+              std::function<void(std::function<void()>)> post, traffic_counter& traffic)
+      : own_(std::move(own)), serve_(std::move(serve)), post_(std::move(post)), traffic_(traffic) {}
 
   kj::Promise<void> open(OpenContext context) override {
     const peer_identity from = read_identity(context.getParams().getIdentity());
@@ -119,7 +132,7 @@
     }
     auto results = context.getResults();
     write_identity(own_, results.initIdentity());
-    results.setPeer(kj::heap<peer_server>(from, serve_, post_));
+    results.setPeer(kj::heap<peer_server>(from, serve_, post_, traffic_));
     return kj::READY_NOW;
   }
 
@@ -127,6 +140,7 @@
   peer_identity own_;
   peer_network::serve_handler serve_;
   std::function<void(std::function<void()>)> post_;
+  traffic_counter& traffic_;
 };
 
 // One accepted connection with its own limits.
@@ -167,6 +181,10 @@
   return outcome.get();
 }
 
+traffic_totals peer_network::traffic() const { return impl_->traffic.totals(); }
+
+duration peer_network::cpu_time() const { return thread_cpu_time(impl_->thread); }
+
 void peer_network::call(const std::string& address, peer_request request, duration timeout,
                         done_handler done) {
   impl_->post(
@@ -221,7 +239,8 @@
     capnp::ReaderOptions options;
     options.traversalLimitInWords = settings.max_message_bytes / sizeof(capnp::word);
     auto gate = kj::heap<gate_server>(
-        settings.identity, serve, [this](std::function<void()> work) { post(std::move(work)); });
+        settings.identity, serve, [this](std::function<void()> work) { post(std::move(work)); },
+        traffic);
     auto connection = kj::heap<incoming>(kj::mv(stream), options, kj::mv(gate));
     auto gone = connection->network.onDisconnect();
     tasks->add(gone.attach(kj::mv(connection)));
@@ -270,7 +289,7 @@
   auto connection = connect(address);
   auto shared_done = std::make_shared<done_handler>(std::move(done));
   auto work = connection->ready->addBranch().then(
-      [connection, request = std::move(request)]() -> kj::Promise<result<peer_answer>> {
+      [this, connection, request = std::move(request)]() -> kj::Promise<result<peer_answer>> {
         auto call = connection->peer.callRequest();
         write_request(request, call.initRequest());
         return call.send().then([connection](capnp::Response<wire::Peer::CallResults>&& answered)
--- a/src/peer/network.h
+++ b/src/peer/network.h
@@ -17,6 +17,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "base/traffic_counter.h"
 #include "peer/messages.h"
 
 namespace plantainpaddle {
@@ -50,6 +51,11 @@
   result<std::string> start();
   void call(const std::string& address, peer_request request, duration timeout, done_handler done);
 
+  // Cap'n Proto messages of calls and answers, without their RPC frames.
+  traffic_totals traffic() const;
+  // Processor time of the network's thread.
+  duration cpu_time() const;
+
  private:
   struct impl;
   std::unique_ptr<impl> impl_;
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -54,6 +54,8 @@
  public:
   store_client(boost::asio::any_io_executor executor, store_settings settings);
 
+  traffic_totals traffic() const { return http_.traffic(); }
+
   void range(const std::string& prefix, std::function<void(result<range_answer>)> done);
   void get(const std::string& key, std::function<void(result<std::optional<stored_value>>)> done);
   // Writes value if the key's version is expected (0: absent).
