--- a/src/peer/network.cc
+++ b/src/peer/network.cc
@@ -289,7 +289,7 @@
   auto connection = connect(address);
   auto shared_done = std::make_shared<done_handler>(std::move(done));
   auto work = connection->ready->addBranch().then(
-      [this, connection, request = std::move(request)]() -> kj::Promise<result<peer_answer>> {
+      [connection, request = std::move(request)]() -> kj::Promise<result<peer_answer>> {
         auto call = connection->peer.callRequest();
         write_request(request, call.initRequest());
         return call.send().then([connection](capnp::Response<wire::Peer::CallResults>&& answered)
