--- a/src/routing/balance.cc
+++ b/src/routing/balance.cc
@@ -9,8 +9,6 @@
 namespace plantainpaddle {
 namespace {
 
-constexpr int cold_start_steps = 4;
-
 double capacity(const balance_candidate& candidate) {
   return candidate.weight * candidate.slots * candidate.share;
 }
@@ -36,12 +34,6 @@
 
 }  // namespace
 
-double cold_start_share(duration age, duration cold_start) {
-  if (cold_start <= duration{0} || age >= cold_start) return 1;
-  const auto step = std::max<std::int64_t>(0, age.count()) * cold_start_steps / cold_start.count();
-  return static_cast<double>(step + 1) / cold_start_steps;
-}
-
 double relative_load(const balance_candidate& candidate) {
   return (candidate.outstanding + 1) / std::max(1e-9, capacity(candidate));
 }
--- a/src/routing/balance.h
+++ b/src/routing/balance.h
@@ -2,14 +2,15 @@
 //
 //   auto chosen = choose_upstream(candidates, random_number());
 //
-// Pure; the caller counts outstanding requests and says who is usable.
+// Pure; cold_start_share() of ownership/planner.h gives the share of a new upstream.
+// The caller counts outstanding requests and says who is usable.
 #pragma once
 
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "base/time.h"
+#include "ownership/planner.h"
 
 namespace plantainpaddle {
 
@@ -23,10 +24,6 @@
   bool operator==(const balance_candidate&) const = default;
 };
 
-// The load share of an upstream that started `age` ago: a quarter, a half, three quarters, whole.
-// 1 if cold_start is zero.
-double cold_start_share(duration age, duration cold_start);
-
 // Outstanding requests per slot, as two choices compare them.
 double relative_load(const balance_candidate& candidate);
 
