--- a/src/routing/limiter.cc
+++ b/src/routing/limiter.cc
@@ -16,6 +16,9 @@
 
 // Time constant of the smoothed rate of requests.
 constexpr double smoothing_seconds = 1.0;
+// Depth of a bucket at an instance with a small part, or the row's burst if that is less: with less
+// depth, requests that come unevenly lose part of the rate.
+constexpr double least_depth = 4;
 // A bucket that was not asked for this long may be given to another tenant.
 constexpr duration idle_time = seconds(10);
 const tenant_id overflow_tenant{"*"};
@@ -71,7 +74,7 @@
   const double all = elsewhere + b.asked;
   const double part =
       all <= row.rate ? 1 - elsewhere / std::max(row.rate, 1e-9) : b.asked / std::max(all, 1e-9);
-  const double depth = std::max(1.0, row.burst * part);
+  const double depth = std::max({1.0, std::min(row.burst, least_depth), row.burst * part});
   b.tokens = std::min(depth, b.tokens + passed * row.rate * part);
   b.asked *= std::exp(-passed / smoothing_seconds);
   b.updated = std::max(b.updated, now);
--- a/src/routing/limiter.h
+++ b/src/routing/limiter.h
@@ -8,7 +8,8 @@
 //
 // Not thread-safe. Memory is bounded: max_buckets buckets and max_reports entries of other
 // instances. Over any span the instances together admit at most rate * span * 1.05 + burst once the
-// reports have settled, which takes two share periods after the load has shifted between them.
+// reports have settled, which takes a few seconds after the load has shifted between them. burst is
+// the row's, or 4 for each instance if that is more and the row allows 4 at all.
 #pragma once
 
 #include <cstdint>
