--- a/src/routing/testing/decision_property_test.cc
+++ b/src/routing/testing/decision_property_test.cc
@@ -164,6 +164,7 @@
   BOOST_TEST(limits.buckets() <= 101U);
   BOOST_TEST(allowed <= 101U);  // the rest share one bucket
   std::vector<limit_use> entries;
+  entries.reserve(1000);
   for (int i = 0; i < 1000; ++i) entries.push_back({"s/row", tenant_id{std::to_string(i)}, 1});
   for (int i = 0; i < 5; ++i) limits.on_usage(instance_id{std::to_string(i)}, entries, start);
   BOOST_TEST(limits.reports() <= 150U);
