--- a/src/apps/standin_main.cc
+++ b/src/apps/standin_main.cc
@@ -11,33 +11,71 @@
 #include "standin/store.h"
 #include "standin/upstream.h"
 
+namespace plantainpaddle {
+namespace {
+
+// Runs a stand-in until SIGTERM; its address is the first line on standard output.
+template <class Standin>
+int serve(boost::asio::io_context& io, Standin& standin, const std::string& address) {
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const auto&, int) { io.stop(); });
+  const auto started = standin.listen(address);
+  if (!started) {
+    std::cerr << to_string(started.error()) << '\n';
+    return exit_unavailable;
+  }
+  std::cout << *started << std::endl;
+  io.run();
+  return exit_ok;
+}
+
+int run(int argc, char** argv) {
+  TCLAP::CmdLine command("Stand-ins of the systems around plantainpaddle.", ' ',
+                         PLANTAINPADDLE_VERSION);
+  std::vector<std::string> kinds{"platform", "upstream"};
+  TCLAP::ValuesConstraint<std::string> allowed(kinds);
+  TCLAP::UnlabeledValueArg<std::string> kind("kind", "what to stand in for", true, "", &allowed,
+                                             command);
+  TCLAP::ValueArg<std::string> listen("l", "listen", "address", true, "", "IP:port", command);
+  TCLAP::ValueArg<std::string> name("n", "name", "the upstream's name", false, "upstream", "NAME",
+                                    command);
+  TCLAP::ValueArg<std::string> service(
+      "", "service", "the upstream's service, if no grant names it", false, "", "NAME", command);
+  TCLAP::ValueArg<std::string> journal("", "journal", "file that the upstream's journal goes to",
+                                       false, "", "FILE", command);
+  TCLAP::ValueArg<std::string> settings("", "set",
+                                        "the upstream's settings, as for POST /control/settings",
+                                        false, "{}", "JSON", command);
+  TCLAP::ValueArg<int> cold("", "cold-ms", "length of the upstream's cold start", false, 0, "MS",
+                            command);
+  TCLAP::SwitchArg no_fence_check("", "no-fence-check", "the upstream checks no fences", command);
+  command.parse(argc, argv);
+
+  boost::asio::io_context io(1);
+  if (kind.getValue() == "platform") {
+    platform_standin platform(io.get_executor());
+    return serve(io, platform, listen.getValue());
+  }
+  upstream_options options{.name = name.getValue(),
+                           .service = service.getValue(),
+                           .journal_file = journal.getValue(),
+                           .cold_start = milliseconds(cold.getValue()),
+                           .check_fence = !no_fence_check.getValue()};
+  if (const auto bad = apply_settings(options, settings.getValue())) {
+    std::cerr << to_string(*bad) << '\n';
+    return exit_bad_input;
+  }
+  upstream_standin upstream(io.get_executor(), options);
+  return serve(io, upstream, listen.getValue());
+}
+
+}  // namespace
+}  // namespace plantainpaddle
+
 int main(int argc, char** argv) {
   using namespace plantainpaddle;
   try {
-    TCLAP::CmdLine command("Stand-ins of the systems around plantainpaddle.", ' ',
-                           PLANTAINPADDLE_VERSION);
-    std::vector<std::string> kinds{"platform", "upstream"};
-    TCLAP::ValuesConstraint<std::string> allowed(kinds);
-    TCLAP::UnlabeledValueArg<std::string> kind("kind", "what to stand in for", true, "", &allowed,
-                                               command);
-    TCLAP::ValueArg<std::string> listen("l", "listen", "address", true, "", "IP:port", command);
-    TCLAP::ValueArg<std::string> name("n", "name", "the upstream's name", false, "upstream", "NAME",
-                                      command);
-    command.parse(argc, argv);
-    boost::asio::io_context io(1);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const auto&, int) { io.stop(); });
-    platform_standin platform(io.get_executor());
-    upstream_standin upstream(io.get_executor(), name.getValue());
-    const auto started = kind.getValue() == "platform" ? platform.listen(listen.getValue())
-                                                       : upstream.listen(listen.getValue());
-    if (!started) {
-      std::cerr << to_string(started.error()) << '\n';
-      return exit_unavailable;
-    }
-    std::cout << *started << std::endl;
-    io.run();
-    return exit_ok;
+    return run(argc, argv);
   } catch (const TCLAP::ArgException& e) {
     std::cerr << e.error() << " for argument " << e.argId() << '\n';
     return exit_usage;
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -1,74 +1,527 @@
+// How the upstream stand-in runs a request: it waits for a slot, has its fence checked, is entered
+// in the journal, reads the body, is busy for a time and answers. Whatever ends it early (the
+// caller's connection closes, its deadline passes, the grant ends) wakes it through its timer.
+//
+// A process that was stopped and continued must run nothing under a grant that ended meanwhile: the
+// grant's end is looked at whenever a run wakes and before every order is handled (lapse()), so
+// that a new grant can't hide the gap from a run that started before it.
+
 #include "standin/upstream.h"
 
-#include <boost/json.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <charconv>
+#include <set>
 
-#include "http/server.h"
+#include "http/address.h"
+#include "http/message.h"
+#include "ownership/cell_record.h"
 #include "ownership/grant_holder.h"
+#include "standin/answer_body.h"
+#include "standin/journal.h"
+#include "standin/slots.h"
 #include "upstream/grant_codec.h"
 
 namespace plantainpaddle {
 
 namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
 namespace json = boost::json;
 
 namespace {
 
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned status_not_owner = 421;
+constexpr duration default_deadline = seconds(60);
+constexpr duration idle_time = seconds(60);
+constexpr std::size_t piece_bytes = 64 << 10;
+constexpr std::size_t max_control_body_bytes = 4 << 20;
+constexpr std::size_t max_answer_bytes = std::size_t{1} << 40;
+constexpr double cold_slowness = 3;  // on top of 1, falling to 0 over the cold start
 
-std::optional<std::uint64_t> number_header(const http_request& request, std::string_view name) {
-  const auto text = find_header(request.headers, name);
+template <class Fields>
+std::optional<std::uint64_t> number_field(const Fields& fields, std::string_view name) {
+  const auto text = fields[name];
   std::uint64_t number = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
   if (text.empty() || parsed.ec != std::errc()) return std::nullopt;
   return number;
 }
 
+using request_parser = http::request_parser<http::buffer_body>;
+
+// Why a run ended before its answer.
+enum class stop_cause { none, caller_gone, grant_ended, deadline };
+
+struct session : std::enable_shared_from_this<session> {
+  explicit session(asio::ip::tcp::socket socket)
+      : stream(std::move(socket)), wake(stream.get_executor()) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  asio::steady_timer wake;  // of the run
+  slot_queue::ticket* ticket = nullptr;
+  stop_cause cause = stop_cause::none;
+  bool watching = false;
+  bool running = false;
+  std::uint64_t watch = 0;  // counts the watches for a closed connection
+
+  void stop(stop_cause why) {
+    if (cause == stop_cause::none) cause = why;
+    wake.cancel();
+    if (ticket != nullptr) ticket->cancel();
+  }
+};
+
+struct request_facts {
+  std::string method;
+  std::string target;
+  std::string id;
+  std::optional<std::uint64_t> shard;
+  std::optional<std::uint64_t> fence;
+  std::uint64_t size = 0;
+  duration busy{0};
+  monotonic_time deadline;
+  bool keep_alive = true;
+  bool expects_continue = false;
+};
+
 }  // namespace
 
 struct upstream_standin::impl : std::enable_shared_from_this<upstream_standin::impl> {
-  impl(asio::any_io_executor e, std::string n)
-      : server(std::move(e)), name(std::move(n)), holder(random_number() >> 1, random_number()) {}
+  impl(asio::any_io_executor e, upstream_options o)
+      : executor(e),
+        options(std::move(o)),
+        acceptor(e),
+        lapse_timer(e),
+        holder(random_number() >> 1, random_number()),
+        slots(e, options.slots, options.queue),
+        book(options.name, options.journal_file),
+        service(options.service),
+        started(monotonic_now()) {}
 
-  http_server server;
-  std::string name;
+  asio::any_io_executor executor;
+  upstream_options options;
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer lapse_timer;
   grant_holder holder;
-  json::array journal;
+  slot_queue slots;
+  journal book;
+  std::string service;
+  monotonic_time started;
+  std::set<session*> open;
+  bool lapsed = true;
+  monotonic_time lapsed_at{};
+  std::uint64_t refused_connections = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t not_owner = 0;
+
+  // Grants.
+
+  void lapse(monotonic_time now) {
+    if (lapsed || now < holder.ends()) return;
+    lapsed = true;
+    lapsed_at = holder.ends();
+    if (!options.check_fence) return;
+    for (auto* each : open) {
+      if (!each->running) continue;
+      each->stop(stop_cause::grant_ended);
+      beast::error_code ignored;
+      each->stream.socket().cancel(ignored);
+    }
+  }
+
+  asio::awaitable<void> watch_grant() {
+    const auto self = shared_from_this();
+    while (acceptor.is_open()) {
+      lapse(monotonic_now());
+      lapse_timer.expires_after(lapsed ? seconds(3600)
+                                       : std::max(duration{0}, holder.ends() - monotonic_now()));
+      co_await lapse_timer.async_wait(as_result);
+    }
+  }
+
+  double cold(monotonic_time now) const {
+    if (options.cold_start.count() == 0 || now >= started + options.cold_start) return 0;
+    return 1 - std::chrono::duration<double>(now - started) /
+                   std::chrono::duration<double>(options.cold_start);
+  }
+
+  load_report report(monotonic_time now) const {
+    if (options.misleading) return *options.misleading;
+    load_report truth;
+    truth.busy_slots = static_cast<std::uint32_t>(slots.busy());
+    truth.queued = static_cast<std::uint32_t>(slots.waiting());
+    truth.draining = options.drain;
+    truth.shedding = options.shed;
+    truth.cold = cold(now);
+    return truth;
+  }
+
+  http_response handle_grant(std::string_view body) {
+    const auto order = parse_grant_order(body);
+    if (!order) {
+      return json_response(400, json::serialize(json::object{{"error", to_string(order.error())}}));
+    }
+    const monotonic_time now = monotonic_now();
+    lapse(now);
+    grant_answer answer = holder.handle(*order, now);
+    answer.load = report(now);
+    if (options.service.empty()) service = service_of(order->cell).value;
+    if (now < holder.ends()) lapsed = false;
+    lapse_timer.cancel();
+    return json_response(200, format_grant_answer(answer));
+  }
+
+  http_response handle_control(const std::string& method, std::string_view target,
+                               const std::string& body) {
+    if (target == grant_target) return handle_grant(body);
+    if (target == "/control/journal") {
+      return {200, {{"Content-Type", "application/x-ndjson"}}, book.lines(), {}};
+    }
+    if (target == "/control/counters") {
+      return json_response(
+          200, json::serialize(json::object{{"busy", slots.busy()},
+                                            {"queued", slots.waiting()},
+                                            {"connections", open.size()},
+                                            {"refused_connections", refused_connections},
+                                            {"not_run", not_run},
+                                            {"not_owner", not_owner},
+                                            {"journal_dropped", book.dropped()}}));
+    }
+    if (target == "/control/settings") {
+      if (method == "GET") return json_response(200, format_settings(options));
+      if (auto bad = apply_settings(options, body)) {
+        return json_response(400, json::serialize(json::object{{"error", to_string(*bad)}}));
+      }
+      slots.resize(options.slots, options.queue);
+      return json_response(200, format_settings(options));
+    }
+    return json_response(404, R"({"error":"no such page"})");
+  }
+
+  // Connections.
+
+  asio::awaitable<void> accept_loop() {
+    const auto self = shared_from_this();
+    while (acceptor.is_open()) {
+      auto [code, socket] = co_await acceptor.async_accept(as_result);
+      if (!acceptor.is_open()) co_return;
+      if (code) continue;
+      if (open.size() >= options.connections) {
+        ++refused_connections;
+        continue;
+      }
+      asio::co_spawn(executor, serve(std::make_shared<session>(std::move(socket))), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(std::shared_ptr<session> s) {
+    const auto self = shared_from_this();
+    open.insert(s.get());
+    beast::error_code ignored;
+    s->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (options.open_delay.count() > 0) {
+      s->wake.expires_after(options.open_delay);
+      co_await s->wake.async_wait(as_result);
+    }
+    while (co_await serve_one(*s)) {
+    }
+    open.erase(s.get());
+  }
+
+  asio::awaitable<bool> serve_one(session& s) {
+    request_parser parser;
+    parser.body_limit(boost::none);
+    s.stream.expires_after(idle_time);
+    auto [code, size] = co_await http::async_read_header(s.stream, s.buffer, parser, as_result);
+    if (code) co_return false;
+    s.cause = stop_cause::none;
+    const std::string target(parser.get().target());
+    if (target != grant_target && !target.starts_with("/control/"))
+      co_return co_await work(s, parser);
+    std::string body;
+    const auto keep = [&](std::string_view piece) { body += piece; };
+    if (!co_await read_body(s, parser, max_control_body_bytes, keep)) co_return false;
+    const auto answer = handle_control(std::string(parser.get().method_string()), target, body);
+    co_return co_await write_whole(s, answer, parser.get().keep_alive(), false);
+  }
+
+  // True if the body was read to its end.
+  template <class Keep>
+  asio::awaitable<bool> read_body(session& s, request_parser& parser, std::size_t limit,
+                                  Keep keep) {
+    std::vector<char> piece(piece_bytes);
+    std::size_t total = 0;
+    while (!parser.is_done()) {
+      parser.get().body().data = piece.data();
+      parser.get().body().size = piece.size();
+      s.stream.expires_after(idle_time);
+      auto [code, size] = co_await http::async_read(s.stream, s.buffer, parser, as_result);
+      if (code && code != http::error::need_buffer) co_return false;
+      const std::size_t got = piece.size() - parser.get().body().size;
+      total += got;
+      if (total > limit) co_return false;
+      keep(std::string_view(piece.data(), got));
+    }
+    co_return true;
+  }
+
+  asio::awaitable<bool> write_whole(session& s, const http_response& answer, bool keep_alive,
+                                    bool head) {
+    http::response<http::string_body> message;
+    message.result(answer.status);
+    message.version(11);
+    for (const auto& header : answer.headers) message.set(header.name, header.value);
+    message.keep_alive(keep_alive);
+    message.body() = answer.body;
+    message.prepare_payload();
+    if (head) message.body().clear();
+    s.stream.expires_after(idle_time);
+    auto [code, size] = co_await http::async_write(s.stream, message, as_result);
+    co_return !code && keep_alive;
+  }
+
+  // Stops the run of a session whose caller closes the connection. Ends with unwatch().
+  static asio::awaitable<void> watch_caller(std::shared_ptr<session> s) {
+    const std::uint64_t number = s->watch;
+    auto& socket = s->stream.socket();
+    auto [code] = co_await socket.async_wait(asio::socket_base::wait_read, as_result);
+    if (code || s->watch != number) co_return;
+    char byte = 0;
+    beast::error_code peek;
+    socket.non_blocking(true, peek);
+    const auto got = socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peek);
+    if (peek != asio::error::would_block && (peek || got == 0)) s->stop(stop_cause::caller_gone);
+  }
+
+  void unwatch(session& s) {
+    ++s.watch;
+    beast::error_code ignored;
+    s.stream.socket().cancel(ignored);
+  }
+
+  // Work.
+
+  request_facts facts_of(const request_parser& parser, monotonic_time now) const {
+    const auto& head = parser.get();
+    request_facts facts;
+    facts.method = std::string(head.method_string());
+    facts.target = std::string(head.target());
+    facts.id = std::string(head[request_id_header]);
+    facts.shard = number_field(head, shard_header);
+    facts.fence = number_field(head, fence_header);
+    facts.size = std::min<std::uint64_t>(number_field(head, standin_size_header).value_or(0),
+                                         max_answer_bytes);
+    facts.keep_alive = head.keep_alive();
+    facts.expects_continue = beast::iequals(head[http::field::expect], "100-continue");
+    const auto deadline_ms = number_field(head, deadline_header);
+    facts.deadline =
+        now + (deadline_ms
+                   ? duration(milliseconds(std::min<std::uint64_t>(*deadline_ms, 86'400'000)))
+                   : default_deadline);
+    const auto by_class = options.class_busy.find(std::string_view(head[standin_class_header]));
+    duration busy = by_class == options.class_busy.end() ? options.busy : by_class->second;
+    if (const auto asked = number_field(head, standin_busy_header)) {
+      busy = duration(std::min<std::uint64_t>(*asked, 3'600'000'000));
+    }
+    const double factor = options.slowness * (1 + cold_slowness * cold(now));
+    facts.busy = std::chrono::duration_cast<duration>(busy * factor);
+    return facts;
+  }
+
+  // The connection stays open only if the body was read: an unread one would be taken for a
+  // request.
+  asio::awaitable<bool> refuse(session& s, const request_parser& parser, const request_facts& facts,
+                               unsigned status, std::string_view outcome, std::string_view why) {
+    if (outcome == "not-run") ++not_run;
+    http_response answer = json_response(
+        status, json::serialize(json::object{{"error", why}, {"upstream", options.name}}));
+    answer.headers.push_back({std::string(outcome_header), std::string(outcome)});
+    co_return co_await write_whole(s, answer, facts.keep_alive && parser.is_done(),
+                                   facts.method == "HEAD");
+  }
+
+  bool admit(const request_facts& facts, monotonic_time now) {
+    if (!options.check_fence) return true;
+    return facts.shard && facts.fence &&
+           holder.admit(shard_id{static_cast<std::uint32_t>(*facts.shard)},
+                        fence_number{*facts.fence}, now);
+  }
+
+  void finish(const request_facts& facts) {
+    if (!options.check_fence) return;
+    holder.finish(shard_id{static_cast<std::uint32_t>(*facts.shard)}, fence_number{*facts.fence});
+  }
 
-  asio::awaitable<http_response> serve(http_request request) {
+  asio::awaitable<bool> work(session& s, request_parser& parser) {
+    const request_facts facts = facts_of(parser, monotonic_now());
+    if (options.drain || options.shed) {
+      co_return co_await refuse(s, parser, facts, 503, "not-run",
+                                options.drain ? "draining" : "shedding");
+    }
+    slot_queue::ticket ticket(slots);
+    s.ticket = &ticket;
+    const bool small = parser.is_done();
+    if (small) asio::co_spawn(executor, watch_caller(s.shared_from_this()), asio::detached);
+    const slot_answer got = co_await ticket.take(facts.deadline);
+    s.ticket = nullptr;
+    if (got == slot_answer::cancelled) co_return false;
+    if (got != slot_answer::taken) {
+      if (small) unwatch(s);
+      co_return co_await refuse(s, parser, facts, 503, "not-run",
+                                got == slot_answer::full ? "no slot and no place in the queue"
+                                                         : "the deadline passed in the queue");
+    }
     const monotonic_time now = monotonic_now();
-    if (request.target == grant_target) {
-      const auto order = parse_grant_order(request.body);
-      if (!order)
-        co_return json_response(400,
-                                json::serialize(json::object{{"error", to_string(order.error())}}));
-      co_return json_response(200, format_grant_answer(holder.handle(*order, now)));
-    }
-    if (request.target == "/control/journal")
-      co_return json_response(200, json::serialize(journal));
-    const auto shard = number_header(request, shard_header);
-    const auto fence = number_header(request, fence_header);
-    if (!shard || !fence ||
-        !holder.admit(shard_id{static_cast<std::uint32_t>(*shard)}, fence_number{*fence}, now)) {
-      co_return json_response(status_not_owner, R"({"error":"not the owner at this fence"})");
-    }
-    journal.push_back(
-        json::object{{"target", request.target}, {"shard", *shard}, {"fence", *fence}});
-    holder.finish(shard_id{static_cast<std::uint32_t>(*shard)}, fence_number{*fence});
-    co_return json_response(
-        200, json::serialize(json::object{{"upstream", name}, {"target", request.target}}));
+    lapse(now);
+    if (!admit(facts, now)) {
+      if (small) unwatch(s);
+      ++not_owner;
+      co_return co_await refuse(s, parser, facts, status_not_owner, "not-run",
+                                "not the owner at this fence");
+    }
+    const auto run = book.start({.id = facts.id,
+                                 .service = service,
+                                 .shard = static_cast<std::uint32_t>(facts.shard.value_or(0)),
+                                 .fence = facts.fence.value_or(0),
+                                 .fenced = facts.shard && facts.fence},
+                                now);
+    s.running = true;
+    const bool again = co_await run_admitted(s, parser, facts, small);
+    s.running = false;
+    const monotonic_time end = monotonic_now();
+    lapse(end);
+    // What was stopped by the grant's end did nothing after it, however late this line runs.
+    const bool ended = s.cause == stop_cause::grant_ended;
+    book.end(run,
+             s.cause == stop_cause::none          ? run_end::complete
+             : s.cause == stop_cause::caller_gone ? run_end::cancelled
+                                                  : run_end::stopped,
+             ended ? std::min(end, lapsed_at) : end);
+    finish(facts);
+    co_return again;
+  }
+
+  asio::awaitable<bool> run_admitted(session& s, request_parser& parser, const request_facts& facts,
+                                     bool small) {
+    running_checksum checksum;
+    std::uint64_t received = 0;
+    if (!small) {
+      if (facts.expects_continue) co_await write_continue(s);
+      const auto keep = [&](std::string_view piece) {
+        checksum.add(piece);
+        received += piece.size();
+      };
+      if (!co_await read_body(s, parser, max_answer_bytes, keep)) {
+        if (s.cause == stop_cause::none) s.cause = stop_cause::caller_gone;
+        co_return false;
+      }
+      asio::co_spawn(executor, watch_caller(s.shared_from_this()), asio::detached);
+    }
+    const monotonic_time until = monotonic_now() + facts.busy;
+    co_await be_busy(s, facts, until);
+    unwatch(s);
+    if (s.cause == stop_cause::caller_gone) co_return false;
+    if (s.cause != stop_cause::none) {
+      co_return co_await refuse(
+          s, parser, facts, 504, "unknown",
+          s.cause == stop_cause::deadline ? "the deadline passed" : "the grant ended");
+    }
+    const answer_head head{options.name, facts.target,     facts.id,
+                           received,     checksum.value(), facts.size};
+    co_return co_await write_answer(s, facts, head);
+  }
+
+  asio::awaitable<void> be_busy(session& s, const request_facts& facts, monotonic_time until) {
+    while (s.cause == stop_cause::none) {
+      const monotonic_time now = monotonic_now();
+      lapse(now);
+      if (s.cause != stop_cause::none) co_return;
+      if (now >= facts.deadline) s.stop(stop_cause::deadline);
+      if (now >= until || now >= facts.deadline) co_return;
+      s.wake.expires_after(std::min(until, facts.deadline) - now);
+      co_await s.wake.async_wait(as_result);
+    }
+  }
+
+  asio::awaitable<void> write_continue(session& s) {
+    http::response<http::empty_body> message(http::status::continue_, 11);
+    co_await http::async_write(s.stream, message, as_result);
+  }
+
+  asio::awaitable<bool> write_answer(session& s, const request_facts& facts,
+                                     const answer_head& head) {
+    const std::string line = format_answer_head(head);
+    http::response<http::buffer_body> message(http::status::ok, 11);
+    message.set(http::field::content_type, "application/octet-stream");
+    message.content_length(line.size() + head.size);
+    message.keep_alive(facts.keep_alive);
+    http::response_serializer<http::buffer_body> serializer(message);
+    s.stream.expires_after(idle_time);
+    if (facts.method == "HEAD") {
+      auto [code, size] = co_await http::async_write_header(s.stream, serializer, as_result);
+      co_return !code && facts.keep_alive;
+    }
+    std::string piece = line;
+    std::uint64_t done = 0;
+    const std::uint64_t seed = pattern_seed(head.id);
+    while (true) {
+      const std::size_t room = piece_bytes - piece.size();
+      const auto more = static_cast<std::size_t>(std::min<std::uint64_t>(room, head.size - done));
+      const std::size_t old = piece.size();
+      piece.resize(old + more);
+      fill_pattern(seed, done, piece.data() + old, more);
+      done += more;
+      message.body().data = piece.data();
+      message.body().size = piece.size();
+      message.body().more = done < head.size;
+      s.stream.expires_after(idle_time);
+      auto [code, size] = co_await http::async_write(s.stream, serializer, as_result);
+      if (s.cause != stop_cause::none) co_return false;
+      if (code && code != http::error::need_buffer) {
+        s.cause = stop_cause::caller_gone;
+        co_return false;
+      }
+      if (done == head.size) co_return facts.keep_alive;
+      piece.clear();
+    }
   }
 };
 
-upstream_standin::upstream_standin(asio::any_io_executor executor, std::string name)
-    : impl_(std::make_shared<impl>(std::move(executor), std::move(name))) {}
+upstream_standin::upstream_standin(asio::any_io_executor executor, upstream_options options)
+    : impl_(std::make_shared<impl>(std::move(executor), std::move(options))) {}
 
-upstream_standin::~upstream_standin() { impl_->server.close(); }
+upstream_standin::~upstream_standin() { close(); }
+
+void upstream_standin::close() {
+  beast::error_code ignored;
+  impl_->acceptor.close(ignored);
+  impl_->lapse_timer.cancel();
+  for (auto* each : impl_->open) each->stream.socket().close(ignored);
+}
 
 result<std::string> upstream_standin::listen(const std::string& address) {
-  return impl_->server.listen(address, [self = impl_.get()](http_request request) {
-    return self->serve(std::move(request));
-  });
+  const auto endpoint = parse_address(address);
+  if (!endpoint) return endpoint.error();
+  auto& acceptor = impl_->acceptor;
+  beast::error_code code;
+  acceptor.open(endpoint->protocol(), code);
+  if (!code) acceptor.set_option(asio::socket_base::reuse_address(true), code);
+  if (!code) acceptor.bind(*endpoint, code);
+  if (!code) acceptor.listen(asio::socket_base::max_listen_connections, code);
+  if (code) return error{errc::unavailable, step::listen, address, code.message()};
+  asio::co_spawn(impl_->executor, impl_->accept_loop(), asio::detached);
+  asio::co_spawn(impl_->executor, impl_->watch_grant(), asio::detached);
+  return format_address(acceptor.local_endpoint());
 }
 
 }  // namespace plantainpaddle
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -1,23 +1,58 @@
-// Stand-in of an upstream: takes fenced grants, serves GET with the key and its own name, keeps a
-// journal.
+// Stand-in of an upstream over HTTP/1.1: takes fenced grants, runs requests in slots with a bounded
+// queue, sheds, drains, starts cold, stops what the caller or the grant's end takes away, and keeps
+// a journal of every run. docs/UPSTREAM.md has the protocol.
+//
+//   upstream_standin upstream(executor, {.name = "desk-1", .slots = 6});
+//   auto address = upstream.listen("127.0.0.1:0");
+//
+// Paths of its own: GET /control/journal, GET and POST /control/settings, GET /control/counters.
+// One thread. Bodies pass through a buffer of fixed size.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/error.h"
+#include "base/time.h"
+#include "ownership/messages.h"
 
 namespace plantainpaddle {
 
+struct upstream_options {
+  std::string name = "upstream";
+  std::string service;       // empty: from the cell of the last grant
+  std::string journal_file;  // empty: only in memory
+  std::size_t slots = 6;
+  std::size_t queue = 64;
+  std::size_t connections = 130;  // more are closed at once
+  duration open_delay = milliseconds(1);
+  duration busy{0};                                         // of a request with no other time
+  std::map<std::string, duration, std::less<>> class_busy;  // by the request's Standin-Class
+  double slowness = 1;                                      // factor on all busy times
+  duration cold_start{0};                                   // busy times fall from fourfold
+  bool check_fence = true;
+  bool drain = false;                     // refuses new work
+  bool shed = false;                      // the same, and says so
+  std::optional<load_report> misleading;  // reported instead of the truth
+};
+
+// Applies a JSON object of changes to run-time settings.
+std::optional<error> apply_settings(upstream_options& options, std::string_view text);
+std::string format_settings(const upstream_options& options);
+
 class upstream_standin {
  public:
-  upstream_standin(boost::asio::any_io_executor executor, std::string name);
+  upstream_standin(boost::asio::any_io_executor executor, upstream_options options);
   ~upstream_standin();
   upstream_standin(const upstream_standin&) = delete;
   upstream_standin& operator=(const upstream_standin&) = delete;
 
   result<std::string> listen(const std::string& address);
+  void close();
 
  private:
   struct impl;
