Table edits merge row by row; plantainpaddle-table gets its commands

Before, the one command wrote a file only where no table stood, and a second operator's edit could only be refused as a whole. Edits are now made from a revision and merged by rows: the base is found by undoing the change notes in the value, so that different rows merge and the same row is reported with both values and who wrote them. Writes carry a mark, and a lost answer is resolved by reading and comparing it first.

--- /dev/null
+++ b/src/apps/platform_options.cc
@@ -0,0 +1,65 @@
+#include "apps/platform_options.h"
+
+#include <cstdlib>
+
+#include "entry/settings.h"
+#include "http/address.h"
+
+namespace plantainpaddle {
+namespace {
+
+constexpr const char* settings_variable = "PLANTAINPADDLE_SETTINGS";
+
+std::string settings_from_environment() {
+  const char* file = std::getenv(settings_variable);
+  return file == nullptr ? "" : file;
+}
+
+result<void> check_address(const std::string& option, const std::string& address) {
+  const auto parsed = parse_address(address);
+  if (parsed) return {};
+  return error{errc::bad_input, step::settings, "", option + ": " + parsed.error().detail};
+}
+
+}  // namespace
+
+platform_options::platform_options(TCLAP::CmdLine& command)
+    : settings_("s", "settings",
+                "settings file of any entry instance of the cluster, for where the platform is; "
+                "default: $PLANTAINPADDLE_SETTINGS",
+                false, "", "FILE", command),
+      store_("", "store", "address of the platform's key-value service; repeatable", false,
+             "IP:port", command),
+      cluster_("c", "cluster", "name of the cluster", false, "", "NAME", command),
+      instances_("", "instances", "address of the instance list; default: the first store's", false,
+                 "", "IP:port", command) {}
+
+result<platform_address> platform_options::address() {
+  platform_address found;
+  const std::string file =
+      settings_.getValue().empty() ? settings_from_environment() : settings_.getValue();
+  if (!file.empty()) {
+    const auto settings = read_entry_settings(file);
+    if (!settings) return settings.error();
+    found = {settings->cluster, settings->store, settings->instances};
+  }
+  if (store_.isSet()) {
+    found.store = store_.getValue();
+    found.instances = found.store.front();
+  }
+  if (cluster_.isSet()) found.cluster = cluster_.getValue();
+  if (instances_.isSet()) found.instances = instances_.getValue();
+  if (found.cluster.empty() || found.store.empty()) {
+    return error{errc::bad_input, step::settings, "",
+                 "--settings FILE, or --store IP:port and --cluster NAME, is wanted"};
+  }
+  for (const auto& address : found.store) {
+    if (const auto checked = check_address("--store", address); !checked) return checked.error();
+  }
+  if (const auto checked = check_address("--instances", found.instances); !checked) {
+    return checked.error();
+  }
+  return found;
+}
+
+}  // namespace plantainpaddle
--- a/src/apps/table_main.cc
+++ b/src/apps/table_main.cc
@@ -1,66 +1,53 @@
 // plantainpaddle-table: the operators' table from the command line.
 
-#include <tclap/CmdLine.h>
-
-#include <boost/asio/io_context.hpp>
-#include <fstream>
+#include <algorithm>
+#include <cstdio>
 #include <iostream>
-#include <sstream>
 
 #include "apps/exit_codes.h"
-#include "entry/state_cache.h"
-#include "platform/store_client.h"
-#include "table/parse.h"
+#include "apps/table_commands.h"
 
 namespace plantainpaddle {
 namespace {
 
-// Writes each service of the file, if nobody wrote it before.
-int apply(const table& declared, const std::string& store_address, const std::string& cluster) {
-  boost::asio::io_context io(1);
-  store_client store(io.get_executor(), {{store_address}});
-  const state_cache cache(cluster);
-  int code = exit_ok;
-  for (const auto& [name, service] : declared) {
-    service_table written = service;
-    written.revision.value = 1;
-    store.compare_and_swap(cache.keys().table(name), 0, format_service_table(written),
-                           [&code](const result<swap_answer>& answer) {
-                             if (!answer) {
-                               std::cerr << to_string(answer.error()) << '\n';
-                               code = exit_unavailable;
-                             } else if (!answer->written) {
-                               code = exit_conflict;
-                             }
-                           });
+void print_usage(std::ostream& out) {
+  out << "plantainpaddle-table COMMAND ...; COMMAND --help says more. ROW is service/kind/name, "
+         "as counter-desk/upstream/desk-1.\n";
+  for (const auto& command : table_commands()) {
+    std::string name(command.name);
+    name.resize(10, ' ');
+    out << "  " << name << command.usage << '\n';
+  }
+}
+
+int run(std::vector<std::string> arguments) {
+  const std::string first = arguments.empty() ? "" : arguments.front();
+  if (first == "--version") {
+    std::cout << "plantainpaddle-table " << PLANTAINPADDLE_VERSION << '\n';
+    return exit_ok;
+  }
+  if (first == "--help" || first == "-h") {
+    print_usage(std::cout);
+    return exit_ok;
+  }
+  for (const auto& command : table_commands()) {
+    if (command.name != first) continue;
+    arguments.front() = "plantainpaddle-table " + first;
+    return command.run(std::move(arguments));
   }
-  io.run();
-  return code;
+  std::cerr << "found command \"" << first << "\"\n";
+  print_usage(std::cerr);
+  return exit_usage;
 }
 
 }  // namespace
 }  // namespace plantainpaddle
 
 int main(int argc, char** argv) {
-  using namespace plantainpaddle;
   try {
-    TCLAP::CmdLine command("The operators' table.", ' ', PLANTAINPADDLE_VERSION);
-    TCLAP::UnlabeledValueArg<std::string> verb("command", "apply", true, "", "COMMAND", command);
-    TCLAP::UnlabeledValueArg<std::string> file("file", "table file", true, "", "FILE", command);
-    TCLAP::ValueArg<std::string> store("", "store", "store", true, "", "IP:port", command);
-    TCLAP::ValueArg<std::string> cluster("c", "cluster", "cluster", true, "", "NAME", command);
-    command.parse(argc, argv);
-    std::ifstream in(file.getValue());
-    std::ostringstream text;
-    text << in.rdbuf();
-    const auto declared = parse_table_file(text.str());
-    if (!declared) {
-      std::cerr << file.getValue() << ": " << to_string(declared.error()) << '\n';
-      return exit_bad_input;
-    }
-    return apply(*declared, store.getValue(), cluster.getValue());
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " for argument " << e.argId() << '\n';
-    return exit_usage;
+    return plantainpaddle::run({argv + 1, argv + argc});
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+    return plantainpaddle::exit_failed;
   }
 }
--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -3,6 +3,7 @@
 #include <boost/json/parse_options.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/stream_parser.hpp>
+#include <charconv>
 #include <limits>
 
 namespace plantainpaddle {
@@ -29,6 +30,12 @@
 
 }  // namespace
 
+std::string number_text(double number) {
+  char text[32];
+  const auto end = std::to_chars(text, text + sizeof text, number).ptr;
+  return {text, end};
+}
+
 result<boost::json::value> parse_json(std::string_view text, step at, std::size_t max_bytes) {
   if (text.size() > max_bytes) {
     return error{errc::limit_exceeded, at, "",
@@ -112,8 +119,8 @@
   boost::system::error_code code;
   const auto number = value->to_number<double>(code);
   if (!code && number >= least && number <= most) return number;
-  fail(name, "found " + shown(*value) + ", a number from " + std::to_string(least) + " to " +
-                 std::to_string(most) + " is wanted");
+  fail(name, "found " + shown(*value) + ", a number from " + number_text(least) + " to " +
+                 number_text(most) + " is wanted");
   return least;
 }
 
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -62,6 +62,9 @@
   std::set<std::string, std::less<>> seen_;
 };
 
+// A number as people write it: 1, 0.34.
+std::string number_text(double number);
+
 // The gathered errors as one, details joined by "; ". errors must not be empty.
 error join_errors(const error_list& errors);
 
--- a/src/table/parse.cc
+++ b/src/table/parse.cc
@@ -1,137 +1,33 @@
 #include "table/parse.h"
 
-#include <bit>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <set>
 
-#include "base/json.h"
+#include "table/row_json.h"
 
 namespace plantainpaddle {
 namespace {
 
 namespace json = boost::json;
 
-constexpr std::int64_t max_shards = 1 << 16;
-constexpr std::int64_t max_milliseconds = 3'600'000;
-constexpr std::int64_t max_body_bytes = std::int64_t{1} << 40;
-constexpr double max_rate = 1e9;
 constexpr std::size_t max_rows = 4096;  // of one kind in one service
 
-constexpr std::string_view allowed_name_characters =
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
-
-std::string read_name(object_reader& reader) {
-  std::string name = reader.text("name");
-  if (name.empty() || name.size() > 64 ||
-      name.find_first_not_of(allowed_name_characters) != std::string::npos) {
-    reader.fail("name",
-                "found \"" + name + "\", 1 to 64 letters, digits, '-', '_' or '.' are wanted");
-  }
-  return name;
-}
-
-duration read_milliseconds(object_reader& reader, std::string_view name, std::int64_t least,
-                           duration fallback) {
-  const auto fallback_ms = std::chrono::duration_cast<milliseconds>(fallback).count();
-  return milliseconds(reader.integer(name, least, max_milliseconds, fallback_ms));
-}
-
-service_row read_service(const json::value& value, const std::string& path, error_list& errors) {
-  const service_row defaults;
-  service_row row;
-  object_reader reader(value, path, step::table, errors);
-  row.name.value = read_name(reader);
-  row.keyed = reader.boolean("keyed", defaults.keyed);
-  row.shards = static_cast<std::uint32_t>(reader.integer("shards", 1, max_shards, defaults.shards));
-  if (!std::has_single_bit(row.shards)) {
-    reader.fail("shards", "found " + std::to_string(row.shards) + ", a power of two is wanted");
-  }
-  row.checks_fence = reader.boolean("checks_fence", defaults.checks_fence);
-  row.isolation = static_cast<isolation_mode>(reader.choice("isolation", {"stay", "move"}, 0));
-  row.dispatch = static_cast<dispatch_mode>(reader.choice("dispatch", {"direct", "dispatcher"}, 0));
-  row.grant = read_milliseconds(reader, "grant_ms", 200, defaults.grant);
-  row.renew = read_milliseconds(reader, "renew_ms", 20, defaults.renew);
-  row.hold = read_milliseconds(reader, "hold_ms", 0, defaults.hold);
-  row.moves_per_minute = static_cast<std::uint32_t>(
-      reader.integer("moves_per_minute", 0, max_shards, defaults.moves_per_minute));
-  row.imbalance_weight = reader.number("imbalance_weight", 0, 1000, defaults.imbalance_weight);
-  row.churn_weight = reader.number("churn_weight", 0, 1000, defaults.churn_weight);
-  row.unavailable_weight =
-      reader.number("unavailable_weight", 0, 1000, defaults.unavailable_weight);
-  row.isolated_keys =
-      static_cast<std::uint32_t>(reader.integer("isolated_keys", 0, 256, defaults.isolated_keys));
-  row.cold_start = read_milliseconds(reader, "cold_start_ms", 0, defaults.cold_start);
-  row.set_aside = reader.number("set_aside", 0, 1, defaults.set_aside);
-  if (row.renew * 3 > row.grant) {
-    reader.fail("renew_ms", "three renewals must fit into grant_ms");
-  }
-  reader.finish();
-  return row;
-}
-
-upstream_row read_upstream(const json::value& value, const std::string& path, error_list& errors) {
-  const upstream_row defaults;
-  upstream_row row;
+// The latest change of a row as "upstream/desk-1"; a row that the change added has no before.
+row_change read_row_change(const json::value& value, const std::string& path, error_list& errors) {
+  row_change change;
   object_reader reader(value, path, step::table, errors);
-  row.name.value = read_name(reader);
-  row.address = reader.text("address");
-  if (row.address.rfind(':') == std::string::npos) {
-    reader.fail("address", "found \"" + row.address + "\", \"IP:port\" is wanted");
+  const std::string text = reader.text("row");
+  const auto id = parse_row_id(text);
+  if (!id) {
+    reader.fail("row", "found \"" + text + "\", \"kind/name\" is wanted");
+  } else if (const auto* before = reader.object("before", false)) {
+    change.before = read_row(id->kind, *before, reader.path_of("before"), errors);
   }
-  row.domain.value = reader.text("domain");
-  row.weight = reader.number("weight", 0, 1000, defaults.weight);
-  row.slots = static_cast<std::uint32_t>(reader.integer("slots", 1, 10000, defaults.slots));
-  row.connections =
-      static_cast<std::uint32_t>(reader.integer("connections", 1, 100000, defaults.connections));
-  row.state = static_cast<upstream_state>(reader.choice("state", {"active", "drain"}, 0));
+  if (id) change.row = *id;
   reader.finish();
-  return row;
-}
-
-route_row read_route(const json::value& value, const std::string& path, error_list& errors) {
-  const route_row defaults;
-  route_row row;
-  object_reader reader(value, path, step::table, errors);
-  row.name = read_name(reader);
-  row.host = reader.text("host", "");
-  row.path_prefix = reader.text("path_prefix");
-  if (!row.path_prefix.starts_with('/')) {
-    reader.fail("path_prefix", "found \"" + row.path_prefix + "\", a path from '/' is wanted");
-  }
-  row.key_from = static_cast<key_source>(
-      reader.choice("key_from", {"none", "path_segment", "header", "query"}, 0));
-  row.key_name = reader.text("key_name", "");
-  const bool segment = row.key_from == key_source::path_segment;
-  if (row.key_from != key_source::none && row.key_name.empty()) reader.fail("key_name", "missing");
-  if (segment && row.key_name.find_first_not_of("0123456789") != std::string::npos) {
-    reader.fail("key_name", "found \"" + row.key_name + "\", the segment's number is wanted");
-  }
-  row.klass =
-      static_cast<request_class>(reader.choice("class", {"counter", "order", "upload", "bulk"}, 0));
-  row.idempotent = reader.boolean("idempotent", defaults.idempotent);
-  row.once = reader.boolean("once", defaults.once);
-  if (row.once && row.idempotent) reader.fail("once", "a route can't be both once and idempotent");
-  row.timeout = read_milliseconds(reader, "timeout_ms", 1, defaults.timeout);
-  row.body_limit = static_cast<std::uint64_t>(reader.integer(
-      "body_limit", 0, max_body_bytes, static_cast<std::int64_t>(defaults.body_limit)));
-  reader.finish();
-  return row;
-}
-
-limit_row read_limit(const json::value& value, const std::string& path, error_list& errors) {
-  const limit_row defaults;
-  limit_row row;
-  object_reader reader(value, path, step::table, errors);
-  row.name = read_name(reader);
-  row.tenant.value = reader.text("tenant", "*");
-  const std::size_t klass = reader.choice("class", {"*", "counter", "order", "upload", "bulk"}, 0);
-  row.klass = klass == 0 ? "*" : std::string(class_name(static_cast<request_class>(klass - 1)));
-  row.rate = reader.number("rate", 0, max_rate, defaults.rate);
-  row.burst = reader.number("burst", 1, max_rate, defaults.burst);
-  reader.finish();
-  return row;
+  return change;
 }
 
 change_note read_change(const json::value& value, const std::string& path, error_list& errors) {
@@ -141,10 +37,22 @@
   note.author = reader.text("author");
   note.at = duration(reader.integer("at_us", 0, std::numeric_limits<std::int64_t>::max()));
   note.summary = reader.text("summary", "");
+  note.mark = reader.unsigned_integer("mark", 0);
+  if (const auto* rows = reader.array("rows", false)) {
+    for (std::size_t i = 0; i < rows->size(); ++i) {
+      note.rows.push_back(read_row_change(
+          (*rows)[i], reader.path_of("rows") + "[" + std::to_string(i) + "]", errors));
+    }
+  }
   reader.finish();
   return note;
 }
 
+template <class Row>
+Row read_as(const json::value& value, const std::string& path, error_list& errors) {
+  return std::get<Row>(read_row(kind_of<Row>, value, path, errors));
+}
+
 // Reads each item of a list by read; names must differ where the rows have names.
 template <class Row, class Read>
 std::vector<Row> read_rows(object_reader& reader, std::string_view name, error_list& errors,
@@ -167,12 +75,7 @@
 void check_names(const std::vector<Row>& rows, std::string_view kind, object_reader& reader) {
   std::set<std::string> names;
   for (const auto& row : rows) {
-    std::string name;
-    if constexpr (std::is_same_v<Row, upstream_row>) {
-      name = row.name.value;
-    } else {
-      name = row.name;
-    }
+    const std::string name = row_name(row);
     if (!names.insert(name).second) reader.fail(kind, "two rows are called \"" + name + "\"");
   }
 }
@@ -183,11 +86,11 @@
   object_reader reader(value, path, step::table, errors);
   read.revision.value = reader.unsigned_integer("revision", 0);
   if (const auto* service = reader.object("service", true)) {
-    read.service = read_service(*service, reader.path_of("service"), errors);
+    read.service = read_as<service_row>(*service, reader.path_of("service"), errors);
   }
-  read.upstreams = read_rows<upstream_row>(reader, "upstreams", errors, read_upstream);
-  read.routes = read_rows<route_row>(reader, "routes", errors, read_route);
-  read.limits = read_rows<limit_row>(reader, "limits", errors, read_limit);
+  read.upstreams = read_rows<upstream_row>(reader, "upstreams", errors, read_as<upstream_row>);
+  read.routes = read_rows<route_row>(reader, "routes", errors, read_as<route_row>);
+  read.limits = read_rows<limit_row>(reader, "limits", errors, read_as<limit_row>);
   read.history = read_rows<change_note>(reader, "history", errors, read_change);
   check_names(read.upstreams, "upstreams", reader);
   check_names(read.routes, "routes", reader);
@@ -196,70 +99,21 @@
   return read;
 }
 
-std::int64_t to_ms(duration d) { return std::chrono::duration_cast<milliseconds>(d).count(); }
-
-json::object to_json(const service_row& row) {
-  return {{"name", row.name.value},
-          {"keyed", row.keyed},
-          {"shards", row.shards},
-          {"checks_fence", row.checks_fence},
-          {"isolation", row.isolation == isolation_mode::stay ? "stay" : "move"},
-          {"dispatch", row.dispatch == dispatch_mode::direct ? "direct" : "dispatcher"},
-          {"grant_ms", to_ms(row.grant)},
-          {"renew_ms", to_ms(row.renew)},
-          {"hold_ms", to_ms(row.hold)},
-          {"moves_per_minute", row.moves_per_minute},
-          {"imbalance_weight", row.imbalance_weight},
-          {"churn_weight", row.churn_weight},
-          {"unavailable_weight", row.unavailable_weight},
-          {"isolated_keys", row.isolated_keys},
-          {"cold_start_ms", to_ms(row.cold_start)},
-          {"set_aside", row.set_aside}};
-}
-
-json::object to_json(const upstream_row& row) {
-  return {{"name", row.name.value},
-          {"address", row.address},
-          {"domain", row.domain.value},
-          {"weight", row.weight},
-          {"slots", row.slots},
-          {"connections", row.connections},
-          {"state", row.state == upstream_state::active ? "active" : "drain"}};
-}
-
-std::string_view source_name(key_source source) {
-  constexpr std::string_view names[] = {"none", "path_segment", "header", "query"};
-  return names[static_cast<std::size_t>(source)];
-}
-
-json::object to_json(const route_row& row) {
-  return {{"name", row.name},
-          {"host", row.host},
-          {"path_prefix", row.path_prefix},
-          {"key_from", source_name(row.key_from)},
-          {"key_name", row.key_name},
-          {"class", class_name(row.klass)},
-          {"idempotent", row.idempotent},
-          {"once", row.once},
-          {"timeout_ms", to_ms(row.timeout)},
-          {"body_limit", row.body_limit}};
-}
-
-json::object to_json(const limit_row& row) {
-  return {{"name", row.name},
-          {"tenant", row.tenant.value},
-          {"class", row.klass},
-          {"rate", row.rate},
-          {"burst", row.burst}};
+json::object to_json(const row_change& change) {
+  json::object made{{"row", to_string(change.row)}};
+  if (change.before) made["before"] = row_to_json(*change.before);
+  return made;
 }
 
 json::object to_json(const change_note& note) {
-  return {{"revision", note.revision.value},
-          {"author", note.author},
-          {"at_us", note.at.count()},
-          {"summary", note.summary}};
+  json::array rows;
+  for (const auto& change : note.rows) rows.push_back(to_json(change));
+  return {{"revision", note.revision.value}, {"author", note.author}, {"at_us", note.at.count()},
+          {"summary", note.summary},         {"mark", note.mark},     {"rows", std::move(rows)}};
 }
 
+json::object to_json(const row_value& row) { return row_to_json(row); }
+
 template <class Row>
 json::array to_array(const std::vector<Row>& rows) {
   json::array items;
@@ -273,13 +127,25 @@
           {"limits", to_array(declared.limits)},       {"history", to_array(declared.history)}};
 }
 
-}  // namespace
+// A list with one row a line, so that version control shows changed rows.
+template <class Row>
+std::string format_lines(std::string_view name, const std::vector<Row>& rows) {
+  std::string text = ",\n   \"" + std::string(name) + "\": [";
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    text += (i == 0 ? "\n     " : ",\n     ") + row_to_text(rows[i]);
+  }
+  return text + "]";
+}
 
-std::string_view class_name(request_class c) noexcept {
-  constexpr std::string_view names[] = {"counter", "order", "upload", "bulk"};
-  return names[static_cast<std::size_t>(c)];
+std::string format_lines(const service_table& declared) {
+  return "  {\"revision\": " + std::to_string(declared.revision.value) +
+         ",\n   \"service\": " + row_to_text(declared.service) +
+         format_lines("upstreams", declared.upstreams) + format_lines("routes", declared.routes) +
+         format_lines("limits", declared.limits) + "}";
 }
 
+}  // namespace
+
 result<service_table> parse_service_table(std::string_view text) {
   const auto value = parse_json(text, step::table, max_table_bytes);
   if (!value) return value.error();
@@ -312,9 +178,13 @@
 }
 
 std::string format_table_file(const table& declared) {
-  json::array services;
-  for (const auto& [name, service] : declared) services.push_back(to_json(service));
-  return json::serialize(json::object{{"services", std::move(services)}});
+  std::string text = "{\"services\": [";
+  bool first = true;
+  for (const auto& [name, service] : declared) {
+    text += (first ? "\n" : ",\n") + format_lines(service);
+    first = false;
+  }
+  return text + "\n]}\n";
 }
 
 }  // namespace plantainpaddle
--- a/src/table/parse.h
+++ b/src/table/parse.h
@@ -1,6 +1,7 @@
 // Reads and writes the table's JSON form, which is the same in files and in the store.
 //
-// A file is {"services": [ {service table}, ... ]}; a store value is one service table. Errors list
+// A file is {"services": [ {service table}, ... ]} with one row a line and without the history; a
+// store value is one service table. Errors list
 // every wrong column with its path, what was found and what is allowed; nothing is taken in part.
 #pragma once
 
--- a/src/table/rows.h
+++ b/src/table/rows.h
@@ -9,7 +9,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <variant>
 #include <vector>
 
 #include "base/ids.h"
@@ -92,11 +95,47 @@
   bool operator==(const limit_row&) const = default;
 };
 
+enum class row_kind { service, upstream, route, limit };
+inline constexpr row_kind all_row_kinds[] = {row_kind::service, row_kind::upstream, row_kind::route,
+                                             row_kind::limit};
+
+using row_value = std::variant<service_row, upstream_row, route_row, limit_row>;
+template <class Row>
+inline constexpr row_kind kind_of = row_kind::service;
+template <>
+inline constexpr row_kind kind_of<upstream_row> = row_kind::upstream;
+template <>
+inline constexpr row_kind kind_of<route_row> = row_kind::route;
+template <>
+inline constexpr row_kind kind_of<limit_row> = row_kind::limit;
+
+// A row within one service's table, written "upstream/desk-1".
+struct row_id {
+  row_kind kind = row_kind::service;
+  std::string name;
+  auto operator<=>(const row_id&) const = default;
+};
+
+std::string to_string(const row_id& id);
+std::optional<row_id> parse_row_id(std::string_view text);
+
+const std::string& row_name(const row_value& row);
+row_id id_of(const row_value& row);
+
+// What a change did to one row; with it a change can be undone.
+struct row_change {
+  row_id row;
+  std::optional<row_value> before;  // none: the change added the row
+  bool operator==(const row_change&) const = default;
+};
+
 struct change_note {
   revision_number revision;
   std::string author;
   duration at{0};  // microseconds since 1970, for people
   std::string summary;
+  std::uint64_t mark = 0;  // of the write, so that its writer recognises it
+  std::vector<row_change> rows;
 
   bool operator==(const change_note&) const = default;
 };
