Model a cell under faults: simulated processes, links and store, and an oracle

build/bin/ownership_fuzz runs RapidCheck scenarios of faults against the real assigners, standbys and grant holders, and shrinks a failing one.

--- a/src/ownership/grant_holder.cc
+++ b/src/ownership/grant_holder.cc
@@ -90,4 +90,15 @@
   if (--place->second == 0) in_flight_.erase(place);
 }
 
+std::vector<shard_grant> grant_holder::held(monotonic_time now) const {
+  return now < ends_ ? to_set(held_) : std::vector<shard_grant>{};
+}
+
+std::vector<shard_grant> grant_holder::running(monotonic_time now) const {
+  std::vector<shard_grant> grants;
+  if (now >= ends_) return grants;
+  for (const auto& [grant, count] : in_flight_) grants.push_back(grant);
+  return grants;
+}
+
 }  // namespace plantainpaddle
--- a/src/ownership/grant_holder.h
+++ b/src/ownership/grant_holder.h
@@ -32,6 +32,10 @@
   // When the grant ends. Work that runs under it must have stopped by then.
   monotonic_time ends() const { return ends_; }
   std::size_t held_count(monotonic_time now) const { return now < ends_ ? held_.size() : 0; }
+  // What requests are taken for, and what requests run under, sorted by shard. Nothing after the
+  // end.
+  std::vector<shard_grant> held(monotonic_time now) const;
+  std::vector<shard_grant> running(monotonic_time now) const;
 
  private:
   void apply(const std::vector<shard_grant>& set);
--- /dev/null
+++ b/src/ownership/testing/model.cc
@@ -0,0 +1,99 @@
+#include "ownership/testing/model.h"
+
+#include <sstream>
+
+#include "ownership/testing/world.h"
+
+namespace plantainpaddle::model {
+namespace {
+
+// Before the first fault: long enough that a cell has been set up.
+constexpr duration settle_time = seconds(2);
+
+std::string process_name(std::uint32_t number, int count) {
+  const int n = static_cast<int>(number % static_cast<std::uint32_t>(count));
+  if (n == store_process) return "store";
+  return n < instance_count ? "i" + std::to_string(n) : "u" + std::to_string(n - instance_count);
+}
+
+std::string upstream_name(std::uint32_t number) {
+  return "u" + std::to_string(number % upstream_count);
+}
+
+}  // namespace
+
+std::string to_string(const fault_step& step) {
+  const std::string one = process_name(step.who, process_count - 1);
+  const std::string path =
+      process_name(step.who, process_count) + " to " + process_name(step.whom, process_count);
+  const std::string length = std::to_string(step.length.count() / 1000) + " ms";
+  switch (step.kind) {
+    case fault::freeze:
+      return one + " freezes for " + length;
+    case fault::crash:
+      return one + " crashes, and restarts after " + length;
+    case fault::cut:
+      return "nothing passes from " + path + " for " + length;
+    case fault::isolate:
+      return one + " is cut off for " + length;
+    case fault::lose:
+      return "half of the messages from " + path + " are lost for " + length;
+    case fault::delay:
+      return "messages from " + path + " take up to " + length + " more for 2 s";
+    case fault::repeat:
+      return "messages from " + path + " come again within " + length + " for 2 s";
+    case fault::store_down:
+      return "the store is down for " + length;
+    case fault::store_mute:
+      return "the store's answers are lost for " + length;
+    case fault::store_late:
+      return "the store's messages take up to " + length + " more for 2 s";
+    case fault::leave:
+      return "the assigner hands over to i" + std::to_string(step.whom % instance_count);
+    case fault::drain:
+      return upstream_name(step.who) + " is drained for " + length;
+    case fault::remove:
+      return upstream_name(step.who) + " is not in the table for " + length;
+    case fault::count_:
+      break;
+  }
+  return "nothing";
+}
+
+std::string to_string(const scenario& s) {
+  std::ostringstream out;
+  out << "seed " << s.seed << "\n";
+  duration time = settle_time;
+  for (const auto& step : s.steps) {
+    time += step.wait;
+    out << "  at " << time.count() / 1000 << " ms: " << to_string(step) << "\n";
+  }
+  return out.str();
+}
+
+verdict run(const scenario& s, bool with_trace) {
+  world w(s.seed, with_trace);
+  w.run_until(settle_time);
+  for (const auto& step : s.steps) {
+    w.run_until(w.now() + step.wait);
+    if (w.judge().violation()) break;
+    w.inject(step);
+  }
+  verdict result;
+  if (!w.judge().violation()) w.heal();
+  const true_time end = w.now() + recovery_bound;
+  while (!w.judge().violation() && w.now() < end) {
+    w.run_until(w.now() + milliseconds(100));
+    if (w.now() >= end - recovery_bound + seconds(1) && w.all_served()) break;
+  }
+  result.violation = w.judge().violation();
+  if (!result.violation) {
+    const std::string unserved = w.describe_unserved();
+    if (!unserved.empty()) result.violation = unserved;
+  }
+  result.events = w.events();
+  result.trace = w.take_trace();
+  return result;
+}
+
+}  // namespace plantainpaddle::model
--- /dev/null
+++ b/src/ownership/testing/oracle.h
@@ -0,0 +1,41 @@
+// What must hold of a cell, judged by somebody who sees every process and true time.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ownership/cell_record.h"
+
+namespace plantainpaddle::model {
+
+// What one upstream may run at the moment.
+struct running_grants {
+  upstream_id upstream;
+  std::vector<shard_grant> grants;
+};
+
+class oracle {
+ public:
+  // A write took effect in the store.
+  void stored(const cell_record& record);
+  // An assigner says that this record is in the store.
+  void published(const cell_record& record);
+  // An upstream takes requests for these.
+  void granted(const upstream_id& upstream, const std::vector<shard_grant>& grants);
+  // A request starts.
+  void started(const upstream_id& upstream, const shard_grant& grant);
+  void running(const std::vector<running_grants>& now);
+  void object(const std::string& what);
+
+  const std::optional<std::string>& violation() const { return violation_; }
+
+ private:
+  std::optional<std::string> violation_;
+  std::map<revision_number, cell_record> records_;
+  std::map<shard_grant, std::optional<upstream_id>> owners_;  // of each fence ever recorded
+  std::map<shard_id, fence_number> highest_granted_;
+};
+
+}  // namespace plantainpaddle::model
--- /dev/null
+++ b/src/ownership/testing/ownership_fuzz_main.cc
@@ -0,0 +1,65 @@
+// Stateful fuzzing of a cell: ownership_fuzz [--expect-violation]
+//
+// RC_PARAMS="seed=7 max_success=1000" ownership_fuzz runs a thousand scenarios. On a violation it
+// prints the smallest scenario found and its trace. With --expect-violation, for a copy of the code
+// that lacks a guard, it prints the count of steps until the oracle objects, and fails if it never
+// does.
+
+#include <cstdio>
+#include <cstring>
+
+#include "ownership/testing/scenario_generator.h"
+
+namespace {
+
+using namespace plantainpaddle::model;
+
+struct totals {
+  std::uint64_t scenarios = 0;
+  std::uint64_t events = 0;
+  std::optional<scenario> failed;  // the last one, which is the smallest after shrinking
+  std::uint64_t events_until_violation = 0;
+  std::string first_violation;
+};
+
+void print_failure(const scenario& s) {
+  const verdict v = run(s, true);
+  std::printf("violation: %s\n%s", v.violation.value_or("none").c_str(), to_string(s).c_str());
+  constexpr std::size_t shown_lines = 120;
+  const std::size_t first = v.trace.size() > shown_lines ? v.trace.size() - shown_lines : 0;
+  for (std::size_t i = first; i < v.trace.size(); ++i) std::printf("%s\n", v.trace[i].c_str());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const bool expect_violation = argc > 1 && std::strcmp(argv[1], "--expect-violation") == 0;
+  totals sum;
+  const bool passed = rc::check("a cell keeps its promises", [&] {
+    const scenario s = *gen_scenario();
+    // A mutant need not be shrunk.
+    if (expect_violation && sum.failed) RC_FAIL("not tried further");
+    const verdict v = run(s);
+    ++sum.scenarios;
+    sum.events += v.events;
+    if (!v.violation) return;
+    if (!sum.failed) {
+      sum.events_until_violation = sum.events;
+      sum.first_violation = *v.violation;
+    }
+    sum.failed = s;
+    RC_FAIL(*v.violation);
+  });
+  if (expect_violation) {
+    std::printf("{\"caught\": %s, \"steps\": %llu, \"scenarios\": %llu, \"violation\": \"%s\"}\n",
+                passed ? "false" : "true",
+                static_cast<unsigned long long>(passed ? sum.events : sum.events_until_violation),
+                static_cast<unsigned long long>(sum.scenarios), sum.first_violation.c_str());
+    return passed ? 1 : 0;
+  }
+  if (sum.failed) print_failure(*sum.failed);
+  std::printf("{\"scenarios\": %llu, \"steps\": %llu, \"violations\": %d}\n",
+              static_cast<unsigned long long>(sum.scenarios),
+              static_cast<unsigned long long>(sum.events), passed ? 0 : 1);
+  return passed ? 0 : 1;
+}
