--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -106,6 +106,8 @@
   void feed(const cell_id& cell, const assigner_event& event);
   void carry_out(const cell_id& cell, const send_order& action);
   void carry_out(const cell_id& cell, const ask_standby& action);
+  void carry_out(const cell_id& cell, const remember_term& action);
+  void carry_out(const cell_id& cell, const publish_moving& action);
   void carry_out(const cell_id& cell, const read_record& action);
   void carry_out(const cell_id& cell, const write_record& action);
   void carry_out(const cell_id& cell, const publish_record& action);
@@ -426,6 +428,12 @@
                });
 }
 
+void control_plane::impl::carry_out(const cell_id&, const remember_term& action) {
+  standbys.remember(action.question, monotonic_now());
+}
+
+void control_plane::impl::carry_out(const cell_id&, const publish_moving&) {}
+
 void control_plane::impl::carry_out(const cell_id& cell, const read_record& action) {
   store.get(cache.keys().cell(cell),
             [this, cell, action](result<std::optional<stored_value>> answer) {
--- a/src/ownership/assigner.cc
+++ b/src/ownership/assigner.cc
@@ -11,6 +11,10 @@
 constexpr duration plan_period = milliseconds(100);
 // Shorter grants than this aren't worth an order.
 constexpr duration least_grant = milliseconds(50);
+// An answer of the store that is not there by then is not waited for.
+constexpr duration store_patience = seconds(2);
+// A longer time between two events means that this process did not run.
+constexpr duration most_idle = milliseconds(100);
 
 }  // namespace
 
@@ -26,42 +30,82 @@
       next_read_(now),
       right_until_(now),
       wait_until_(now),
+      term_taken_(now),
+      adopted_until_(now),
+      last_event_(now),
       next_plan_(now) {}
 
 assigner_actions assigner::handle(const assigner_event& event, monotonic_time now) {
   actions_.clear();
   if (phase_ == assigner_phase::retired) return {};
+  skip_pause(now);
   std::visit([&](const auto& e) { on(e, now); }, event);
   if (phase_ != assigner_phase::retired) advance(now);
   return std::move(actions_);
 }
 
+// Silence of others counts only while this process ran: after a pause their answers may still lie
+// in its buffers.
+void assigner::skip_pause(monotonic_time now) {
+  const duration pause = now - last_event_;
+  last_event_ = now;
+  if (pause <= most_idle) return;
+  for (auto& [name, side] : upstreams_) side.last_heard += pause;
+  for (auto& [name, side] : standbys_) side.last_heard += pause;
+}
+
 void assigner::on(const tick&, monotonic_time) {}
 
 void assigner::on(const inputs_changed& event, monotonic_time now) {
   inputs_ = event.inputs;
+  for (auto& [name, side] : upstreams_) side.listed = false;
   for (const auto& row : inputs_.upstreams) {
     auto [place, added] = upstreams_.try_emplace(row.name);
+    place->second.listed = true;
     if (!added) continue;
     place->second.next_order = now;
     place->second.last_heard = now;
-    place->second.granted_until = now;
+    place->second.granted_until = std::max(now, adopted_until_);
   }
   next_plan_ = now;
 }
 
+// An upstream that has left the table gets no orders; its shards wait for its lapse all the same.
+void assigner::forget_left_upstreams(monotonic_time now) {
+  for (auto place = upstreams_.begin(); place != upstreams_.end();) {
+    auto& side = place->second;
+    if (side.listed || now < side.granted_until) {
+      ++place;
+      continue;
+    }
+    if (side.in_flight) order_requests_.erase(side.in_flight->request);
+    place = upstreams_.erase(place);
+  }
+}
+
 void assigner::on(const handover_received& event, monotonic_time now) {
   if (phase_ != assigner_phase::reading) return;
   record_ = event.record;
   version_ = event.version;
   phase_ = assigner_phase::active;
+  // The predecessor's orders may still be on their way.
+  adopted_until_ = now + with_margin(config_.timing.right);
+  for (auto& [name, side] : upstreams_) {
+    side.granted_until = std::max(side.granted_until, adopted_until_);
+    side.next_order = now;
+  }
+  if (event.unsure_write) {
+    pending_ = pending_write{0, *event.unsure_write, version_, now};
+    resend_write(now);
+  }
   next_plan_ = now;
 }
 
 // Reading and taking.
 
 void assigner::read_store(monotonic_time now) {
-  if (read_in_flight_ || now < next_read_) return;
+  if (read_in_flight_ && now < read_sent_ + store_patience) return;
+  if (now < next_read_) return;
   read_in_flight_ = ++last_request_;
   read_sent_ = now;
   next_read_ = now + config_.timing.renew;
@@ -85,12 +129,17 @@
     committed(now);
     return;
   }
-  if (found.record && record_ && found.record->term > record_->term) {
-    return retire_because("term " + std::to_string(found.record->term.value) + " of " +
-                          found.record->assigner.value + " is in the store");
+  const bool own_term = record_ && found.record && found.record->term == record_->term;
+  const bool lost_race =
+      phase_ == assigner_phase::taking && found.version != pending_->expected_version;
+  if (lost_race || (found.record && record_ && !own_term && found.record->term > record_->term)) {
+    return retire_because("the store's record is of " +
+                          (found.record ? "term " + std::to_string(found.record->term.value) +
+                                              " and " + found.record->assigner.value
+                                        : std::string("nobody")));
   }
-  if (phase_ == assigner_phase::reading || phase_ == assigner_phase::taking) {
-    pending_.reset();
+  if (phase_ == assigner_phase::taking) return;  // the write may still take effect
+  if (phase_ == assigner_phase::reading) {
     if (found.record) {
       take_term(found, now);
     } else {
@@ -98,10 +147,10 @@
     }
     return;
   }
-  if (found.record && record_ && found.record->term == record_->term) {
-    right_until_ = std::max(right_until_, asked + config_.timing.right);
-    version_ = std::max(version_, found.version);
+  if (own_term && found.record->mark != record_->mark && found.version > version_) {
+    return retire_because(found.record->mark.writer.value + " has written under this term");
   }
+  if (own_term) right_until_ = std::max(right_until_, asked + config_.timing.right);
 }
 
 void assigner::create_record(monotonic_time now) {
@@ -118,7 +167,7 @@
   }
   for (const auto& home : inputs_.home) record.shards[home.shard] = {std::nullopt, home.fence};
   phase_ = assigner_phase::taking;
-  write(std::move(record), 0, {}, now);
+  write(std::move(record), 0, now);
 }
 
 void assigner::take_term(const stored_record& found, monotonic_time now) {
@@ -130,17 +179,16 @@
     return instance_name(standby) == instance_name(config_.self);
   });
   phase_ = assigner_phase::taking;
-  write(std::move(record), found.version, {}, now);
+  write(std::move(record), found.version, now);
 }
 
 write_mark assigner::next_mark() {
   return {config_.self, hash64(std::to_string(config_.seed), std::to_string(++mark_count_))};
 }
 
-void assigner::write(cell_record record, std::uint64_t expected_version,
-                     std::vector<shard_id> moved, monotonic_time now) {
+void assigner::write(cell_record record, std::uint64_t expected_version, monotonic_time now) {
   record.mark = next_mark();
-  pending_ = pending_write{0, std::move(record), expected_version, now, std::move(moved)};
+  pending_ = pending_write{0, std::move(record), expected_version, now};
   resend_write(now);
 }
 
@@ -153,7 +201,10 @@
 }
 
 void assigner::committed(monotonic_time now) {
-  for (const auto shard : pending_->moved) moves_.erase(shard);
+  // Not by the list of moves: a write that was handed over with the term has none.
+  std::erase_if(moves_, [&](const auto& move) {
+    return record_->shards.at(move.first).fence > move.second.fence;
+  });
   pending_.reset();
   std::map<instance_id, standby_side> kept;
   for (const auto& standby : record_->standbys) {
@@ -170,6 +221,9 @@
   if (phase_ == assigner_phase::taking) {
     const bool first = record_->term == term_number{1};
     phase_ = first ? assigner_phase::active : assigner_phase::telling;
+    term_taken_ = now;
+    for (auto& [name, side] : upstreams_) side.last_heard = now;
+    actions_.emplace_back(remember_term{{config_.cell, record_->term, config_.self}});
   }
   for (auto& [name, side] : upstreams_) side.next_order = now;
   next_plan_ = now;
@@ -183,10 +237,12 @@
 
 // Standbys.
 
-// While it is unsure whether a change of the list took effect, only those in both lists count.
+// While it is unsure whether a change of the list took effect, only those in both lists count. This
+// instance's own memory is no witness: alone, it would never lose its right.
 std::vector<instance_id> assigner::counted_standbys() const {
   std::vector<instance_id> counted;
   for (const auto& standby : record_->standbys) {
+    if (standby == config_.self) continue;
     if (pending_ && std::find(pending_->record.standbys.begin(), pending_->record.standbys.end(),
                               standby) == pending_->record.standbys.end()) {
       continue;
@@ -211,7 +267,7 @@
   }
 }
 
-void assigner::on(const question_replied& event, monotonic_time now) {
+void assigner::on(const question_replied& event, monotonic_time) {
   const auto place = question_requests_.find(event.request);
   if (place == question_requests_.end()) return;
   const instance_id name = place->second;
@@ -220,6 +276,10 @@
   if (standby == standbys_.end()) return;
   auto& side = standby->second;
   side.in_flight.reset();
+  if (event.ended) {
+    side.told = true;
+    ended_instances_.insert(name);
+  }
   if (!event.answer) return;
   if (event.answer->highest_term > record_->term) {
     return retire_because("standby " + name.value + " was shown term " +
@@ -228,22 +288,33 @@
   side.told = true;
   side.last_heard = side.asked;
   right_until_ = std::max(right_until_, side.asked + config_.timing.right);
-  if (phase_ == assigner_phase::telling && all_told()) {
-    phase_ = assigner_phase::waiting;
-    wait_until_ = now + with_margin(config_.timing.right);
-  }
 }
 
-bool assigner::all_told() const {
+// A standby that can't be told might go on confirming the old assigner's right. It is waited for
+// until it answers, is known to have ended, is declared lost, or the hold time is over.
+bool assigner::all_told(monotonic_time now) const {
+  const bool held_long_enough =
+      config_.timing.hold > duration{0} && now >= term_taken_ + with_margin(config_.timing.hold);
   return std::all_of(record_->standbys.begin(), record_->standbys.end(), [&](const auto& name) {
     const auto side = standbys_.find(name);
-    return side != standbys_.end() && side->second.told;
+    if (side != standbys_.end() && side->second.told) return true;
+    return held_long_enough ||
+           std::find(inputs_.lost.begin(), inputs_.lost.end(), name) != inputs_.lost.end();
   });
 }
 
-// A standby that has been silent, or is no longer live, is replaced by the best candidate.
-void assigner::renew_standbys(monotonic_time now) {
+void assigner::start_waiting(monotonic_time now) {
+  phase_ = assigner_phase::waiting;
+  wait_until_ = now + with_margin(config_.timing.right);
+  adopted_until_ = wait_until_;
+}
+
+// Writes what has changed of assigner and standbys. A standby that has been silent, or is no longer
+// live, is replaced by the best candidate.
+void assigner::renew_roles(monotonic_time now) {
   cell_record record = *record_;
+  record.assigner = config_.self;
+  std::erase(record.standbys, config_.self);
   const auto is_candidate = [&](const instance_id& name) {
     const auto& all = inputs_.standby_candidates;
     return std::find(all.begin(), all.end(), name) != all.end();
@@ -252,16 +323,17 @@
     const auto side = standbys_.find(name);
     const bool silent =
         side != standbys_.end() && now > side->second.last_heard + 2 * config_.timing.suspicion;
-    return silent && !is_candidate(name);
+    return ended_instances_.contains(name) || (silent && !is_candidate(name));
   });
   for (const auto& candidate : inputs_.standby_candidates) {
+    if (ended_instances_.contains(candidate)) continue;
     const bool present = std::find(record.standbys.begin(), record.standbys.end(), candidate) !=
                          record.standbys.end();
     if (!present && record.standbys.size() < max_standbys - 1) record.standbys.push_back(candidate);
   }
-  if (record.standbys == record_->standbys) return;
+  if (record.standbys == record_->standbys && record.assigner == record_->assigner) return;
   record.revision = revision_number{record.revision.value + 1};
-  write(std::move(record), version_, {}, now);
+  write(std::move(record), version_, now);
 }
 
 // Upstreams.
@@ -284,17 +356,20 @@
   return place->second.load;
 }
 
-// What the upstream should hold now: the record's shards less those on their way out.
+// What the upstream should hold now: the record's shards less those on their way out. A write that
+// was handed over with the term moves shards too.
 std::vector<shard_grant> assigner::set_for(const upstream_id& name) const {
   std::vector<shard_grant> set;
   for (const auto& grant : grants_of(*record_, name)) {
-    if (!moves_.contains(grant.shard)) set.push_back(grant);
+    if (moves_.contains(grant.shard) || is_being_written(grant.shard)) continue;
+    set.push_back(grant);
   }
   return set;
 }
 
 void assigner::send_orders(monotonic_time now) {
   for (auto& [name, side] : upstreams_) {
+    if (!side.listed) continue;
     if (side.in_flight && now < side.in_flight->sent + config_.timing.attempt_timeout) continue;
     if (now < side.next_order && !side.in_flight) continue;
     if (side.in_flight) order_requests_.erase(side.in_flight->request);
@@ -332,7 +407,7 @@
   if (place == order_requests_.end()) return;
   const upstream_id name = place->second;
   order_requests_.erase(place);
-  auto& side = upstreams_[name];
+  auto& side = upstreams_.at(name);
   const sent_order sent = *side.in_flight;
   side.in_flight.reset();
   if (!event.answer) return;
@@ -347,9 +422,11 @@
   side.held_digest = answer.held_digest;
   side.load = answer.load;
   side.last_heard = std::max(side.last_heard, sent.sent);
-  if (was_suspected && !pending_) {
-    std::erase_if(moves_,
-                  [&](const auto& move) { return move.second.forced && move.second.from == name; });
+  // Back before its lapse was made use of: it keeps what isn't being written away already.
+  if (was_suspected) {
+    std::erase_if(moves_, [&](const auto& move) {
+      return move.second.forced && move.second.from == name && !is_being_written(move.first);
+    });
   }
   if (answer.status == grant_status::accepted) {
     accept_answer(name, side, sent, answer, now);
@@ -389,7 +466,7 @@
   next_plan_ = now + plan_period;
   plan_input input;
   for (const auto& row : inputs_.upstreams) {
-    const auto& side = upstreams_[row.name];
+    const auto& side = upstreams_.at(row.name);
     const bool usable = row.state == upstream_state::active && !is_suspected(side, now) &&
                         side.nonce != 0 && !side.load.draining;
     input.upstreams.push_back({row.name, row.weight, usable});
@@ -415,12 +492,10 @@
   move.from = entry.owner;
   move.fence = entry.fence;
   move.to = to;
-  move.lapses_at = now;
   move.released = !entry.owner;
   if (entry.owner) {
     const auto side = upstreams_.find(*entry.owner);
     if (side != upstreams_.end()) {
-      move.lapses_at = side->second.granted_until;
       move.forced = is_suspected(side->second, now);
       side->second.next_order = now;
     }
@@ -428,53 +503,75 @@
   moves_.emplace(shard, move);
 }
 
+// An upstream that answers goes on with what it runs of a revoked shard for as long as it is
+// renewed, so that it is the end of its last grant of any shard that counts.
+bool assigner::has_lapsed(const pending_move& move, monotonic_time now) const {
+  if (now < adopted_until_) return false;
+  const auto side = upstreams_.find(*move.from);
+  return side == upstreams_.end() || now >= side->second.granted_until;
+}
+
+bool assigner::is_being_written(shard_id shard) const {
+  return pending_ && pending_->record.shards.at(shard).fence > record_->shards.at(shard).fence;
+}
+
 // One write for all moves whose old owner has consented or surely lost its grant.
 void assigner::finish_moves(monotonic_time now) {
   cell_record record = *record_;
-  std::vector<shard_id> moved;
+  bool changed = false;
   for (const auto& [shard, move] : moves_) {
-    if (!move.released && now < move.lapses_at) continue;
+    if (!move.released && !has_lapsed(move, now)) continue;
     auto& entry = record.shards[shard];
     entry.owner = move.to;
     entry.fence = fence_number{entry.fence.value + 1};
-    moved.push_back(shard);
+    changed = true;
   }
-  if (moved.empty()) return;
+  if (!changed) return;
   record.revision = revision_number{record.revision.value + 1};
-  write(std::move(record), version_, std::move(moved), now);
+  write(std::move(record), version_, now);
+}
+
+// Keeps callers' requests for moving shards from being sent to an upstream that will refuse them.
+void assigner::publish_moves() {
+  std::vector<shard_id> moving;
+  for (const auto& [shard, move] : moves_) moving.push_back(shard);
+  if (moving == published_moving_) return;
+  published_moving_ = moving;
+  actions_.emplace_back(publish_moving{std::move(moving)});
 }
 
 void assigner::advance(monotonic_time now) {
-  if (pending_ && pending_->request == 0 &&
-      now >= pending_->sent + config_.timing.attempt_timeout) {
-    resend_write(now);
-  }
+  const bool unanswered =
+      pending_ && (pending_->request == 0 || now >= pending_->sent + store_patience);
+  if (unanswered && now >= pending_->sent + config_.timing.attempt_timeout) resend_write(now);
   if (phase_ == assigner_phase::reading) return read_store(now);
   if (phase_ == assigner_phase::taking) return;
 
   ask_standbys(now);
   const bool standbys_silent = now + config_.timing.renew >= right_until_ - config_.timing.renew;
   if (counted_standbys().empty() || standbys_silent) read_store(now);
+  forget_left_upstreams(now);
   send_orders(now);
 
-  if (phase_ == assigner_phase::telling && all_told()) {
-    phase_ = assigner_phase::waiting;
-    wait_until_ = now + with_margin(config_.timing.right);
-  }
+  if (phase_ == assigner_phase::telling && all_told(now)) start_waiting(now);
   if (phase_ == assigner_phase::waiting && now >= wait_until_) {
     phase_ = assigner_phase::active;
     next_plan_ = now;
   }
-  if (phase_ != assigner_phase::active || !has_right(now)) return;
-  if (now >= next_plan_) plan(now);
-  if (!pending_) finish_moves(now);
-  if (!pending_) renew_standbys(now);
+  if (phase_ == assigner_phase::active && has_right(now)) {
+    if (now >= next_plan_) plan(now);
+    if (!pending_) finish_moves(now);
+    if (!pending_) renew_roles(now);
+  }
+  publish_moves();
 }
 
 std::optional<handover_received> assigner::hand_over(monotonic_time now) {
-  if (phase_ != assigner_phase::active || pending_ || !has_right(now)) return std::nullopt;
+  if (phase_ != assigner_phase::active || !has_right(now)) return std::nullopt;
   phase_ = assigner_phase::retired;
-  return handover_received{*record_, version_};
+  handover_received handed{*record_, version_, std::nullopt};
+  if (pending_) handed.unsure_write = pending_->record;
+  return handed;
 }
 
 }  // namespace plantainpaddle
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -39,9 +39,12 @@
 struct cell_inputs {
   std::vector<upstream_row> upstreams;  // of this cell
   std::vector<shard_grant> home;        // the layout's shards of this cell, with their least fence
-  std::vector<instance_id> standby_candidates;  // live instances besides self, best first
-  std::map<shard_id, double> load;              // requests per second
-  std::uint32_t move_budget = 0;                // per planning round
+  // Live instances besides self, best first: for `isolation` `stay` of the cell's failure domain,
+  // for `move` of the others, each from another domain as far as possible.
+  std::vector<instance_id> standby_candidates;
+  std::vector<instance_id> lost;    // that an operator's row declares lost for good
+  std::map<shard_id, double> load;  // requests per second
+  std::uint32_t move_budget = 0;    // per planning round
   double imbalance_weight = 1;
   double churn_weight = 1;
   double unavailable_weight = 1;
@@ -60,6 +63,9 @@
 struct question_replied {
   request_number request = 0;
   result<term_answer> answer;
+  // Instead of an answer, one came from a later life of the instance at the same address: the one
+  // that was asked has ended.
+  bool ended = false;
 };
 // Of a read and of a write alike: the record as it is now. version 0: there is none.
 struct stored_record {
@@ -72,10 +78,12 @@
   result<stored_record> answer;
 };
 // A planned leave of the acting assigner: it has stopped, and this instance goes on under the same
-// term.
+// term. To be passed on only if standby_memory::accept says so.
 struct handover_received {
   cell_record record;
   std::uint64_t version = 0;
+  // A write that may have taken effect or not, and is to be repeated as it is.
+  std::optional<cell_record> unsure_write;
 };
 using assigner_event = std::variant<tick, inputs_changed, grant_replied, question_replied,
                                     store_replied, handover_received>;
@@ -91,6 +99,11 @@
   instance_id to;
   term_question question;
 };
+// To be carried out at once, before any other event of this instance: its own standby memory notes
+// the term, so that it never answers to an older one again.
+struct remember_term {
+  term_question question;
+};
 struct read_record {
   request_number request = 0;
   cell_id cell;
@@ -103,11 +116,15 @@
 struct publish_record {
   cell_record record;
 };
+// The shards on their way to another owner: callers' requests for them are better held than sent.
+struct publish_moving {
+  std::vector<shard_id> moving;  // sorted
+};
 struct retire {
   std::string reason;
 };
-using assigner_action =
-    std::variant<send_order, ask_standby, read_record, write_record, publish_record, retire>;
+using assigner_action = std::variant<send_order, ask_standby, remember_term, read_record,
+                                     write_record, publish_record, publish_moving, retire>;
 using assigner_actions = std::vector<assigner_action>;
 
 enum class assigner_phase { reading, taking, telling, waiting, active, retired };
@@ -119,7 +136,8 @@
 
   assigner_actions handle(const assigner_event& event, monotonic_time now);
 
-  // Stops for good and hands the term over; nothing if a write is under way or it isn't active.
+  // Stops for good and hands the term over, also while a write is unsure; nothing if it isn't
+  // active or lacks the right. What it returns must reach one instance at most.
   std::optional<handover_received> hand_over(monotonic_time now);
 
   assigner_phase phase() const { return phase_; }
@@ -137,6 +155,7 @@
     std::vector<shard_grant> set;
   };
   struct upstream_side {
+    bool listed = true;  // false: it has left the table, and only its lapse is waited for
     std::uint64_t life = 0;
     std::uint64_t nonce = 0;
     std::optional<sent_order> in_flight;
@@ -151,15 +170,14 @@
     monotonic_time asked;
     monotonic_time next_question;
     monotonic_time last_heard;
-    bool told = false;  // has answered to this term
+    bool told = false;  // has answered to this term, or has ended
   };
   // A shard on its way from one owner to another.
   struct pending_move {
     std::optional<upstream_id> from;
     fence_number fence;
     upstream_id to;
-    monotonic_time lapses_at;  // from which on the old grant has surely ended
-    bool forced = false;       // the old owner is silent, it was not told
+    bool forced = false;  // the old owner is silent, it was not told
     bool released = false;
   };
   struct pending_write {
@@ -167,7 +185,6 @@
     cell_record record;
     std::uint64_t expected_version = 0;
     monotonic_time sent;
-    std::vector<shard_id> moved;
   };
 
   void on(const tick&, monotonic_time now);
@@ -181,11 +198,11 @@
   void take_term(const stored_record& found, monotonic_time now);
   void create_record(monotonic_time now);
   void committed(monotonic_time now);
-  void write(cell_record record, std::uint64_t expected_version, std::vector<shard_id> moved,
-             monotonic_time now);
+  void write(cell_record record, std::uint64_t expected_version, monotonic_time now);
   void resend_write(monotonic_time now);
   void read_store(monotonic_time now);
   void ask_standbys(monotonic_time now);
+  void start_waiting(monotonic_time now);
   void send_orders(monotonic_time now);
   void send_order_to(const upstream_id& name, upstream_side& side, monotonic_time now);
   void accept_answer(const upstream_id& name, upstream_side& side, const sent_order& sent,
@@ -193,8 +210,13 @@
   void plan(monotonic_time now);
   void start_move(shard_id shard, const upstream_id& to, monotonic_time now);
   void finish_moves(monotonic_time now);
-  void renew_standbys(monotonic_time now);
-  bool all_told() const;
+  void renew_roles(monotonic_time now);
+  void forget_left_upstreams(monotonic_time now);
+  void skip_pause(monotonic_time now);
+  void publish_moves();
+  bool all_told(monotonic_time now) const;
+  bool is_being_written(shard_id shard) const;
+  bool has_lapsed(const pending_move& move, monotonic_time now) const;
   bool is_suspected(const upstream_side& side, monotonic_time now) const;
   std::vector<instance_id> counted_standbys() const;
   std::vector<shard_grant> set_for(const upstream_id& name) const;
@@ -212,10 +234,15 @@
   monotonic_time next_read_;
   monotonic_time right_until_;
   monotonic_time wait_until_;
+  monotonic_time term_taken_;     // when the record of this term was seen in the store
+  monotonic_time adopted_until_;  // by then all grants of earlier assigners have ended
+  monotonic_time last_event_;
   monotonic_time next_plan_;
   std::map<upstream_id, upstream_side> upstreams_;
   std::map<instance_id, standby_side> standbys_;
+  std::set<instance_id> ended_instances_;  // that are known to have ended
   std::map<shard_id, pending_move> moves_;
+  std::vector<shard_id> published_moving_;
   std::map<request_number, upstream_id> order_requests_;
   std::map<request_number, instance_id> question_requests_;
   request_number last_request_ = 0;
--- a/src/ownership/grant_holder.cc
+++ b/src/ownership/grant_holder.cc
@@ -34,6 +34,8 @@
   if (order.nonce == 0 || order.life != life_ || order.nonce != nonce_) {
     return answer(grant_status::stale_nonce, now);
   }
+  // Too late to extend anything: it must not look like a grant that holds nothing.
+  if (nonce_issued_ + order.length <= now) return answer(grant_status::stale_nonce, now);
   if (order.set) {
     apply(*order.set);
   } else if (digest_of(to_set(held_)) != order.digest) {
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -8,3 +8,5 @@
 
 add_executable(ownership_fuzz)
 target_link_libraries(ownership_fuzz PRIVATE ownership_fuzz_main ownership_model ownership rapidcheck)
+
+target_link_libraries(ownership_test PRIVATE ownership_model)
--- a/src/ownership/testing/model.cc
+++ b/src/ownership/testing/model.cc
@@ -54,8 +54,6 @@
       return upstream_name(step.who) + " is drained for " + length;
     case fault::remove:
       return upstream_name(step.who) + " is not in the table for " + length;
-    case fault::count_:
-      break;
   }
   return "nothing";
 }
--- a/src/ownership/testing/model.h
+++ b/src/ownership/testing/model.h
@@ -42,9 +42,10 @@
   leave,       // the acting assigner hands its term over to instance whom
   drain,       // the table sets upstream who to drain, and back after length
   remove,      // the table lacks upstream who for length
-  count_       // number of kinds
 };
 
+inline constexpr int fault_count = static_cast<int>(fault::remove) + 1;
+
 struct fault_step {
   fault kind = fault::freeze;
   std::uint32_t who = 0;  // taken modulo the number of processes of the fitting kind
@@ -64,6 +65,7 @@
   std::vector<std::string> trace;
 };
 
+std::string to_string(const fault_step& step);
 std::string to_string(const scenario& s);
 
 // The same scenario gives the same verdict.
--- a/src/ownership/testing/scenario_generator.h
+++ b/src/ownership/testing/scenario_generator.h
@@ -16,7 +16,7 @@
 
 inline rc::Gen<fault_step> gen_fault_step() {
   return rc::gen::construct<fault_step>(
-      rc::gen::map(rc::gen::inRange(0, static_cast<int>(fault::count_)),
+      rc::gen::map(rc::gen::inRange(0, fault_count),
                    [](int kind) { return static_cast<fault>(kind); }),
       rc::gen::inRange<std::uint32_t>(0, 56), rc::gen::inRange<std::uint32_t>(0, 56),
       // Faults come in bursts: most follow within the times of the protocol.
--- a/src/ownership/testing/world.cc
+++ b/src/ownership/testing/world.cc
@@ -98,6 +98,7 @@
 // Faults.
 
 void world::inject(const fault_step& step) {
+  note("fault: " + to_string(step));
   const int any = static_cast<int>(step.who % (process_count - 1));
   const int from = static_cast<int>(step.who % process_count);
   const int to = static_cast<int>(step.whom % process_count);
@@ -166,8 +167,6 @@
     case fault::remove:
       upstreams_[step.who % upstream_count].removed_until = until;
       break;
-    case fault::count_:
-      break;
   }
 }
 
@@ -192,15 +191,16 @@
 std::string world::describe_unserved() const {
   if (!stored_) return "there is no record";
   std::string missing;
-  for (const auto& [shard, entry] : stored_->shards) {
+  for (const auto& item : stored_->shards) {
+    const shard_grant grant{item.first, item.second.fence};
     const auto is_owner = [&](const auto& u) {
       const int number = static_cast<int>(&u - upstreams_.data()) + instance_count;
-      if (entry.owner != upstream_id{processes_[number].name}) return false;
+      if (item.second.owner != upstream_id{processes_[number].name}) return false;
       const auto held = u.holder->held(clock(number));
-      return std::find(held.begin(), held.end(), shard_grant{shard, entry.fence}) != held.end();
+      return std::find(held.begin(), held.end(), grant) != held.end();
     };
     if (std::none_of(upstreams_.begin(), upstreams_.end(), is_owner)) {
-      missing += " " + std::to_string(shard.value);
+      missing += " " + std::to_string(item.first.value);
     }
   }
   if (missing.empty()) return missing;
--- a/src/ownership/testing/world.h
+++ b/src/ownership/testing/world.h
@@ -93,6 +93,8 @@
   void feed(int number, std::uint64_t assigner_made, const assigner_event& event);
   void perform(int number, std::uint64_t made, const send_order& action);
   void perform(int number, std::uint64_t made, const ask_standby& action);
+  void perform(int number, std::uint64_t made, const remember_term& action);
+  void perform(int number, std::uint64_t made, const publish_moving& action);
   void perform(int number, std::uint64_t made, const read_record& action);
   void perform(int number, std::uint64_t made, const write_record& action);
   void perform(int number, std::uint64_t made, const publish_record& action);
--- a/src/ownership/testing/world_instances.cc
+++ b/src/ownership/testing/world_instances.cc
@@ -123,6 +123,10 @@
   if (!self.acting || self.assigners_made != made) return;
   const auto before = self.acting->phase();
   for (const auto& action : self.acting->handle(event, clock(number))) {
+    if (const auto* own = std::get_if<remember_term>(&action)) {
+      self.memory.remember(own->question, clock(number));
+      continue;
+    }
     at(now_ + up_to(action_pause), number, [this, number, made, action] {
       std::visit([&](const auto& a) { perform(number, made, a); }, action);
     });
@@ -159,7 +163,13 @@
 void world::perform(int number, std::uint64_t made, const ask_standby& action) {
   const int to = number_of(instance_name(action.to));
   send(number, to, [this, number, made, to, action] {
-    if (id_of(to) != action.to) return;
+    if (id_of(to) != action.to) {
+      send(to, number, [this, number, made, request = action.request] {
+        feed(number, made,
+             question_replied{request, error{errc::stale, step::peer, "", ""}, /*ended=*/true});
+      });
+      return;
+    }
     const term_answer answer = instances_[to].memory.handle(action.question, clock(to));
     send(to, number, [this, number, made, request = action.request, answer] {
       feed(number, made, question_replied{request, answer});
@@ -187,6 +197,10 @@
   }
 }
 
+void world::perform(int, std::uint64_t, const remember_term&) {}
+
+void world::perform(int, std::uint64_t, const publish_moving&) {}
+
 void world::perform(int number, std::uint64_t, const retire& action) {
   note(id_of(number).value + " retires: " + action.reason);
 }
@@ -202,6 +216,8 @@
   send(number, successor, [this, successor, event = *handed] {
     auto& other = instances_[successor];
     if (other.acting) return;
+    const cell_record& record = event.record;
+    if (!other.memory.accept(record.cell, record.term, clock(successor))) return;
     assigner_config config;
     config.cell = the_cell;
     config.self = id_of(successor);
