--- a/src/bench/control_bench.cc
+++ b/src/bench/control_bench.cc
@@ -135,7 +135,8 @@
       for (std::uint32_t u = 0; u < shape_.upstreams; ++u) {
         const std::string name =
             "u" + std::to_string(s) + "-" + std::to_string(d) + "-" + std::to_string(u);
-        auto made = std::make_unique<upstream_standin>(upstream_io_.get_executor(), name);
+        auto made = std::make_unique<upstream_standin>(upstream_io_.get_executor(),
+                                                       upstream_options{.name = name});
         const auto address = made->listen("127.0.0.1:0");
         if (!address) continue;
         declared.upstreams.push_back(
--- a/src/entry/cell_runner.cc
+++ b/src/entry/cell_runner.cc
@@ -191,6 +191,7 @@
         if (answer && answer->from.instance == action.to) {
           if (const auto* reply = std::get_if<term_answer>(&answer->reply)) event.answer = *reply;
         }
+        event.ended = answer && answer->from.instance != action.to;
         used_.post([this, from, event = std::move(event), name = instance_name(action.to),
                     heard = answer ? std::optional(answer->from.instance) : std::nullopt] {
           heard ? used_.on_heard(*heard) : used_.on_unreachable(name);
@@ -240,6 +241,13 @@
 // The record was spread when its write was acknowledged.
 void cell_runner::carry_out(const cell_ref&, const publish_record&) {}
 
+void cell_runner::carry_out(const cell_ref&, const remember_term& action) {
+  standbys_.remember(action.question, monotonic_now());
+}
+
+// An upstream refuses what it no longer owns unrun, and the entry instance sends it again.
+void cell_runner::carry_out(const cell_ref&, const publish_moving&) {}
+
 void cell_runner::carry_out(const cell_ref& from, const retire& action) {
   log_line(log_level::warning,
            {.message = "no longer assigner of " + from.cell.value + ": " + action.reason,
@@ -279,10 +287,12 @@
   }
   if (chosen == nullptr) return;
   ++handovers_under_way_;
-  const state_item item{used_.cache.keys().cell(cell), handover.version,
-                        format_cell_record(handover.record)};
+  term_handover message{
+      {used_.cache.keys().cell(cell), handover.version, format_cell_record(handover.record)},
+      std::nullopt};
+  if (handover.unsure_write) message.unsure_write = format_cell_record(*handover.unsure_write);
   used_.network.call(
-      chosen->peers, term_handover{item}, handover_timeout,
+      chosen->peers, std::move(message), handover_timeout,
       [this, cell](const result<peer_answer>& answer) {
         const bool taken = answer.has_value();
         used_.post([this, cell, taken] {
@@ -297,15 +307,22 @@
 bool cell_runner::take_over(const term_handover& handover, monotonic_time now) {
   auto record = parse_cell_record(handover.record.value);
   if (!record || leaving_ || running_.contains(record->cell)) return false;
-  const auto declared = used_.cache.tables().find(record->service);
-  const auto layout = used_.cache.layouts().find(record->service);
+  handover_received event{std::move(*record), handover.record.version, std::nullopt};
+  if (handover.unsure_write) {
+    auto unsure = parse_cell_record(*handover.unsure_write);
+    if (!unsure) return false;
+    event.unsure_write = std::move(*unsure);
+  }
+  const auto declared = used_.cache.tables().find(event.record.service);
+  const auto layout = used_.cache.layouts().find(event.record.service);
   if (declared == used_.cache.tables().end() || layout == used_.cache.layouts().end()) return false;
-  const cell_id cell = record->cell;
+  const cell_id cell = event.record.cell;
+  if (!standbys_.accept(cell, event.record.term, now)) return false;
   auto& role = start(declared->second, cell, now);
   const auto order = used_.directory.assigner_order(cell.value, domain_of(cell),
                                                     declared->second.service.isolation);
   // The first event decides between a read of the store and the hand-over.
-  feed({cell, role.number}, handover_received{std::move(*record), handover.record.version});
+  feed({cell, role.number}, std::move(event));
   update_inputs(role, declared->second, layout->second, cell, order);
   return true;
 }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -40,6 +41,7 @@
 // The acting assigner has stopped; the receiver goes on under the same term.
 struct term_handover {
   state_item record;
+  std::optional<std::string> unsure_write;  // a record whose write may have taken effect or not
   bool operator==(const term_handover&) const = default;
 };
 
--- a/src/peer/network.cc
+++ b/src/peer/network.cc
@@ -289,15 +289,19 @@
   auto connection = connect(address);
   auto shared_done = std::make_shared<done_handler>(std::move(done));
   auto work = connection->ready->addBranch().then(
-      [connection, request = std::move(request)]() -> kj::Promise<result<peer_answer>> {
+      [this, connection, request = std::move(request)]() -> kj::Promise<result<peer_answer>> {
         auto call = connection->peer.callRequest();
-        write_request(request, call.initRequest());
-        return call.send().then([connection](capnp::Response<wire::Peer::CallResults>&& answered)
-                                    -> result<peer_answer> {
-          auto reply = read_reply(answered.getReply());
-          if (!reply) return reply.error();
-          return peer_answer{connection->identity, std::move(*reply)};
-        });
+        auto to = call.initRequest();
+        write_request(request, to);
+        traffic.sent(bytes_of(to.asReader()));
+        return call.send().then(
+            [this, connection](
+                capnp::Response<wire::Peer::CallResults>&& answered) -> result<peer_answer> {
+              traffic.received(bytes_of(answered.getReply()));
+              auto reply = read_reply(answered.getReply());
+              if (!reply) return reply.error();
+              return peer_answer{connection->identity, std::move(*reply)};
+            });
       });
   auto limited =
       io->provider->getTimer().timeoutAfter(timeout.count() * kj::MICROSECONDS, kj::mv(work));
--- a/src/peer/wire.capnp.c++
+++ b/src/peer/wire.capnp.c++
@@ -877,6 +877,84 @@
   1, 2, i_c296dbd5a7969607, nullptr, nullptr, { &s_c296dbd5a7969607, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_8c61da3ce8903faf = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    175,  63, 144, 232,  60, 218,  97, 140,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     65, 154, 107, 126, 165, 240, 193, 209,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  84, 101, 114, 109,  72,
+     97, 110, 100, 111, 118, 101, 114,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
+    114, 101,  99, 111, 114, 100,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     64,  30, 224, 249, 230,  47,  87, 180,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,  97, 115,  85, 110, 115, 117, 114,
+    101,  87, 114, 105, 116, 101,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117, 110, 115, 117, 114, 101,  87, 114,
+    105, 116, 101,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8c61da3ce8903faf = b_8c61da3ce8903faf.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8c61da3ce8903faf[] = {
+  &s_b4572fe6f9e01e40,
+};
+static const uint16_t m_8c61da3ce8903faf[] = {1, 0, 2};
+static const uint16_t i_8c61da3ce8903faf[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_8c61da3ce8903faf = {
+  0x8c61da3ce8903faf, b_8c61da3ce8903faf.words, 64, d_8c61da3ce8903faf, m_8c61da3ce8903faf,
+  1, 3, i_8c61da3ce8903faf, nullptr, nullptr, { &s_8c61da3ce8903faf, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_a5ecdf71d72c4551 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      81,  69,  44, 215, 113, 223, 236, 165,
@@ -1048,7 +1126,7 @@
     116, 101, 114, 109,  72,  97, 110, 100,
     111, 118, 101, 114,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-     64,  30, 224, 249, 230,  47,  87, 180,
+    175,  63, 144, 232,  60, 218,  97, 140,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -1080,6 +1158,7 @@
 ::capnp::word const* const bp_f0e92d0dcbf3701e = b_f0e92d0dcbf3701e.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_f0e92d0dcbf3701e[] = {
+  &s_8c61da3ce8903faf,
   &s_a5ecdf71d72c4551,
   &s_b4572fe6f9e01e40,
   &s_c296dbd5a7969607,
@@ -1090,7 +1169,7 @@
 static const uint16_t i_f0e92d0dcbf3701e[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_f0e92d0dcbf3701e = {
   0xf0e92d0dcbf3701e, b_f0e92d0dcbf3701e.words, 125, d_f0e92d0dcbf3701e, m_f0e92d0dcbf3701e,
-  5, 6, i_f0e92d0dcbf3701e, nullptr, nullptr, { &s_f0e92d0dcbf3701e, nullptr, nullptr, 0, 0, nullptr }
+  6, 6, i_f0e92d0dcbf3701e, nullptr, nullptr, { &s_f0e92d0dcbf3701e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<85> b_9b3a0b6a5523d133 = {
@@ -1557,6 +1636,14 @@
 constexpr ::capnp::_::RawSchema const* DispatcherOrder::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// TermHandover
+constexpr uint16_t TermHandover::_capnpPrivate::dataWordSize;
+constexpr uint16_t TermHandover::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind TermHandover::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* TermHandover::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // UsageEntry
 constexpr uint16_t UsageEntry::_capnpPrivate::dataWordSize;
 constexpr uint16_t UsageEntry::_capnpPrivate::pointerCount;
