--- a/src/peer/wire.capnp
+++ b/src/peer/wire.capnp
@@ -71,6 +71,12 @@
   order @1 :GrantOrder;
 }
 
+struct TermHandover {
+  record @0 :StateItem;
+  hasUnsureWrite @1 :Bool;
+  unsureWrite @2 :Data;
+}
+
 struct UsageEntry {
   limit @0 :Text;
   tenant @1 :Text;
@@ -82,7 +88,7 @@
     termQuestion @0 :TermQuestion;
     statePush @1 :List(StateItem);
     stateDigest @2 :List(DigestEntry);
-    termHandover @3 :StateItem;
+    termHandover @3 :TermHandover;
     dispatcherOrder @4 :DispatcherOrder;
     limitUsage @5 :List(UsageEntry);
   }
--- a/src/peer/wire.capnp.h
+++ b/src/peer/wire.capnp.h
@@ -10,10 +10,10 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(b4572fe6f9e01e40);
 CAPNP_DECLARE_SCHEMA(dd556e8b80c275c3);
 CAPNP_DECLARE_SCHEMA(c296dbd5a7969607);
+CAPNP_DECLARE_SCHEMA(8c61da3ce8903faf);
 CAPNP_DECLARE_SCHEMA(a5ecdf71d72c4551);
 CAPNP_DECLARE_SCHEMA(f0e92d0dcbf3701e);
 CAPNP_DECLARE_SCHEMA(9b3a0b6a5523d133);
@@ -53,9 +54,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e42429aab84af1ca, 1, 4)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -68,9 +69,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a447ef518bc85125, 2, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -83,9 +84,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c3ba946f8241251b, 6, 3)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -98,9 +99,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8f70e36d224e42a4, 3, 0)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -113,9 +114,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(814a1989fa7275f6, 5, 3)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -128,9 +129,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f44cd75482c9e6d2, 1, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -143,9 +144,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b4572fe6f9e01e40, 1, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -158,9 +159,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(dd556e8b80c275c3, 1, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -173,9 +174,24 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c296dbd5a7969607, 0, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TermHandover {
+  TermHandover() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c61da3ce8903faf, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -188,9 +204,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a5ecdf71d72c4551, 1, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -200,7 +216,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     TERM_QUESTION,
     STATE_PUSH,
     STATE_DIGEST,
@@ -211,9 +227,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f0e92d0dcbf3701e, 1, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -223,7 +239,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     ACKNOWLEDGEMENT,
     TERM_ANSWER,
     STATE_PUSH,
@@ -232,9 +248,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9b3a0b6a5523d133, 2, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -249,12 +265,12 @@
   struct CallParams;
   struct CallResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(f1830c12058ffd8f)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Peer::CallParams {
@@ -266,9 +282,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e2867e8b48e54b55, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -281,9 +297,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a9477f4db3d28bb0, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -298,12 +314,12 @@
   struct OpenParams;
   struct OpenResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(ae03408473f2ba99)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Gate::OpenParams {
@@ -315,9 +331,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cecd21d2b454197a, 0, 1)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -330,22 +346,24 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d42bcfaaf0cd4150, 0, 2)
-#if !CAPNP_LITE
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class Identity::Reader {
- public:
+public:
   typedef Identity Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -354,20 +372,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCluster() const;
-  inline ::capnp::Text::Reader getCluster() const;
+  inline  ::capnp::Text::Reader getCluster() const;
 
-  inline ::uint32_t getVersion() const;
+  inline  ::uint32_t getVersion() const;
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
   inline bool hasInstance() const;
-  inline ::capnp::Text::Reader getInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
 
   inline bool hasDomain() const;
-  inline ::capnp::Text::Reader getDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -380,13 +398,13 @@
 };
 
 class Identity::Builder {
- public:
+public:
   typedef Identity Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -396,37 +414,37 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCluster();
-  inline ::capnp::Text::Builder getCluster();
-  inline void setCluster(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initCluster(unsigned int size);
-  inline void adoptCluster(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownCluster();
+  inline  ::capnp::Text::Builder getCluster();
+  inline void setCluster( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCluster(unsigned int size);
+  inline void adoptCluster(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCluster();
 
-  inline ::uint32_t getVersion();
-  inline void setVersion(::uint32_t value);
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
   inline bool hasInstance();
-  inline ::capnp::Text::Builder getInstance();
-  inline void setInstance(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
 
   inline bool hasDomain();
-  inline ::capnp::Text::Builder getDomain();
-  inline void setDomain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -437,14 +455,14 @@
 
 #if !CAPNP_LITE
 class Identity::Pipeline {
- public:
+public:
   typedef Identity Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -453,13 +471,15 @@
 #endif  // !CAPNP_LITE
 
 class ShardGrant::Reader {
- public:
+public:
   typedef ShardGrant Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -467,11 +487,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getShard() const;
+  inline  ::uint32_t getShard() const;
 
-  inline ::uint64_t getFence() const;
+  inline  ::uint64_t getFence() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -484,13 +504,13 @@
 };
 
 class ShardGrant::Builder {
- public:
+public:
   typedef ShardGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -499,13 +519,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getShard();
-  inline void setShard(::uint32_t value);
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
 
-  inline ::uint64_t getFence();
-  inline void setFence(::uint64_t value);
+  inline  ::uint64_t getFence();
+  inline void setFence( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -516,14 +536,14 @@
 
 #if !CAPNP_LITE
 class ShardGrant::Pipeline {
- public:
+public:
   typedef ShardGrant Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -532,13 +552,15 @@
 #endif  // !CAPNP_LITE
 
 class GrantOrder::Reader {
- public:
+public:
   typedef GrantOrder Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -547,28 +569,27 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCell() const;
-  inline ::capnp::Text::Reader getCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
   inline bool hasAssigner() const;
-  inline ::capnp::Text::Reader getAssigner() const;
+  inline  ::capnp::Text::Reader getAssigner() const;
 
-  inline ::uint64_t getLife() const;
+  inline  ::uint64_t getLife() const;
 
-  inline ::uint64_t getNonce() const;
+  inline  ::uint64_t getNonce() const;
 
-  inline ::int64_t getLengthMicroseconds() const;
+  inline  ::int64_t getLengthMicroseconds() const;
 
-  inline ::uint64_t getDigest() const;
+  inline  ::uint64_t getDigest() const;
 
   inline bool getHasSet() const;
 
   inline bool hasSet() const;
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader getSet()
-      const;
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader getSet() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -581,13 +602,13 @@
 };
 
 class GrantOrder::Builder {
- public:
+public:
   typedef GrantOrder Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -597,50 +618,45 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCell();
-  inline ::capnp::Text::Builder getCell();
-  inline void setCell(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initCell(unsigned int size);
-  inline void adoptCell(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
   inline bool hasAssigner();
-  inline ::capnp::Text::Builder getAssigner();
-  inline void setAssigner(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAssigner(unsigned int size);
-  inline void adoptAssigner(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAssigner();
+  inline  ::capnp::Text::Builder getAssigner();
+  inline void setAssigner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAssigner(unsigned int size);
+  inline void adoptAssigner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAssigner();
 
-  inline ::uint64_t getLife();
-  inline void setLife(::uint64_t value);
+  inline  ::uint64_t getLife();
+  inline void setLife( ::uint64_t value);
 
-  inline ::uint64_t getNonce();
-  inline void setNonce(::uint64_t value);
+  inline  ::uint64_t getNonce();
+  inline void setNonce( ::uint64_t value);
 
-  inline ::int64_t getLengthMicroseconds();
-  inline void setLengthMicroseconds(::int64_t value);
+  inline  ::int64_t getLengthMicroseconds();
+  inline void setLengthMicroseconds( ::int64_t value);
 
-  inline ::uint64_t getDigest();
-  inline void setDigest(::uint64_t value);
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
 
   inline bool getHasSet();
   inline void setHasSet(bool value);
 
   inline bool hasSet();
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder getSet();
-  inline void setSet(
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder initSet(
-      unsigned int size);
-  inline void adoptSet(
-      ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>
-  disownSet();
-
- private:
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder getSet();
+  inline void setSet( ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder initSet(unsigned int size);
+  inline void adoptSet(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>> disownSet();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -651,14 +667,14 @@
 
 #if !CAPNP_LITE
 class GrantOrder::Pipeline {
- public:
+public:
   typedef GrantOrder Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -667,13 +683,15 @@
 #endif  // !CAPNP_LITE
 
 class LoadReport::Reader {
- public:
+public:
   typedef LoadReport Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -681,9 +699,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getBusySlots() const;
+  inline  ::uint32_t getBusySlots() const;
 
-  inline ::uint32_t getQueued() const;
+  inline  ::uint32_t getQueued() const;
 
   inline bool getDraining() const;
 
@@ -691,7 +709,7 @@
 
   inline double getCold() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -704,13 +722,13 @@
 };
 
 class LoadReport::Builder {
- public:
+public:
   typedef LoadReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -719,11 +737,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getBusySlots();
-  inline void setBusySlots(::uint32_t value);
+  inline  ::uint32_t getBusySlots();
+  inline void setBusySlots( ::uint32_t value);
 
-  inline ::uint32_t getQueued();
-  inline void setQueued(::uint32_t value);
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
 
   inline bool getDraining();
   inline void setDraining(bool value);
@@ -734,7 +752,7 @@
   inline double getCold();
   inline void setCold(double value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -745,14 +763,14 @@
 
 #if !CAPNP_LITE
 class LoadReport::Pipeline {
- public:
+public:
   typedef LoadReport Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -761,13 +779,15 @@
 #endif  // !CAPNP_LITE
 
 class GrantAnswer::Reader {
- public:
+public:
   typedef GrantAnswer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -775,28 +795,26 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint16_t getStatus() const;
+  inline  ::uint16_t getStatus() const;
 
-  inline ::uint64_t getLife() const;
+  inline  ::uint64_t getLife() const;
 
-  inline ::uint64_t getNonce() const;
+  inline  ::uint64_t getNonce() const;
 
-  inline ::uint64_t getHighestTerm() const;
+  inline  ::uint64_t getHighestTerm() const;
 
-  inline ::uint64_t getHeldDigest() const;
+  inline  ::uint64_t getHeldDigest() const;
 
   inline bool hasHeld() const;
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader getHeld()
-      const;
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader getHeld() const;
 
   inline bool hasDraining() const;
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader
-  getDraining() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader getDraining() const;
 
   inline bool hasLoad() const;
-  inline ::plantainpaddle::wire::LoadReport::Reader getLoad() const;
+  inline  ::plantainpaddle::wire::LoadReport::Reader getLoad() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -809,13 +827,13 @@
 };
 
 class GrantAnswer::Builder {
- public:
+public:
   typedef GrantAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -824,55 +842,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint16_t getStatus();
-  inline void setStatus(::uint16_t value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
-  inline ::uint64_t getLife();
-  inline void setLife(::uint64_t value);
+  inline  ::uint64_t getLife();
+  inline void setLife( ::uint64_t value);
 
-  inline ::uint64_t getNonce();
-  inline void setNonce(::uint64_t value);
+  inline  ::uint64_t getNonce();
+  inline void setNonce( ::uint64_t value);
 
-  inline ::uint64_t getHighestTerm();
-  inline void setHighestTerm(::uint64_t value);
+  inline  ::uint64_t getHighestTerm();
+  inline void setHighestTerm( ::uint64_t value);
 
-  inline ::uint64_t getHeldDigest();
-  inline void setHeldDigest(::uint64_t value);
+  inline  ::uint64_t getHeldDigest();
+  inline void setHeldDigest( ::uint64_t value);
 
   inline bool hasHeld();
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-  getHeld();
-  inline void setHeld(
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder initHeld(
-      unsigned int size);
-  inline void adoptHeld(
-      ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>
-  disownHeld();
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>> disownHeld();
 
   inline bool hasDraining();
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-  getDraining();
-  inline void setDraining(
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-  initDraining(unsigned int size);
-  inline void adoptDraining(
-      ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>
-  disownDraining();
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder getDraining();
+  inline void setDraining( ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder initDraining(unsigned int size);
+  inline void adoptDraining(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>> disownDraining();
 
   inline bool hasLoad();
-  inline ::plantainpaddle::wire::LoadReport::Builder getLoad();
-  inline void setLoad(::plantainpaddle::wire::LoadReport::Reader value);
-  inline ::plantainpaddle::wire::LoadReport::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan<::plantainpaddle::wire::LoadReport>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::LoadReport> disownLoad();
+  inline  ::plantainpaddle::wire::LoadReport::Builder getLoad();
+  inline void setLoad( ::plantainpaddle::wire::LoadReport::Reader value);
+  inline  ::plantainpaddle::wire::LoadReport::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::plantainpaddle::wire::LoadReport>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::LoadReport> disownLoad();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -883,16 +889,15 @@
 
 #if !CAPNP_LITE
 class GrantAnswer::Pipeline {
- public:
+public:
   typedef GrantAnswer Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::plantainpaddle::wire::LoadReport::Pipeline getLoad();
-
- private:
+  inline  ::plantainpaddle::wire::LoadReport::Pipeline getLoad();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -901,13 +906,15 @@
 #endif  // !CAPNP_LITE
 
 class TermQuestion::Reader {
- public:
+public:
   typedef TermQuestion Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -916,14 +923,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCell() const;
-  inline ::capnp::Text::Reader getCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
 
-  inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
   inline bool hasAssigner() const;
-  inline ::capnp::Text::Reader getAssigner() const;
+  inline  ::capnp::Text::Reader getAssigner() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -936,13 +943,13 @@
 };
 
 class TermQuestion::Builder {
- public:
+public:
   typedef TermQuestion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -952,23 +959,23 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCell();
-  inline ::capnp::Text::Builder getCell();
-  inline void setCell(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initCell(unsigned int size);
-  inline void adoptCell(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
 
-  inline ::uint64_t getTerm();
-  inline void setTerm(::uint64_t value);
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
 
   inline bool hasAssigner();
-  inline ::capnp::Text::Builder getAssigner();
-  inline void setAssigner(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAssigner(unsigned int size);
-  inline void adoptAssigner(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAssigner();
+  inline  ::capnp::Text::Builder getAssigner();
+  inline void setAssigner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAssigner(unsigned int size);
+  inline void adoptAssigner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAssigner();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -979,14 +986,14 @@
 
 #if !CAPNP_LITE
 class TermQuestion::Pipeline {
- public:
+public:
   typedef TermQuestion Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -995,13 +1002,15 @@
 #endif  // !CAPNP_LITE
 
 class StateItem::Reader {
- public:
+public:
   typedef StateItem Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1010,14 +1019,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey() const;
-  inline ::capnp::Text::Reader getKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
   inline bool hasValue() const;
-  inline ::capnp::Data::Reader getValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1030,13 +1039,13 @@
 };
 
 class StateItem::Builder {
- public:
+public:
   typedef StateItem Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1046,23 +1055,23 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey();
-  inline ::capnp::Text::Builder getKey();
-  inline void setKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
   inline bool hasValue();
-  inline ::capnp::Data::Builder getValue();
-  inline void setValue(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1073,14 +1082,14 @@
 
 #if !CAPNP_LITE
 class StateItem::Pipeline {
- public:
+public:
   typedef StateItem Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1089,13 +1098,15 @@
 #endif  // !CAPNP_LITE
 
 class DigestEntry::Reader {
- public:
+public:
   typedef DigestEntry Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1104,11 +1115,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey() const;
-  inline ::capnp::Text::Reader getKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1121,13 +1132,13 @@
 };
 
 class DigestEntry::Builder {
- public:
+public:
   typedef DigestEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1137,16 +1148,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey();
-  inline ::capnp::Text::Builder getKey();
-  inline void setKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1157,14 +1168,14 @@
 
 #if !CAPNP_LITE
 class DigestEntry::Pipeline {
- public:
+public:
   typedef DigestEntry Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1173,13 +1184,15 @@
 #endif  // !CAPNP_LITE
 
 class DispatcherOrder::Reader {
- public:
+public:
   typedef DispatcherOrder Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1188,12 +1201,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasUpstream() const;
-  inline ::capnp::Text::Reader getUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
 
   inline bool hasOrder() const;
-  inline ::plantainpaddle::wire::GrantOrder::Reader getOrder() const;
+  inline  ::plantainpaddle::wire::GrantOrder::Reader getOrder() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1206,13 +1219,13 @@
 };
 
 class DispatcherOrder::Builder {
- public:
+public:
   typedef DispatcherOrder Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1222,20 +1235,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasUpstream();
-  inline ::capnp::Text::Builder getUpstream();
-  inline void setUpstream(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initUpstream(unsigned int size);
-  inline void adoptUpstream(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
 
   inline bool hasOrder();
-  inline ::plantainpaddle::wire::GrantOrder::Builder getOrder();
-  inline void setOrder(::plantainpaddle::wire::GrantOrder::Reader value);
-  inline ::plantainpaddle::wire::GrantOrder::Builder initOrder();
-  inline void adoptOrder(::capnp::Orphan<::plantainpaddle::wire::GrantOrder>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::GrantOrder> disownOrder();
+  inline  ::plantainpaddle::wire::GrantOrder::Builder getOrder();
+  inline void setOrder( ::plantainpaddle::wire::GrantOrder::Reader value);
+  inline  ::plantainpaddle::wire::GrantOrder::Builder initOrder();
+  inline void adoptOrder(::capnp::Orphan< ::plantainpaddle::wire::GrantOrder>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::GrantOrder> disownOrder();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1246,16 +1259,112 @@
 
 #if !CAPNP_LITE
 class DispatcherOrder::Pipeline {
- public:
+public:
   typedef DispatcherOrder Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::plantainpaddle::wire::GrantOrder::Pipeline getOrder();
+  inline  ::plantainpaddle::wire::GrantOrder::Pipeline getOrder();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TermHandover::Reader {
+public:
+  typedef TermHandover Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecord() const;
+  inline  ::plantainpaddle::wire::StateItem::Reader getRecord() const;
+
+  inline bool getHasUnsureWrite() const;
+
+  inline bool hasUnsureWrite() const;
+  inline  ::capnp::Data::Reader getUnsureWrite() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TermHandover::Builder {
+public:
+  typedef TermHandover Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecord();
+  inline  ::plantainpaddle::wire::StateItem::Builder getRecord();
+  inline void setRecord( ::plantainpaddle::wire::StateItem::Reader value);
+  inline  ::plantainpaddle::wire::StateItem::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::plantainpaddle::wire::StateItem>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::StateItem> disownRecord();
+
+  inline bool getHasUnsureWrite();
+  inline void setHasUnsureWrite(bool value);
+
+  inline bool hasUnsureWrite();
+  inline  ::capnp::Data::Builder getUnsureWrite();
+  inline void setUnsureWrite( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initUnsureWrite(unsigned int size);
+  inline void adoptUnsureWrite(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownUnsureWrite();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
- private:
+#if !CAPNP_LITE
+class TermHandover::Pipeline {
+public:
+  typedef TermHandover Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::plantainpaddle::wire::StateItem::Pipeline getRecord();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1264,13 +1373,15 @@
 #endif  // !CAPNP_LITE
 
 class UsageEntry::Reader {
- public:
+public:
   typedef UsageEntry Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1279,14 +1390,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasLimit() const;
-  inline ::capnp::Text::Reader getLimit() const;
+  inline  ::capnp::Text::Reader getLimit() const;
 
   inline bool hasTenant() const;
-  inline ::capnp::Text::Reader getTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
 
   inline double getUsed() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1299,13 +1410,13 @@
 };
 
 class UsageEntry::Builder {
- public:
+public:
   typedef UsageEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1315,23 +1426,23 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasLimit();
-  inline ::capnp::Text::Builder getLimit();
-  inline void setLimit(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initLimit(unsigned int size);
-  inline void adoptLimit(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownLimit();
+  inline  ::capnp::Text::Builder getLimit();
+  inline void setLimit( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLimit(unsigned int size);
+  inline void adoptLimit(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLimit();
 
   inline bool hasTenant();
-  inline ::capnp::Text::Builder getTenant();
-  inline void setTenant(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
 
   inline double getUsed();
   inline void setUsed(double value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1342,14 +1453,14 @@
 
 #if !CAPNP_LITE
 class UsageEntry::Pipeline {
- public:
+public:
   typedef UsageEntry Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1358,13 +1469,15 @@
 #endif  // !CAPNP_LITE
 
 class Request::Reader {
- public:
+public:
   typedef Request Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1375,32 +1488,29 @@
   inline Which which() const;
   inline bool isTermQuestion() const;
   inline bool hasTermQuestion() const;
-  inline ::plantainpaddle::wire::TermQuestion::Reader getTermQuestion() const;
+  inline  ::plantainpaddle::wire::TermQuestion::Reader getTermQuestion() const;
 
   inline bool isStatePush() const;
   inline bool hasStatePush() const;
-  inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader
-  getStatePush() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader getStatePush() const;
 
   inline bool isStateDigest() const;
   inline bool hasStateDigest() const;
-  inline ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Reader
-  getStateDigest() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader getStateDigest() const;
 
   inline bool isTermHandover() const;
   inline bool hasTermHandover() const;
-  inline ::plantainpaddle::wire::StateItem::Reader getTermHandover() const;
+  inline  ::plantainpaddle::wire::TermHandover::Reader getTermHandover() const;
 
   inline bool isDispatcherOrder() const;
   inline bool hasDispatcherOrder() const;
-  inline ::plantainpaddle::wire::DispatcherOrder::Reader getDispatcherOrder() const;
+  inline  ::plantainpaddle::wire::DispatcherOrder::Reader getDispatcherOrder() const;
 
   inline bool isLimitUsage() const;
   inline bool hasLimitUsage() const;
-  inline ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Reader
-  getLimitUsage() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader getLimitUsage() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1413,13 +1523,13 @@
 };
 
 class Request::Builder {
- public:
+public:
   typedef Request Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1431,72 +1541,53 @@
   inline Which which();
   inline bool isTermQuestion();
   inline bool hasTermQuestion();
-  inline ::plantainpaddle::wire::TermQuestion::Builder getTermQuestion();
-  inline void setTermQuestion(::plantainpaddle::wire::TermQuestion::Reader value);
-  inline ::plantainpaddle::wire::TermQuestion::Builder initTermQuestion();
-  inline void adoptTermQuestion(::capnp::Orphan<::plantainpaddle::wire::TermQuestion>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::TermQuestion> disownTermQuestion();
+  inline  ::plantainpaddle::wire::TermQuestion::Builder getTermQuestion();
+  inline void setTermQuestion( ::plantainpaddle::wire::TermQuestion::Reader value);
+  inline  ::plantainpaddle::wire::TermQuestion::Builder initTermQuestion();
+  inline void adoptTermQuestion(::capnp::Orphan< ::plantainpaddle::wire::TermQuestion>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::TermQuestion> disownTermQuestion();
 
   inline bool isStatePush();
   inline bool hasStatePush();
-  inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-  getStatePush();
-  inline void setStatePush(
-      ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-  initStatePush(unsigned int size);
-  inline void adoptStatePush(
-      ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>
-  disownStatePush();
+  inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder getStatePush();
+  inline void setStatePush( ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder initStatePush(unsigned int size);
+  inline void adoptStatePush(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>> disownStatePush();
 
   inline bool isStateDigest();
   inline bool hasStateDigest();
-  inline ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Builder
-  getStateDigest();
-  inline void setStateDigest(
-      ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Builder
-  initStateDigest(unsigned int size);
-  inline void adoptStateDigest(
-      ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>
-  disownStateDigest();
+  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder getStateDigest();
+  inline void setStateDigest( ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder initStateDigest(unsigned int size);
+  inline void adoptStateDigest(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>> disownStateDigest();
 
   inline bool isTermHandover();
   inline bool hasTermHandover();
-  inline ::plantainpaddle::wire::StateItem::Builder getTermHandover();
-  inline void setTermHandover(::plantainpaddle::wire::StateItem::Reader value);
-  inline ::plantainpaddle::wire::StateItem::Builder initTermHandover();
-  inline void adoptTermHandover(::capnp::Orphan<::plantainpaddle::wire::StateItem>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::StateItem> disownTermHandover();
+  inline  ::plantainpaddle::wire::TermHandover::Builder getTermHandover();
+  inline void setTermHandover( ::plantainpaddle::wire::TermHandover::Reader value);
+  inline  ::plantainpaddle::wire::TermHandover::Builder initTermHandover();
+  inline void adoptTermHandover(::capnp::Orphan< ::plantainpaddle::wire::TermHandover>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::TermHandover> disownTermHandover();
 
   inline bool isDispatcherOrder();
   inline bool hasDispatcherOrder();
-  inline ::plantainpaddle::wire::DispatcherOrder::Builder getDispatcherOrder();
-  inline void setDispatcherOrder(::plantainpaddle::wire::DispatcherOrder::Reader value);
-  inline ::plantainpaddle::wire::DispatcherOrder::Builder initDispatcherOrder();
-  inline void adoptDispatcherOrder(
-      ::capnp::Orphan<::plantainpaddle::wire::DispatcherOrder>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::DispatcherOrder> disownDispatcherOrder();
+  inline  ::plantainpaddle::wire::DispatcherOrder::Builder getDispatcherOrder();
+  inline void setDispatcherOrder( ::plantainpaddle::wire::DispatcherOrder::Reader value);
+  inline  ::plantainpaddle::wire::DispatcherOrder::Builder initDispatcherOrder();
+  inline void adoptDispatcherOrder(::capnp::Orphan< ::plantainpaddle::wire::DispatcherOrder>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::DispatcherOrder> disownDispatcherOrder();
 
   inline bool isLimitUsage();
   inline bool hasLimitUsage();
-  inline ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Builder
-  getLimitUsage();
-  inline void setLimitUsage(
-      ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Builder
-  initLimitUsage(unsigned int size);
-  inline void adoptLimitUsage(
-      ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>
-  disownLimitUsage();
-
- private:
+  inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder getLimitUsage();
+  inline void setLimitUsage( ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder initLimitUsage(unsigned int size);
+  inline void adoptLimitUsage(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>> disownLimitUsage();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1507,14 +1598,14 @@
 
 #if !CAPNP_LITE
 class Request::Pipeline {
- public:
+public:
   typedef Request Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1523,13 +1614,15 @@
 #endif  // !CAPNP_LITE
 
 class Reply::Reader {
- public:
+public:
   typedef Reply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1542,18 +1635,17 @@
   inline bool getAcknowledgement() const;
 
   inline bool isTermAnswer() const;
-  inline ::uint64_t getTermAnswer() const;
+  inline  ::uint64_t getTermAnswer() const;
 
   inline bool isStatePush() const;
   inline bool hasStatePush() const;
-  inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader
-  getStatePush() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader getStatePush() const;
 
   inline bool isGrantAnswer() const;
   inline bool hasGrantAnswer() const;
-  inline ::plantainpaddle::wire::GrantAnswer::Reader getGrantAnswer() const;
+  inline  ::plantainpaddle::wire::GrantAnswer::Reader getGrantAnswer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1566,13 +1658,13 @@
 };
 
 class Reply::Builder {
- public:
+public:
   typedef Reply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1587,32 +1679,26 @@
   inline void setAcknowledgement(bool value);
 
   inline bool isTermAnswer();
-  inline ::uint64_t getTermAnswer();
-  inline void setTermAnswer(::uint64_t value);
+  inline  ::uint64_t getTermAnswer();
+  inline void setTermAnswer( ::uint64_t value);
 
   inline bool isStatePush();
   inline bool hasStatePush();
-  inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-  getStatePush();
-  inline void setStatePush(
-      ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-  initStatePush(unsigned int size);
-  inline void adoptStatePush(
-      ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>
-  disownStatePush();
+  inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder getStatePush();
+  inline void setStatePush( ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder initStatePush(unsigned int size);
+  inline void adoptStatePush(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>> disownStatePush();
 
   inline bool isGrantAnswer();
   inline bool hasGrantAnswer();
-  inline ::plantainpaddle::wire::GrantAnswer::Builder getGrantAnswer();
-  inline void setGrantAnswer(::plantainpaddle::wire::GrantAnswer::Reader value);
-  inline ::plantainpaddle::wire::GrantAnswer::Builder initGrantAnswer();
-  inline void adoptGrantAnswer(::capnp::Orphan<::plantainpaddle::wire::GrantAnswer>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::GrantAnswer> disownGrantAnswer();
+  inline  ::plantainpaddle::wire::GrantAnswer::Builder getGrantAnswer();
+  inline void setGrantAnswer( ::plantainpaddle::wire::GrantAnswer::Reader value);
+  inline  ::plantainpaddle::wire::GrantAnswer::Builder initGrantAnswer();
+  inline void adoptGrantAnswer(::capnp::Orphan< ::plantainpaddle::wire::GrantAnswer>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::GrantAnswer> disownGrantAnswer();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1623,14 +1709,14 @@
 
 #if !CAPNP_LITE
 class Reply::Pipeline {
- public:
+public:
   typedef Reply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1639,16 +1725,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client : public virtual ::capnp::Capability::Client {
- public:
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef Peer Calls;
   typedef Peer Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1656,45 +1743,50 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::plantainpaddle::wire::Peer::CallParams,
-                   ::plantainpaddle::wire::Peer::CallResults>
-  callRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::plantainpaddle::wire::Peer::CallParams,  ::plantainpaddle::wire::Peer::CallResults> callRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class Peer::Server : public virtual ::capnp::Capability::Server {
- public:
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef Peer Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::plantainpaddle::wire::Peer::CallParams CallParams;
-  typedef ::plantainpaddle::wire::Peer::CallResults CallResults;
+protected:
+  typedef  ::plantainpaddle::wire::Peer::CallParams CallParams;
+  typedef  ::plantainpaddle::wire::Peer::CallResults CallResults;
   typedef ::capnp::CallContext<CallParams, CallResults> CallContext;
   virtual ::kj::Promise<void> call(CallContext context);
 
-  inline ::plantainpaddle::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap().template castAs<::plantainpaddle::wire::Peer>();
+  inline  ::plantainpaddle::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::plantainpaddle::wire::Peer>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Peer::CallParams::Reader {
- public:
+public:
   typedef CallParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1703,9 +1795,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline ::plantainpaddle::wire::Request::Reader getRequest() const;
+  inline  ::plantainpaddle::wire::Request::Reader getRequest() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1718,13 +1810,13 @@
 };
 
 class Peer::CallParams::Builder {
- public:
+public:
   typedef CallParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1734,13 +1826,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline ::plantainpaddle::wire::Request::Builder getRequest();
-  inline void setRequest(::plantainpaddle::wire::Request::Reader value);
-  inline ::plantainpaddle::wire::Request::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan<::plantainpaddle::wire::Request>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::Request> disownRequest();
+  inline  ::plantainpaddle::wire::Request::Builder getRequest();
+  inline void setRequest( ::plantainpaddle::wire::Request::Reader value);
+  inline  ::plantainpaddle::wire::Request::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::plantainpaddle::wire::Request>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::Request> disownRequest();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1751,16 +1843,15 @@
 
 #if !CAPNP_LITE
 class Peer::CallParams::Pipeline {
- public:
+public:
   typedef CallParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::plantainpaddle::wire::Request::Pipeline getRequest();
-
- private:
+  inline  ::plantainpaddle::wire::Request::Pipeline getRequest();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1769,13 +1860,15 @@
 #endif  // !CAPNP_LITE
 
 class Peer::CallResults::Reader {
- public:
+public:
   typedef CallResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1784,9 +1877,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline ::plantainpaddle::wire::Reply::Reader getReply() const;
+  inline  ::plantainpaddle::wire::Reply::Reader getReply() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1799,13 +1892,13 @@
 };
 
 class Peer::CallResults::Builder {
- public:
+public:
   typedef CallResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1815,13 +1908,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline ::plantainpaddle::wire::Reply::Builder getReply();
-  inline void setReply(::plantainpaddle::wire::Reply::Reader value);
-  inline ::plantainpaddle::wire::Reply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan<::plantainpaddle::wire::Reply>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::Reply> disownReply();
+  inline  ::plantainpaddle::wire::Reply::Builder getReply();
+  inline void setReply( ::plantainpaddle::wire::Reply::Reader value);
+  inline  ::plantainpaddle::wire::Reply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::plantainpaddle::wire::Reply>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::Reply> disownReply();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1832,16 +1925,15 @@
 
 #if !CAPNP_LITE
 class Peer::CallResults::Pipeline {
- public:
+public:
   typedef CallResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::plantainpaddle::wire::Reply::Pipeline getReply();
-
- private:
+  inline  ::plantainpaddle::wire::Reply::Pipeline getReply();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1850,16 +1942,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Gate::Client : public virtual ::capnp::Capability::Client {
- public:
+class Gate::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef Gate Calls;
   typedef Gate Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1867,45 +1960,50 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::plantainpaddle::wire::Gate::OpenParams,
-                   ::plantainpaddle::wire::Gate::OpenResults>
-  openRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::plantainpaddle::wire::Gate::OpenParams,  ::plantainpaddle::wire::Gate::OpenResults> openRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class Gate::Server : public virtual ::capnp::Capability::Server {
- public:
+class Gate::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef Gate Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
- protected:
-  typedef ::plantainpaddle::wire::Gate::OpenParams OpenParams;
-  typedef ::plantainpaddle::wire::Gate::OpenResults OpenResults;
+protected:
+  typedef  ::plantainpaddle::wire::Gate::OpenParams OpenParams;
+  typedef  ::plantainpaddle::wire::Gate::OpenResults OpenResults;
   typedef ::capnp::CallContext<OpenParams, OpenResults> OpenContext;
   virtual ::kj::Promise<void> open(OpenContext context);
 
-  inline ::plantainpaddle::wire::Gate::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap().template castAs<::plantainpaddle::wire::Gate>();
+  inline  ::plantainpaddle::wire::Gate::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::plantainpaddle::wire::Gate>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Gate::OpenParams::Reader {
- public:
+public:
   typedef OpenParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1914,9 +2012,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasIdentity() const;
-  inline ::plantainpaddle::wire::Identity::Reader getIdentity() const;
+  inline  ::plantainpaddle::wire::Identity::Reader getIdentity() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1929,13 +2027,13 @@
 };
 
 class Gate::OpenParams::Builder {
- public:
+public:
   typedef OpenParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1945,13 +2043,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasIdentity();
-  inline ::plantainpaddle::wire::Identity::Builder getIdentity();
-  inline void setIdentity(::plantainpaddle::wire::Identity::Reader value);
-  inline ::plantainpaddle::wire::Identity::Builder initIdentity();
-  inline void adoptIdentity(::capnp::Orphan<::plantainpaddle::wire::Identity>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::Identity> disownIdentity();
+  inline  ::plantainpaddle::wire::Identity::Builder getIdentity();
+  inline void setIdentity( ::plantainpaddle::wire::Identity::Reader value);
+  inline  ::plantainpaddle::wire::Identity::Builder initIdentity();
+  inline void adoptIdentity(::capnp::Orphan< ::plantainpaddle::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::Identity> disownIdentity();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1962,16 +2060,15 @@
 
 #if !CAPNP_LITE
 class Gate::OpenParams::Pipeline {
- public:
+public:
   typedef OpenParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::plantainpaddle::wire::Identity::Pipeline getIdentity();
-
- private:
+  inline  ::plantainpaddle::wire::Identity::Pipeline getIdentity();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1980,13 +2077,15 @@
 #endif  // !CAPNP_LITE
 
 class Gate::OpenResults::Reader {
- public:
+public:
   typedef OpenResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1995,14 +2094,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasIdentity() const;
-  inline ::plantainpaddle::wire::Identity::Reader getIdentity() const;
+  inline  ::plantainpaddle::wire::Identity::Reader getIdentity() const;
 
   inline bool hasPeer() const;
 #if !CAPNP_LITE
-  inline ::plantainpaddle::wire::Peer::Client getPeer() const;
+  inline  ::plantainpaddle::wire::Peer::Client getPeer() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2015,13 +2114,13 @@
 };
 
 class Gate::OpenResults::Builder {
- public:
+public:
   typedef OpenResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2031,22 +2130,22 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasIdentity();
-  inline ::plantainpaddle::wire::Identity::Builder getIdentity();
-  inline void setIdentity(::plantainpaddle::wire::Identity::Reader value);
-  inline ::plantainpaddle::wire::Identity::Builder initIdentity();
-  inline void adoptIdentity(::capnp::Orphan<::plantainpaddle::wire::Identity>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::Identity> disownIdentity();
+  inline  ::plantainpaddle::wire::Identity::Builder getIdentity();
+  inline void setIdentity( ::plantainpaddle::wire::Identity::Reader value);
+  inline  ::plantainpaddle::wire::Identity::Builder initIdentity();
+  inline void adoptIdentity(::capnp::Orphan< ::plantainpaddle::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::Identity> disownIdentity();
 
   inline bool hasPeer();
 #if !CAPNP_LITE
-  inline ::plantainpaddle::wire::Peer::Client getPeer();
-  inline void setPeer(::plantainpaddle::wire::Peer::Client&& value);
-  inline void setPeer(::plantainpaddle::wire::Peer::Client& value);
-  inline void adoptPeer(::capnp::Orphan<::plantainpaddle::wire::Peer>&& value);
-  inline ::capnp::Orphan<::plantainpaddle::wire::Peer> disownPeer();
+  inline  ::plantainpaddle::wire::Peer::Client getPeer();
+  inline void setPeer( ::plantainpaddle::wire::Peer::Client&& value);
+  inline void setPeer( ::plantainpaddle::wire::Peer::Client& value);
+  inline void adoptPeer(::capnp::Orphan< ::plantainpaddle::wire::Peer>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::Peer> disownPeer();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2057,17 +2156,16 @@
 
 #if !CAPNP_LITE
 class Gate::OpenResults::Pipeline {
- public:
+public:
   typedef OpenResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::plantainpaddle::wire::Identity::Pipeline getIdentity();
-  inline ::plantainpaddle::wire::Peer::Client getPeer();
-
- private:
+  inline  ::plantainpaddle::wire::Identity::Pipeline getIdentity();
+  inline  ::plantainpaddle::wire::Peer::Client getPeer();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2078,1384 +2176,1577 @@
 // =======================================================================================
 
 inline bool Identity::Reader::hasCluster() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Identity::Builder::hasCluster() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Identity::Reader::getCluster() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Identity::Reader::getCluster() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Identity::Builder::getCluster() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Identity::Builder::getCluster() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Identity::Builder::setCluster(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Identity::Builder::setCluster( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Identity::Builder::initCluster(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Identity::Builder::initCluster(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Identity::Builder::adoptCluster(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Identity::Builder::adoptCluster(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Identity::Builder::disownCluster() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Identity::Builder::disownCluster() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Identity::Reader::getVersion() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Identity::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Identity::Builder::getVersion() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Identity::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Identity::Builder::setVersion(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Identity::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Identity::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Identity::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Identity::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Identity::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Identity::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Identity::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Identity::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Identity::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Identity::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Identity::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Identity::Builder::adoptRegion(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Identity::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Identity::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Identity::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Identity::Reader::hasInstance() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Identity::Builder::hasInstance() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Identity::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Identity::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Identity::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Identity::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Identity::Builder::setInstance(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Identity::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Identity::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Identity::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Identity::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Identity::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Identity::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Identity::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Identity::Reader::hasDomain() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Identity::Builder::hasDomain() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Identity::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Identity::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Identity::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Identity::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Identity::Builder::setDomain(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Identity::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Identity::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Identity::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Identity::Builder::adoptDomain(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Identity::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Identity::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Identity::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t ShardGrant::Reader::getShard() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ShardGrant::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ShardGrant::Builder::getShard() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ShardGrant::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ShardGrant::Builder::setShard(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ShardGrant::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t ShardGrant::Reader::getFence() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ShardGrant::Reader::getFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t ShardGrant::Builder::getFence() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ShardGrant::Builder::getFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ShardGrant::Builder::setFence(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ShardGrant::Builder::setFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GrantOrder::Reader::hasCell() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool GrantOrder::Builder::hasCell() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader GrantOrder::Reader::getCell() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader GrantOrder::Reader::getCell() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder GrantOrder::Builder::getCell() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder GrantOrder::Builder::getCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GrantOrder::Builder::setCell(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GrantOrder::Builder::setCell( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder GrantOrder::Builder::initCell(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder GrantOrder::Builder::initCell(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GrantOrder::Builder::adoptCell(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void GrantOrder::Builder::adoptCell(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> GrantOrder::Builder::disownCell() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> GrantOrder::Builder::disownCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t GrantOrder::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantOrder::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantOrder::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GrantOrder::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GrantOrder::Reader::hasAssigner() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool GrantOrder::Builder::hasAssigner() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader GrantOrder::Reader::getAssigner() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader GrantOrder::Reader::getAssigner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder GrantOrder::Builder::getAssigner() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder GrantOrder::Builder::getAssigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GrantOrder::Builder::setAssigner(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void GrantOrder::Builder::setAssigner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder GrantOrder::Builder::initAssigner(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder GrantOrder::Builder::initAssigner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GrantOrder::Builder::adoptAssigner(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void GrantOrder::Builder::adoptAssigner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> GrantOrder::Builder::disownAssigner() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> GrantOrder::Builder::disownAssigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t GrantOrder::Reader::getLife() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Reader::getLife() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantOrder::Builder::getLife() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Builder::getLife() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantOrder::Builder::setLife(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void GrantOrder::Builder::setLife( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t GrantOrder::Reader::getNonce() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Reader::getNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantOrder::Builder::getNonce() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Builder::getNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GrantOrder::Builder::setNonce(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void GrantOrder::Builder::setNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t GrantOrder::Reader::getLengthMicroseconds() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::int64_t GrantOrder::Reader::getLengthMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t GrantOrder::Builder::getLengthMicroseconds() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::int64_t GrantOrder::Builder::getLengthMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void GrantOrder::Builder::setLengthMicroseconds(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void GrantOrder::Builder::setLengthMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t GrantOrder::Reader::getDigest() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantOrder::Builder::getDigest() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantOrder::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void GrantOrder::Builder::setDigest(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void GrantOrder::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GrantOrder::Reader::getHasSet() const {
-  return _reader.getDataField<bool>(::capnp::bounded<320>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
 }
 
 inline bool GrantOrder::Builder::getHasSet() {
-  return _builder.getDataField<bool>(::capnp::bounded<320>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS);
 }
 inline void GrantOrder::Builder::setHasSet(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GrantOrder::Reader::hasSet() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool GrantOrder::Builder::hasSet() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader
-GrantOrder::Reader::getSet() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-GrantOrder::Builder::getSet() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void GrantOrder::Builder::setSet(
-    ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-GrantOrder::Builder::initSet(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader GrantOrder::Reader::getSet() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder GrantOrder::Builder::getSet() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GrantOrder::Builder::setSet( ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder GrantOrder::Builder::initSet(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void GrantOrder::Builder::adoptSet(
-    ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>
-GrantOrder::Builder::disownSet() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>> GrantOrder::Builder::disownSet() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t LoadReport::Reader::getBusySlots() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadReport::Reader::getBusySlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t LoadReport::Builder::getBusySlots() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadReport::Builder::getBusySlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LoadReport::Builder::setBusySlots(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LoadReport::Builder::setBusySlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t LoadReport::Reader::getQueued() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadReport::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t LoadReport::Builder::getQueued() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadReport::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LoadReport::Builder::setQueued(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void LoadReport::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LoadReport::Reader::getDraining() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool LoadReport::Builder::getDraining() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void LoadReport::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LoadReport::Reader::getShedding() const {
-  return _reader.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 
 inline bool LoadReport::Builder::getShedding() {
-  return _builder.getDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 inline void LoadReport::Builder::setShedding(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
 inline double LoadReport::Reader::getCold() const {
-  return _reader.getDataField<double>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline double LoadReport::Builder::getCold() {
-  return _builder.getDataField<double>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void LoadReport::Builder::setCold(double value) {
-  _builder.setDataField<double>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t GrantAnswer::Reader::getStatus() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t GrantAnswer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t GrantAnswer::Builder::getStatus() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t GrantAnswer::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantAnswer::Builder::setStatus(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GrantAnswer::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t GrantAnswer::Reader::getLife() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Reader::getLife() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantAnswer::Builder::getLife() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Builder::getLife() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantAnswer::Builder::setLife(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void GrantAnswer::Builder::setLife( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t GrantAnswer::Reader::getNonce() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Reader::getNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantAnswer::Builder::getNonce() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Builder::getNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GrantAnswer::Builder::setNonce(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void GrantAnswer::Builder::setNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t GrantAnswer::Reader::getHighestTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Reader::getHighestTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantAnswer::Builder::getHighestTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Builder::getHighestTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void GrantAnswer::Builder::setHighestTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void GrantAnswer::Builder::setHighestTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t GrantAnswer::Reader::getHeldDigest() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Reader::getHeldDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t GrantAnswer::Builder::getHeldDigest() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantAnswer::Builder::getHeldDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void GrantAnswer::Builder::setHeldDigest(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void GrantAnswer::Builder::setHeldDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GrantAnswer::Reader::hasHeld() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool GrantAnswer::Builder::hasHeld() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader
-GrantAnswer::Reader::getHeld() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-GrantAnswer::Builder::getHeld() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void GrantAnswer::Builder::setHeld(
-    ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-GrantAnswer::Builder::initHeld(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader GrantAnswer::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder GrantAnswer::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GrantAnswer::Builder::setHeld( ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder GrantAnswer::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void GrantAnswer::Builder::adoptHeld(
-    ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>
-GrantAnswer::Builder::disownHeld() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>> GrantAnswer::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool GrantAnswer::Reader::hasDraining() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool GrantAnswer::Builder::hasDraining() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader
-GrantAnswer::Reader::getDraining() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-GrantAnswer::Builder::getDraining() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void GrantAnswer::Builder::setDraining(
-    ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>::Builder
-GrantAnswer::Builder::initDraining(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader GrantAnswer::Reader::getDraining() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder GrantAnswer::Builder::getDraining() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GrantAnswer::Builder::setDraining( ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>::Builder GrantAnswer::Builder::initDraining(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void GrantAnswer::Builder::adoptDraining(
-    ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>
-GrantAnswer::Builder::disownDraining() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::ShardGrant, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>> GrantAnswer::Builder::disownDraining() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool GrantAnswer::Reader::hasLoad() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool GrantAnswer::Builder::hasLoad() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::LoadReport::Reader GrantAnswer::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::LoadReport>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::LoadReport::Reader GrantAnswer::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::LoadReport>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::LoadReport::Builder GrantAnswer::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::LoadReport>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::LoadReport::Builder GrantAnswer::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::LoadReport>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::plantainpaddle::wire::LoadReport::Pipeline GrantAnswer::Pipeline::getLoad() {
-  return ::plantainpaddle::wire::LoadReport::Pipeline(_typeless.getPointerField(2));
+inline  ::plantainpaddle::wire::LoadReport::Pipeline GrantAnswer::Pipeline::getLoad() {
+  return  ::plantainpaddle::wire::LoadReport::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void GrantAnswer::Builder::setLoad(::plantainpaddle::wire::LoadReport::Reader value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::LoadReport>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void GrantAnswer::Builder::setLoad( ::plantainpaddle::wire::LoadReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::LoadReport>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::LoadReport::Builder GrantAnswer::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::LoadReport>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::LoadReport::Builder GrantAnswer::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::LoadReport>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void GrantAnswer::Builder::adoptLoad(
-    ::capnp::Orphan<::plantainpaddle::wire::LoadReport>&& value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::LoadReport>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::LoadReport>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::LoadReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::LoadReport> GrantAnswer::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::LoadReport>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::plantainpaddle::wire::LoadReport> GrantAnswer::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::LoadReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool TermQuestion::Reader::hasCell() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TermQuestion::Builder::hasCell() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TermQuestion::Reader::getCell() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TermQuestion::Reader::getCell() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TermQuestion::Builder::getCell() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TermQuestion::Builder::getCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TermQuestion::Builder::setCell(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void TermQuestion::Builder::setCell( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TermQuestion::Builder::initCell(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder TermQuestion::Builder::initCell(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TermQuestion::Builder::adoptCell(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void TermQuestion::Builder::adoptCell(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> TermQuestion::Builder::disownCell() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TermQuestion::Builder::disownCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t TermQuestion::Reader::getTerm() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TermQuestion::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t TermQuestion::Builder::getTerm() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TermQuestion::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TermQuestion::Builder::setTerm(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void TermQuestion::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TermQuestion::Reader::hasAssigner() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool TermQuestion::Builder::hasAssigner() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TermQuestion::Reader::getAssigner() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TermQuestion::Reader::getAssigner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TermQuestion::Builder::getAssigner() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TermQuestion::Builder::getAssigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TermQuestion::Builder::setAssigner(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void TermQuestion::Builder::setAssigner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TermQuestion::Builder::initAssigner(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder TermQuestion::Builder::initAssigner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void TermQuestion::Builder::adoptAssigner(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void TermQuestion::Builder::adoptAssigner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> TermQuestion::Builder::disownAssigner() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TermQuestion::Builder::disownAssigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool StateItem::Reader::hasKey() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateItem::Builder::hasKey() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader StateItem::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StateItem::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder StateItem::Builder::getKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder StateItem::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StateItem::Builder::setKey(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StateItem::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder StateItem::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder StateItem::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StateItem::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void StateItem::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> StateItem::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StateItem::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t StateItem::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StateItem::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t StateItem::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StateItem::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StateItem::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void StateItem::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StateItem::Reader::hasValue() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateItem::Builder::hasValue() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader StateItem::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader StateItem::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder StateItem::Builder::getValue() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder StateItem::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StateItem::Builder::setValue(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void StateItem::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder StateItem::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder StateItem::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StateItem::Builder::adoptValue(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void StateItem::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> StateItem::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> StateItem::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool DigestEntry::Reader::hasKey() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool DigestEntry::Builder::hasKey() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader DigestEntry::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader DigestEntry::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder DigestEntry::Builder::getKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder DigestEntry::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DigestEntry::Builder::setKey(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void DigestEntry::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder DigestEntry::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder DigestEntry::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DigestEntry::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void DigestEntry::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> DigestEntry::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> DigestEntry::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t DigestEntry::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t DigestEntry::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t DigestEntry::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t DigestEntry::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void DigestEntry::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void DigestEntry::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DispatcherOrder::Reader::hasUpstream() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool DispatcherOrder::Builder::hasUpstream() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader DispatcherOrder::Reader::getUpstream() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader DispatcherOrder::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder DispatcherOrder::Builder::getUpstream() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder DispatcherOrder::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DispatcherOrder::Builder::setUpstream(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void DispatcherOrder::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder DispatcherOrder::Builder::initUpstream(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder DispatcherOrder::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DispatcherOrder::Builder::adoptUpstream(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void DispatcherOrder::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> DispatcherOrder::Builder::disownUpstream() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> DispatcherOrder::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool DispatcherOrder::Reader::hasOrder() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool DispatcherOrder::Builder::hasOrder() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::GrantOrder::Reader DispatcherOrder::Reader::getOrder() const {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantOrder>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::GrantOrder::Reader DispatcherOrder::Reader::getOrder() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantOrder>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::GrantOrder::Builder DispatcherOrder::Builder::getOrder() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantOrder>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::GrantOrder::Builder DispatcherOrder::Builder::getOrder() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantOrder>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::plantainpaddle::wire::GrantOrder::Pipeline DispatcherOrder::Pipeline::getOrder() {
-  return ::plantainpaddle::wire::GrantOrder::Pipeline(_typeless.getPointerField(1));
+inline  ::plantainpaddle::wire::GrantOrder::Pipeline DispatcherOrder::Pipeline::getOrder() {
+  return  ::plantainpaddle::wire::GrantOrder::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void DispatcherOrder::Builder::setOrder(::plantainpaddle::wire::GrantOrder::Reader value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantOrder>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void DispatcherOrder::Builder::setOrder( ::plantainpaddle::wire::GrantOrder::Reader value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantOrder>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::GrantOrder::Builder DispatcherOrder::Builder::initOrder() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantOrder>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::GrantOrder::Builder DispatcherOrder::Builder::initOrder() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantOrder>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void DispatcherOrder::Builder::adoptOrder(
-    ::capnp::Orphan<::plantainpaddle::wire::GrantOrder>&& value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantOrder>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::GrantOrder>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantOrder>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::plantainpaddle::wire::GrantOrder> DispatcherOrder::Builder::disownOrder() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantOrder>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool TermHandover::Reader::hasRecord() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TermHandover::Builder::hasRecord() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::plantainpaddle::wire::StateItem::Reader TermHandover::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateItem>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::plantainpaddle::wire::StateItem::Builder TermHandover::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateItem>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::plantainpaddle::wire::StateItem::Pipeline TermHandover::Pipeline::getRecord() {
+  return  ::plantainpaddle::wire::StateItem::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TermHandover::Builder::setRecord( ::plantainpaddle::wire::StateItem::Reader value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateItem>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::plantainpaddle::wire::StateItem::Builder TermHandover::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateItem>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TermHandover::Builder::adoptRecord(
+    ::capnp::Orphan< ::plantainpaddle::wire::StateItem>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateItem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::plantainpaddle::wire::StateItem> TermHandover::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateItem>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TermHandover::Reader::getHasUnsureWrite() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool TermHandover::Builder::getHasUnsureWrite() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::GrantOrder> DispatcherOrder::Builder::disownOrder() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantOrder>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void TermHandover::Builder::setHasUnsureWrite(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TermHandover::Reader::hasUnsureWrite() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TermHandover::Builder::hasUnsureWrite() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader TermHandover::Reader::getUnsureWrite() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder TermHandover::Builder::getUnsureWrite() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TermHandover::Builder::setUnsureWrite( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder TermHandover::Builder::initUnsureWrite(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TermHandover::Builder::adoptUnsureWrite(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> TermHandover::Builder::disownUnsureWrite() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool UsageEntry::Reader::hasLimit() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool UsageEntry::Builder::hasLimit() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader UsageEntry::Reader::getLimit() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader UsageEntry::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder UsageEntry::Builder::getLimit() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder UsageEntry::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void UsageEntry::Builder::setLimit(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void UsageEntry::Builder::setLimit( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder UsageEntry::Builder::initLimit(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder UsageEntry::Builder::initLimit(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void UsageEntry::Builder::adoptLimit(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void UsageEntry::Builder::adoptLimit(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> UsageEntry::Builder::disownLimit() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> UsageEntry::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool UsageEntry::Reader::hasTenant() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool UsageEntry::Builder::hasTenant() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader UsageEntry::Reader::getTenant() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader UsageEntry::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder UsageEntry::Builder::getTenant() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder UsageEntry::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void UsageEntry::Builder::setTenant(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void UsageEntry::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder UsageEntry::Builder::initTenant(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder UsageEntry::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void UsageEntry::Builder::adoptTenant(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void UsageEntry::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> UsageEntry::Builder::disownTenant() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> UsageEntry::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline double UsageEntry::Reader::getUsed() const {
-  return _reader.getDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline double UsageEntry::Builder::getUsed() {
-  return _builder.getDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void UsageEntry::Builder::setUsed(double value) {
-  _builder.setDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::plantainpaddle::wire::Request::Which Request::Reader::which() const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::plantainpaddle::wire::Request::Which Request::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::plantainpaddle::wire::Request::Which Request::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::plantainpaddle::wire::Request::Which Request::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Request::Reader::isTermQuestion() const { return which() == Request::TERM_QUESTION; }
-inline bool Request::Builder::isTermQuestion() { return which() == Request::TERM_QUESTION; }
+inline bool Request::Reader::isTermQuestion() const {
+  return which() == Request::TERM_QUESTION;
+}
+inline bool Request::Builder::isTermQuestion() {
+  return which() == Request::TERM_QUESTION;
+}
 inline bool Request::Reader::hasTermQuestion() const {
   if (which() != Request::TERM_QUESTION) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasTermQuestion() {
   if (which() != Request::TERM_QUESTION) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::TermQuestion::Reader Request::Reader::getTermQuestion() const {
+inline  ::plantainpaddle::wire::TermQuestion::Reader Request::Reader::getTermQuestion() const {
   KJ_IREQUIRE((which() == Request::TERM_QUESTION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::TermQuestion>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermQuestion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::TermQuestion::Builder Request::Builder::getTermQuestion() {
+inline  ::plantainpaddle::wire::TermQuestion::Builder Request::Builder::getTermQuestion() {
   KJ_IREQUIRE((which() == Request::TERM_QUESTION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::TermQuestion>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermQuestion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setTermQuestion(::plantainpaddle::wire::TermQuestion::Reader value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::TERM_QUESTION);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::TermQuestion>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setTermQuestion( ::plantainpaddle::wire::TermQuestion::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::TERM_QUESTION);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermQuestion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::TermQuestion::Builder Request::Builder::initTermQuestion() {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::TERM_QUESTION);
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::TermQuestion>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::TermQuestion::Builder Request::Builder::initTermQuestion() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::TERM_QUESTION);
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermQuestion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::adoptTermQuestion(
-    ::capnp::Orphan<::plantainpaddle::wire::TermQuestion>&& value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::TERM_QUESTION);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::TermQuestion>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::plantainpaddle::wire::TermQuestion>
-Request::Builder::disownTermQuestion() {
+    ::capnp::Orphan< ::plantainpaddle::wire::TermQuestion>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::TERM_QUESTION);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermQuestion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::plantainpaddle::wire::TermQuestion> Request::Builder::disownTermQuestion() {
   KJ_IREQUIRE((which() == Request::TERM_QUESTION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::TermQuestion>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermQuestion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::isStatePush() const { return which() == Request::STATE_PUSH; }
-inline bool Request::Builder::isStatePush() { return which() == Request::STATE_PUSH; }
+inline bool Request::Reader::isStatePush() const {
+  return which() == Request::STATE_PUSH;
+}
+inline bool Request::Builder::isStatePush() {
+  return which() == Request::STATE_PUSH;
+}
 inline bool Request::Reader::hasStatePush() const {
   if (which() != Request::STATE_PUSH) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasStatePush() {
   if (which() != Request::STATE_PUSH) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader
-Request::Reader::getStatePush() const {
+inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getStatePush() const {
   KJ_IREQUIRE((which() == Request::STATE_PUSH),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-Request::Builder::getStatePush() {
+inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getStatePush() {
   KJ_IREQUIRE((which() == Request::STATE_PUSH),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Request::Builder::setStatePush(
-    ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::STATE_PUSH);
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-Request::Builder::initStatePush(unsigned int size) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::STATE_PUSH);
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setStatePush( ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_PUSH);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initStatePush(unsigned int size) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_PUSH);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptStatePush(
-    ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>&&
-        value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::STATE_PUSH);
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>
-Request::Builder::disownStatePush() {
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_PUSH);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>> Request::Builder::disownStatePush() {
   KJ_IREQUIRE((which() == Request::STATE_PUSH),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::isStateDigest() const { return which() == Request::STATE_DIGEST; }
-inline bool Request::Builder::isStateDigest() { return which() == Request::STATE_DIGEST; }
+inline bool Request::Reader::isStateDigest() const {
+  return which() == Request::STATE_DIGEST;
+}
+inline bool Request::Builder::isStateDigest() {
+  return which() == Request::STATE_DIGEST;
+}
 inline bool Request::Reader::hasStateDigest() const {
   if (which() != Request::STATE_DIGEST) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasStateDigest() {
   if (which() != Request::STATE_DIGEST) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Reader
-Request::Reader::getStateDigest() const {
+inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getStateDigest() const {
   KJ_IREQUIRE((which() == Request::STATE_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Builder
-Request::Builder::getStateDigest() {
+inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getStateDigest() {
   KJ_IREQUIRE((which() == Request::STATE_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Request::Builder::setStateDigest(
-    ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::STATE_DIGEST);
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>::Builder
-Request::Builder::initStateDigest(unsigned int size) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::STATE_DIGEST);
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setStateDigest( ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_DIGEST);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initStateDigest(unsigned int size) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_DIGEST);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptStateDigest(
-    ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>&&
-        value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::STATE_DIGEST);
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>
-Request::Builder::disownStateDigest() {
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_DIGEST);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>> Request::Builder::disownStateDigest() {
   KJ_IREQUIRE((which() == Request::STATE_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::DigestEntry, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::isTermHandover() const { return which() == Request::TERM_HANDOVER; }
-inline bool Request::Builder::isTermHandover() { return which() == Request::TERM_HANDOVER; }
+inline bool Request::Reader::isTermHandover() const {
+  return which() == Request::TERM_HANDOVER;
+}
+inline bool Request::Builder::isTermHandover() {
+  return which() == Request::TERM_HANDOVER;
+}
 inline bool Request::Reader::hasTermHandover() const {
   if (which() != Request::TERM_HANDOVER) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasTermHandover() {
   if (which() != Request::TERM_HANDOVER) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::StateItem::Reader Request::Reader::getTermHandover() const {
+inline  ::plantainpaddle::wire::TermHandover::Reader Request::Reader::getTermHandover() const {
   KJ_IREQUIRE((which() == Request::TERM_HANDOVER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::StateItem>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermHandover>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::StateItem::Builder Request::Builder::getTermHandover() {
+inline  ::plantainpaddle::wire::TermHandover::Builder Request::Builder::getTermHandover() {
   KJ_IREQUIRE((which() == Request::TERM_HANDOVER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::StateItem>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermHandover>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setTermHandover(::plantainpaddle::wire::StateItem::Reader value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::TERM_HANDOVER);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::StateItem>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setTermHandover( ::plantainpaddle::wire::TermHandover::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::TERM_HANDOVER);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermHandover>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::StateItem::Builder Request::Builder::initTermHandover() {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::TERM_HANDOVER);
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::StateItem>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::TermHandover::Builder Request::Builder::initTermHandover() {
+  _builder.setDataField<Request::Which>(
