+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::TERM_HANDOVER);
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermHandover>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::adoptTermHandover(
-    ::capnp::Orphan<::plantainpaddle::wire::StateItem>&& value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::TERM_HANDOVER);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::StateItem>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::TermHandover>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::TERM_HANDOVER);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermHandover>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::StateItem> Request::Builder::disownTermHandover() {
+inline ::capnp::Orphan< ::plantainpaddle::wire::TermHandover> Request::Builder::disownTermHandover() {
   KJ_IREQUIRE((which() == Request::TERM_HANDOVER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::StateItem>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::TermHandover>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::isDispatcherOrder() const {
   return which() == Request::DISPATCHER_ORDER;
 }
-inline bool Request::Builder::isDispatcherOrder() { return which() == Request::DISPATCHER_ORDER; }
+inline bool Request::Builder::isDispatcherOrder() {
+  return which() == Request::DISPATCHER_ORDER;
+}
 inline bool Request::Reader::hasDispatcherOrder() const {
   if (which() != Request::DISPATCHER_ORDER) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasDispatcherOrder() {
   if (which() != Request::DISPATCHER_ORDER) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::DispatcherOrder::Reader Request::Reader::getDispatcherOrder() const {
+inline  ::plantainpaddle::wire::DispatcherOrder::Reader Request::Reader::getDispatcherOrder() const {
   KJ_IREQUIRE((which() == Request::DISPATCHER_ORDER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::DispatcherOrder>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::DispatcherOrder>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::DispatcherOrder::Builder Request::Builder::getDispatcherOrder() {
+inline  ::plantainpaddle::wire::DispatcherOrder::Builder Request::Builder::getDispatcherOrder() {
   KJ_IREQUIRE((which() == Request::DISPATCHER_ORDER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::DispatcherOrder>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Request::Builder::setDispatcherOrder(
-    ::plantainpaddle::wire::DispatcherOrder::Reader value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::DISPATCHER_ORDER);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::DispatcherOrder>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::plantainpaddle::wire::DispatcherOrder::Builder Request::Builder::initDispatcherOrder() {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::DISPATCHER_ORDER);
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::DispatcherOrder>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::DispatcherOrder>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setDispatcherOrder( ::plantainpaddle::wire::DispatcherOrder::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::DISPATCHER_ORDER);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::DispatcherOrder>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::plantainpaddle::wire::DispatcherOrder::Builder Request::Builder::initDispatcherOrder() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::DISPATCHER_ORDER);
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::DispatcherOrder>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::adoptDispatcherOrder(
-    ::capnp::Orphan<::plantainpaddle::wire::DispatcherOrder>&& value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::DISPATCHER_ORDER);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::DispatcherOrder>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::plantainpaddle::wire::DispatcherOrder>
-Request::Builder::disownDispatcherOrder() {
+    ::capnp::Orphan< ::plantainpaddle::wire::DispatcherOrder>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::DISPATCHER_ORDER);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::DispatcherOrder>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::plantainpaddle::wire::DispatcherOrder> Request::Builder::disownDispatcherOrder() {
   KJ_IREQUIRE((which() == Request::DISPATCHER_ORDER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::DispatcherOrder>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::DispatcherOrder>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::isLimitUsage() const { return which() == Request::LIMIT_USAGE; }
-inline bool Request::Builder::isLimitUsage() { return which() == Request::LIMIT_USAGE; }
+inline bool Request::Reader::isLimitUsage() const {
+  return which() == Request::LIMIT_USAGE;
+}
+inline bool Request::Builder::isLimitUsage() {
+  return which() == Request::LIMIT_USAGE;
+}
 inline bool Request::Reader::hasLimitUsage() const {
   if (which() != Request::LIMIT_USAGE) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasLimitUsage() {
   if (which() != Request::LIMIT_USAGE) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Reader
-Request::Reader::getLimitUsage() const {
+inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getLimitUsage() const {
   KJ_IREQUIRE((which() == Request::LIMIT_USAGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Builder
-Request::Builder::getLimitUsage() {
+inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getLimitUsage() {
   KJ_IREQUIRE((which() == Request::LIMIT_USAGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Request::Builder::setLimitUsage(
-    ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::LIMIT_USAGE);
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>::Builder
-Request::Builder::initLimitUsage(unsigned int size) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::LIMIT_USAGE);
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setLimitUsage( ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::LIMIT_USAGE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initLimitUsage(unsigned int size) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::LIMIT_USAGE);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptLimitUsage(
-    ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>&&
-        value) {
-  _builder.setDataField<Request::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                        Request::LIMIT_USAGE);
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>
-Request::Builder::disownLimitUsage() {
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::LIMIT_USAGE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>> Request::Builder::disownLimitUsage() {
   KJ_IREQUIRE((which() == Request::LIMIT_USAGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::UsageEntry, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::plantainpaddle::wire::Reply::Which Reply::Reader::which() const {
-  return _reader.getDataField<Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::plantainpaddle::wire::Reply::Which Reply::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::plantainpaddle::wire::Reply::Which Reply::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::plantainpaddle::wire::Reply::Which Reply::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Reply::Reader::isAcknowledgement() const { return which() == Reply::ACKNOWLEDGEMENT; }
-inline bool Reply::Builder::isAcknowledgement() { return which() == Reply::ACKNOWLEDGEMENT; }
+inline bool Reply::Reader::isAcknowledgement() const {
+  return which() == Reply::ACKNOWLEDGEMENT;
+}
+inline bool Reply::Builder::isAcknowledgement() {
+  return which() == Reply::ACKNOWLEDGEMENT;
+}
 inline bool Reply::Reader::getAcknowledgement() const {
   KJ_IREQUIRE((which() == Reply::ACKNOWLEDGEMENT),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Reply::Builder::getAcknowledgement() {
   KJ_IREQUIRE((which() == Reply::ACKNOWLEDGEMENT),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Reply::Builder::setAcknowledgement(bool value) {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                      Reply::ACKNOWLEDGEMENT);
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::ACKNOWLEDGEMENT);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Reply::Reader::isTermAnswer() const { return which() == Reply::TERM_ANSWER; }
-inline bool Reply::Builder::isTermAnswer() { return which() == Reply::TERM_ANSWER; }
-inline ::uint64_t Reply::Reader::getTermAnswer() const {
+inline bool Reply::Reader::isTermAnswer() const {
+  return which() == Reply::TERM_ANSWER;
+}
+inline bool Reply::Builder::isTermAnswer() {
+  return which() == Reply::TERM_ANSWER;
+}
+inline  ::uint64_t Reply::Reader::getTermAnswer() const {
   KJ_IREQUIRE((which() == Reply::TERM_ANSWER),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Reply::Builder::getTermAnswer() {
+inline  ::uint64_t Reply::Builder::getTermAnswer() {
   KJ_IREQUIRE((which() == Reply::TERM_ANSWER),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setTermAnswer(::uint64_t value) {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                      Reply::TERM_ANSWER);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setTermAnswer( ::uint64_t value) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::TERM_ANSWER);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Reply::Reader::isStatePush() const { return which() == Reply::STATE_PUSH; }
-inline bool Reply::Builder::isStatePush() { return which() == Reply::STATE_PUSH; }
+inline bool Reply::Reader::isStatePush() const {
+  return which() == Reply::STATE_PUSH;
+}
+inline bool Reply::Builder::isStatePush() {
+  return which() == Reply::STATE_PUSH;
+}
 inline bool Reply::Reader::hasStatePush() const {
   if (which() != Reply::STATE_PUSH) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Reply::Builder::hasStatePush() {
   if (which() != Reply::STATE_PUSH) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader
-Reply::Reader::getStatePush() const {
-  KJ_IREQUIRE((which() == Reply::STATE_PUSH), "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-Reply::Builder::getStatePush() {
-  KJ_IREQUIRE((which() == Reply::STATE_PUSH), "Must check which() before get()ing a union member.");
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Reply::Builder::setStatePush(
-    ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::STATE_PUSH);
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>::Builder
-Reply::Builder::initStatePush(unsigned int size) {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::STATE_PUSH);
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader Reply::Reader::getStatePush() const {
+  KJ_IREQUIRE((which() == Reply::STATE_PUSH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder Reply::Builder::getStatePush() {
+  KJ_IREQUIRE((which() == Reply::STATE_PUSH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Reply::Builder::setStatePush( ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::STATE_PUSH);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>::Builder Reply::Builder::initStatePush(unsigned int size) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::STATE_PUSH);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Reply::Builder::adoptStatePush(
-    ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>&&
-        value) {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::STATE_PUSH);
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>
-Reply::Builder::disownStatePush() {
-  KJ_IREQUIRE((which() == Reply::STATE_PUSH), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::plantainpaddle::wire::StateItem, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Reply::Reader::isGrantAnswer() const { return which() == Reply::GRANT_ANSWER; }
-inline bool Reply::Builder::isGrantAnswer() { return which() == Reply::GRANT_ANSWER; }
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::STATE_PUSH);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>> Reply::Builder::disownStatePush() {
+  KJ_IREQUIRE((which() == Reply::STATE_PUSH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::StateItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Reply::Reader::isGrantAnswer() const {
+  return which() == Reply::GRANT_ANSWER;
+}
+inline bool Reply::Builder::isGrantAnswer() {
+  return which() == Reply::GRANT_ANSWER;
+}
 inline bool Reply::Reader::hasGrantAnswer() const {
   if (which() != Reply::GRANT_ANSWER) return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Reply::Builder::hasGrantAnswer() {
   if (which() != Reply::GRANT_ANSWER) return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::GrantAnswer::Reader Reply::Reader::getGrantAnswer() const {
+inline  ::plantainpaddle::wire::GrantAnswer::Reader Reply::Reader::getGrantAnswer() const {
   KJ_IREQUIRE((which() == Reply::GRANT_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantAnswer>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::GrantAnswer::Builder Reply::Builder::getGrantAnswer() {
+inline  ::plantainpaddle::wire::GrantAnswer::Builder Reply::Builder::getGrantAnswer() {
   KJ_IREQUIRE((which() == Reply::GRANT_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantAnswer>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Reply::Builder::setGrantAnswer(::plantainpaddle::wire::GrantAnswer::Reader value) {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                      Reply::GRANT_ANSWER);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantAnswer>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Reply::Builder::setGrantAnswer( ::plantainpaddle::wire::GrantAnswer::Reader value) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::GRANT_ANSWER);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::GrantAnswer::Builder Reply::Builder::initGrantAnswer() {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                      Reply::GRANT_ANSWER);
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantAnswer>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::GrantAnswer::Builder Reply::Builder::initGrantAnswer() {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::GRANT_ANSWER);
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Reply::Builder::adoptGrantAnswer(
-    ::capnp::Orphan<::plantainpaddle::wire::GrantAnswer>&& value) {
-  _builder.setDataField<Reply::Which>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                      Reply::GRANT_ANSWER);
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantAnswer>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::GrantAnswer>&& value) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::GRANT_ANSWER);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::GrantAnswer> Reply::Builder::disownGrantAnswer() {
+inline ::capnp::Orphan< ::plantainpaddle::wire::GrantAnswer> Reply::Builder::disownGrantAnswer() {
   KJ_IREQUIRE((which() == Reply::GRANT_ANSWER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::GrantAnswer>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::GrantAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Peer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Peer::Client::Client(::kj::Own<_t>&& server)
@@ -3465,93 +3756,99 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Peer::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::plantainpaddle::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+inline  ::plantainpaddle::wire::Peer::Client& Peer::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::plantainpaddle::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+inline  ::plantainpaddle::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Peer::CallParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::CallParams::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::Request::Reader Peer::CallParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Request>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Request::Reader Peer::CallParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Request>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::Request::Builder Peer::CallParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Request>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Request::Builder Peer::CallParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Request>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::plantainpaddle::wire::Request::Pipeline Peer::CallParams::Pipeline::getRequest() {
-  return ::plantainpaddle::wire::Request::Pipeline(_typeless.getPointerField(0));
+inline  ::plantainpaddle::wire::Request::Pipeline Peer::CallParams::Pipeline::getRequest() {
+  return  ::plantainpaddle::wire::Request::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::CallParams::Builder::setRequest(::plantainpaddle::wire::Request::Reader value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Request>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::CallParams::Builder::setRequest( ::plantainpaddle::wire::Request::Reader value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Request>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::Request::Builder Peer::CallParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Request>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Request::Builder Peer::CallParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Request>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::CallParams::Builder::adoptRequest(
-    ::capnp::Orphan<::plantainpaddle::wire::Request>&& value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Request>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::Request>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Request>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::Request> Peer::CallParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Request>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::plantainpaddle::wire::Request> Peer::CallParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Request>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::CallResults::Reader::hasReply() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::CallResults::Builder::hasReply() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::Reply::Reader Peer::CallResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Reply>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Reply::Reader Peer::CallResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Reply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::Reply::Builder Peer::CallResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Reply>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Reply::Builder Peer::CallResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Reply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::plantainpaddle::wire::Reply::Pipeline Peer::CallResults::Pipeline::getReply() {
-  return ::plantainpaddle::wire::Reply::Pipeline(_typeless.getPointerField(0));
+inline  ::plantainpaddle::wire::Reply::Pipeline Peer::CallResults::Pipeline::getReply() {
+  return  ::plantainpaddle::wire::Reply::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::CallResults::Builder::setReply(::plantainpaddle::wire::Reply::Reader value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Reply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::CallResults::Builder::setReply( ::plantainpaddle::wire::Reply::Reader value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Reply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::Reply::Builder Peer::CallResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Reply>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Reply::Builder Peer::CallResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Reply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::CallResults::Builder::adoptReply(
-    ::capnp::Orphan<::plantainpaddle::wire::Reply>&& value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Reply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::Reply>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Reply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::Reply> Peer::CallResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Reply>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::plantainpaddle::wire::Reply> Peer::CallResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Reply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline Gate::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
-inline Gate::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Gate::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Gate::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Gate::Client::Client(::kj::Own<_t>&& server)
@@ -3561,131 +3858,135 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Gate::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::plantainpaddle::wire::Gate::Client& Gate::Client::operator=(Client& other) {
+inline  ::plantainpaddle::wire::Gate::Client& Gate::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::plantainpaddle::wire::Gate::Client& Gate::Client::operator=(Client&& other) {
+inline  ::plantainpaddle::wire::Gate::Client& Gate::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Gate::OpenParams::Reader::hasIdentity() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Gate::OpenParams::Builder::hasIdentity() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::Identity::Reader Gate::OpenParams::Reader::getIdentity() const {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Identity::Reader Gate::OpenParams::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::Identity::Builder Gate::OpenParams::Builder::getIdentity() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Identity::Builder Gate::OpenParams::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::plantainpaddle::wire::Identity::Pipeline Gate::OpenParams::Pipeline::getIdentity() {
-  return ::plantainpaddle::wire::Identity::Pipeline(_typeless.getPointerField(0));
+inline  ::plantainpaddle::wire::Identity::Pipeline Gate::OpenParams::Pipeline::getIdentity() {
+  return  ::plantainpaddle::wire::Identity::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Gate::OpenParams::Builder::setIdentity(::plantainpaddle::wire::Identity::Reader value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Gate::OpenParams::Builder::setIdentity( ::plantainpaddle::wire::Identity::Reader value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::Identity::Builder Gate::OpenParams::Builder::initIdentity() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Identity::Builder Gate::OpenParams::Builder::initIdentity() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Gate::OpenParams::Builder::adoptIdentity(
-    ::capnp::Orphan<::plantainpaddle::wire::Identity>&& value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::Identity>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::Identity>
-Gate::OpenParams::Builder::disownIdentity() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::plantainpaddle::wire::Identity> Gate::OpenParams::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Gate::OpenResults::Reader::hasIdentity() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Gate::OpenResults::Builder::hasIdentity() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::plantainpaddle::wire::Identity::Reader Gate::OpenResults::Reader::getIdentity() const {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Identity::Reader Gate::OpenResults::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::Identity::Builder Gate::OpenResults::Builder::getIdentity() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Identity::Builder Gate::OpenResults::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::plantainpaddle::wire::Identity::Pipeline Gate::OpenResults::Pipeline::getIdentity() {
-  return ::plantainpaddle::wire::Identity::Pipeline(_typeless.getPointerField(0));
+inline  ::plantainpaddle::wire::Identity::Pipeline Gate::OpenResults::Pipeline::getIdentity() {
+  return  ::plantainpaddle::wire::Identity::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Gate::OpenResults::Builder::setIdentity(
-    ::plantainpaddle::wire::Identity::Reader value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Gate::OpenResults::Builder::setIdentity( ::plantainpaddle::wire::Identity::Reader value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::plantainpaddle::wire::Identity::Builder Gate::OpenResults::Builder::initIdentity() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Identity::Builder Gate::OpenResults::Builder::initIdentity() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Gate::OpenResults::Builder::adoptIdentity(
-    ::capnp::Orphan<::plantainpaddle::wire::Identity>&& value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::Identity>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::Identity>
-Gate::OpenResults::Builder::disownIdentity() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Identity>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::plantainpaddle::wire::Identity> Gate::OpenResults::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Identity>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Gate::OpenResults::Reader::hasPeer() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Gate::OpenResults::Builder::hasPeer() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::plantainpaddle::wire::Peer::Client Gate::OpenResults::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Peer>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Peer::Client Gate::OpenResults::Reader::getPeer() const {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Peer>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::Peer::Client Gate::OpenResults::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Peer>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::plantainpaddle::wire::Peer::Client Gate::OpenResults::Builder::getPeer() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Peer>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::plantainpaddle::wire::Peer::Client Gate::OpenResults::Pipeline::getPeer() {
-  return ::plantainpaddle::wire::Peer::Client(_typeless.getPointerField(1).asCap());
+inline  ::plantainpaddle::wire::Peer::Client Gate::OpenResults::Pipeline::getPeer() {
+  return  ::plantainpaddle::wire::Peer::Client(_typeless.getPointerField(1).asCap());
 }
-inline void Gate::OpenResults::Builder::setPeer(::plantainpaddle::wire::Peer::Client&& cap) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Peer>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Gate::OpenResults::Builder::setPeer( ::plantainpaddle::wire::Peer::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Gate::OpenResults::Builder::setPeer(::plantainpaddle::wire::Peer::Client& cap) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Peer>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline void Gate::OpenResults::Builder::setPeer( ::plantainpaddle::wire::Peer::Client& cap) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void Gate::OpenResults::Builder::adoptPeer(
-    ::capnp::Orphan<::plantainpaddle::wire::Peer>&& value) {
-  ::capnp::_::PointerHelpers<::plantainpaddle::wire::Peer>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::plantainpaddle::wire::Peer>&& value) {
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Peer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::plantainpaddle::wire::Peer> Gate::OpenResults::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers<::plantainpaddle::wire::Peer>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::plantainpaddle::wire::Peer> Gate::OpenResults::Builder::disownPeer() {
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::Peer>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
-}  // namespace wire
-}  // namespace plantainpaddle
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
