Add scripts/demo on real processes, with a harness for benches

Cause: nothing showed the whole system at work, or held it to its promises. Change: src/harness starts processes, a cluster and the table; demo_bench runs load with one upstream killed and one drained, and checks journals and records.

--- /dev/null
+++ b/src/bench/demo_bench.cc
@@ -0,0 +1,88 @@
+// The demonstration behind scripts/demo: three failure domains of two entry instances, Harrowgate's
+// services, load, one upstream killed and one drained in the middle. Last line: one JSON object.
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include "harness/cluster.h"
+#include "harness/store_view.h"
+#include "load/checker.h"
+#include "load/report.h"
+#include "load/runner.h"
+
+namespace plantainpaddle {
+namespace {
+
+constexpr duration load_length = seconds(10);
+constexpr duration kill_after = seconds(3);
+constexpr duration drain_after = seconds(3);  // after the kill
+
+void say(const std::string& line) { std::cout << line << std::endl; }
+
+int fail(const error& e) {
+  std::cerr << to_string(e) << '\n';
+  return 1;
+}
+
+std::uint64_t count(const class_report& report, load_outcome outcome) {
+  return report.outcomes[static_cast<std::size_t>(outcome)];
+}
+
+int run(const std::string& bin, const std::string& folder) {
+  say("starting the platform, 18 upstreams and 6 entry instances; logs in " + folder);
+  auto started = cluster::start(make_harrowgate_layout(2), bin, folder);
+  if (!started) return fail(started.error());
+  cluster& system = **started;
+  say("every shard has an owner; load for " + std::to_string(load_length / seconds(1)) + " s");
+  const load_plan plan = make_harrowgate_plan(system.targets(), load_length, 1, 1);
+  auto load = std::async(std::launch::async, [&plan] { return run_load(plan); });
+  std::this_thread::sleep_for(kill_after);
+  say("killing counter-desk-north-0");
+  system.upstreams.at("counter-desk-north-0").process->kill();
+  std::this_thread::sleep_for(drain_after);
+  say("draining order-book-east-0");
+  const auto bad = edit_table(system.platform_address, "demo", service_id{"order-book"},
+                              [](service_table& declared) {
+                                for (auto& row : declared.upstreams) {
+                                  if (row.name.value == "order-book-east-0") {
+                                    row.state = upstream_state::drain;
+                                  }
+                                }
+                              });
+  if (bad) return fail(*bad);
+  const auto records = load.get();
+  const auto runs = system.runs();
+  if (!runs) return fail(runs.error());
+  const check_report checked = check_promises(*runs, records);
+  const auto reports = make_reports(records, load_length);
+  const service_gap gap = longest_gap(records, "counter", true);
+  say(format_table(reports));
+  for (const auto& example : checked.examples) say(example);
+  const class_report& all = reports.back();
+  say(boost::json::serialize(boost::json::object{
+      {"requests", all.requests},
+      {"complete", count(all, load_outcome::complete)},
+      {"not_run", count(all, load_outcome::not_run) + count(all, load_outcome::refused)},
+      {"unknown", count(all, load_outcome::unknown)},
+      {"wrong_answers", checked.wrong_answers},
+      {"run_twice", checked.run_twice},
+      {"two_owners", checked.two_owners},
+      {"p99_ms", static_cast<double>(all.p99.count()) / 1000},
+      {"unavailable_ms", static_cast<double>(gap.length.count()) / 1000}}));
+  return checked.wrong_answers + checked.run_twice + checked.two_owners == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace plantainpaddle
+
+int main(int, char** argv) {
+  const auto bin = std::filesystem::absolute(argv[0]).parent_path().string();
+  std::string folder = (std::filesystem::temp_directory_path() / "plantainpaddle-XXXXXX").string();
+  if (mkdtemp(folder.data()) == nullptr) return 1;
+  return plantainpaddle::run(bin, folder);
+}
--- /dev/null
+++ b/src/harness/cluster.cc
@@ -0,0 +1,263 @@
+#include "harness/cluster.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "harness/store_view.h"
+#include "harness/web.h"
+#include "platform/instance_list.h"
+#include "table/parse.h"
+
+namespace plantainpaddle {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int first_port = 24'000;
+constexpr int last_port = 27'999;
+constexpr duration start_timeout = seconds(10);
+constexpr duration serve_timeout = seconds(30);
+constexpr duration poll_period = milliseconds(50);
+constexpr std::string_view cluster_name = "demo";
+
+// A port of the range that nobody listens on now. Several benches at once start at different
+// places.
+int free_port() {
+  static int next = first_port + getpid() * 37 % (last_port - first_port);
+  for (int i = first_port; i <= last_port; ++i) {
+    next = next == last_port ? first_port : next + 1;
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(next));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    if (free) return next;
+  }
+  return 0;
+}
+
+std::string free_address() { return "127.0.0.1:" + std::to_string(free_port()); }
+
+std::string read_file(const std::string& name) {
+  std::ifstream in(name);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+template <class Done>
+bool wait_until(duration most, Done done) {
+  const monotonic_time until = monotonic_now() + most;
+  while (monotonic_now() < until) {
+    if (done()) return true;
+    std::this_thread::sleep_for(poll_period);
+  }
+  return done();
+}
+
+std::string settings_of(const running_entry& entry, const std::string& platform) {
+  return json::serialize(
+      json::object{{"name", entry.name},
+                   {"cluster", cluster_name},
+                   {"region", "home"},
+                   {"domain", entry.domain},
+                   {"listen",
+                    {{"callers", entry.callers},
+                     {"forward", entry.forward},
+                     {"operators", entry.operators},
+                     {"peers", entry.peers}}},
+                   {"platform", {{"store", json::array{platform}}, {"instances", platform}}},
+                   {"threads", 2}});
+}
+
+}  // namespace
+
+result<std::unique_ptr<cluster>> cluster::start(const cluster_layout& layout,
+                                                const std::string& bin, const std::string& folder) {
+  std::unique_ptr<cluster> made(new cluster(layout, bin, folder));
+  std::error_code code;
+  std::filesystem::create_directories(folder, code);
+  if (code) return error{code, step::settings, folder, "can't be made"};
+  if (auto bad = made->start_all()) return *bad;
+  return made;
+}
+
+std::optional<error> cluster::start_all() {
+  platform_address = free_address();
+  if (auto bad = start_platform()) return bad;
+  for (auto& service : layout_.services) {
+    for (auto& row : service.upstreams) {
+      row.address = free_address();
+      upstreams[row.name.value] = {.name = row.name.value,
+                                   .service = service.service.name.value,
+                                   .domain = row.domain.value,
+                                   .address = row.address,
+                                   .checks_fence = service.service.checks_fence,
+                                   .process = std::nullopt};
+      if (auto bad = start_upstream(row.name.value)) return bad;
+    }
+  }
+  for (const auto& domain : layout_.domains) {
+    for (std::size_t i = 0; i < layout_.entries_per_domain; ++i) {
+      running_entry entry{
+          .name = domain + "-" + std::to_string(i),
+          .domain = domain,
+          .callers = free_address(),
+          .forward = free_address(),
+          .operators = free_address(),
+          .peers = free_address(),
+          .settings_file = file("entry-" + domain + "-" + std::to_string(i) + ".json"),
+          .process = std::nullopt};
+      std::ofstream(entry.settings_file) << settings_of(entry, platform_address);
+      entries.emplace(entry.name, std::move(entry));
+    }
+  }
+  for (auto& [name, entry] : entries) {
+    if (auto bad = start_entry(name)) return bad;
+  }
+  if (auto bad = list_instances()) return bad;
+  if (auto bad = apply_table()) return bad;
+  if (!wait_until_served(serve_timeout)) {
+    return error{errc::timed_out, step::ownership, "", "not every shard has an owner in time"};
+  }
+  return std::nullopt;
+}
+
+std::optional<error> cluster::start_platform() {
+  auto started = child_process::start(
+      {bin_ + "/plantainpaddle-standin", "platform", "--listen", platform_address},
+      file("platform.log"));
+  if (!started) return started.error();
+  platform = std::move(*started);
+  const auto up = [&] { return web_get(platform_address, "/v1/instances").has_value(); };
+  if (wait_until(start_timeout, up)) return std::nullopt;
+  return error{errc::timed_out, step::listen, platform_address, "the platform doesn't answer"};
+}
+
+std::optional<error> cluster::start_upstream(const std::string& name) {
+  running_upstream& upstream = upstreams.at(name);
+  std::vector<std::string> arguments{bin_ + "/plantainpaddle-standin",
+                                     "upstream",
+                                     "--listen",
+                                     upstream.address,
+                                     "--name",
+                                     name,
+                                     "--service",
+                                     upstream.service,
+                                     "--journal",
+                                     file("journal-" + name + ".jsonl"),
+                                     "--set",
+                                     layout_.upstream_settings};
+  if (!upstream.checks_fence) arguments.emplace_back("--no-fence-check");
+  auto started = child_process::start(arguments, file("upstream-" + name + ".log"));
+  if (!started) return started.error();
+  upstream.process = std::move(*started);
+  const auto up = [&] { return web_get(upstream.address, "/control/counters").has_value(); };
+  if (wait_until(start_timeout, up)) return std::nullopt;
+  return error{errc::timed_out, step::listen, name, "the upstream doesn't answer"};
+}
+
+std::optional<error> cluster::start_entry(const std::string& name) {
+  running_entry& entry = entries.at(name);
+  auto started =
+      child_process::start({bin_ + "/plantainpaddle-entry", "--settings", entry.settings_file},
+                           file("entry-" + name + ".log"));
+  if (!started) return started.error();
+  entry.process = std::move(*started);
+  const auto up = [&] { return web_get(entry.operators, "/healthz").has_value(); };
+  if (wait_until(start_timeout, up)) return std::nullopt;
+  return error{errc::timed_out, step::listen, name, "the entry doesn't answer"};
+}
+
+std::optional<error> cluster::list_instances(const std::string& leaving) {
+  std::vector<instance_info> list;
+  for (auto& [name, entry] : entries) {
+    if (!entry.process || !entry.process->running()) continue;
+    list.push_back({name, domain_id{entry.domain}, "home", entry.callers, entry.forward,
+                    entry.operators, entry.peers,
+                    name == leaving ? instance_state::leaving : instance_state::live});
+  }
+  const auto put =
+      web_call(platform_address, {"PUT", "/control/instances", {}, format_instance_list(list)});
+  if (!put) return put.error();
+  if (put->status == 200) return std::nullopt;
+  return error{errc::refused, step::instance_list, platform_address, put->body};
+}
+
+std::optional<error> cluster::apply_table() const {
+  table declared;
+  for (const auto& service : layout_.services) declared.emplace(service.service.name, service);
+  std::ofstream(file("table.json")) << format_table_file(declared);
+  auto applied =
+      child_process::start({bin_ + "/plantainpaddle-table", "apply", file("table.json"), "--store",
+                            platform_address, "--cluster", std::string(cluster_name)},
+                           file("table.log"));
+  if (!applied) return applied.error();
+  const auto code = applied->wait(start_timeout);
+  if (code && *code == 0) return std::nullopt;
+  return error{errc::refused, step::table, "", "apply failed: " + read_file(file("table.log"))};
+}
+
+std::vector<std::string> cluster::targets() const {
+  std::vector<std::string> callers;
+  for (const auto& [name, entry] : entries) callers.push_back(entry.callers);
+  return callers;
+}
+
+std::string cluster::assigner_of(const std::string& cell) const {
+  const auto view = read_store(platform_address, std::string(cluster_name));
+  if (!view) return "";
+  const auto place = view->cells.find(cell_id{cell});
+  return place == view->cells.end() ? "" : instance_name(place->second.assigner);
+}
+
+bool cluster::wait_until_served(duration most) const {
+  return wait_until(most, [&] {
+    const auto view = read_store(platform_address, std::string(cluster_name));
+    if (!view) return false;
+    for (const auto& service : layout_.services) {
+      if (!service.service.keyed) continue;
+      std::size_t owned = 0;
+      for (const auto& [cell, record] : view->cells) {
+        if (record.service != service.service.name) continue;
+        for (const auto& [shard, entry] : record.shards) owned += entry.owner ? 1 : 0;
+      }
+      if (owned < service.service.shards) return false;
+    }
+    return true;
+  });
+}
+
+result<std::vector<run_record>> cluster::runs() const {
+  std::vector<run_record> all;
+  for (const auto& [name, upstream] : upstreams) {
+    auto read = parse_journal(read_file(file("journal-" + name + ".jsonl")));
+    if (!read) {
+      error bad = read.error();
+      bad.peer = name;
+      return bad;
+    }
+    all.insert(all.end(), read->begin(), read->end());
+  }
+  return all;
+}
+
+std::string cluster::status(const std::string& entry) const {
+  auto answer =
+      web_call(entries.at(entry).operators, {"GET", "/status", {}, ""}, milliseconds(300));
+  return answer && answer->status == 200 ? answer->body : "";
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/harness/cluster.h
@@ -0,0 +1,99 @@
+// A whole system of real processes on loopback: platform stand-in, upstreams, entry instances.
+//
+//   auto system = cluster::start(make_demo_layout(), "build/bin", folder);
+//   system->upstreams.at("counter-desk-north-0").process->signal(SIGSTOP);
+//   check_report report = check_promises(system->runs(), records);
+//
+// Every process's log and every upstream's journal is a file in the folder.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "harness/process.h"
+#include "load/plan.h"
+#include "standin/journal.h"
+#include "table/rows.h"
+
+namespace plantainpaddle {
+
+struct cluster_layout {
+  std::vector<std::string> domains{"north", "east", "south"};
+  std::size_t entries_per_domain = 2;
+  // Declared services; the upstreams' addresses are filled in by start(). Their names must be
+  // unique over all services.
+  std::vector<service_table> services;
+  std::string upstream_settings = R"({"queue":64,"connections":130})";
+};
+
+struct running_entry {
+  std::string name;
+  std::string domain;
+  std::string callers;  // "IP:port" each
+  std::string forward;
+  std::string operators;
+  std::string peers;
+  std::string settings_file;
+  std::optional<child_process> process;
+};
+
+struct running_upstream {
+  std::string name;
+  std::string service;
+  std::string domain;
+  std::string address;
+  bool checks_fence = true;
+  std::optional<child_process> process;
+};
+
+class cluster {
+ public:
+  // Starts everything, applies the table and waits until every shard is served.
+  static result<std::unique_ptr<cluster>> start(const cluster_layout& layout,
+                                                const std::string& bin, const std::string& folder);
+
+  std::map<std::string, running_entry> entries;
+  std::map<std::string, running_upstream> upstreams;
+  std::string platform_address;
+  std::optional<child_process> platform;
+
+  std::optional<error> start_entry(const std::string& name);
+  std::optional<error> start_upstream(const std::string& name);
+  std::optional<error> start_platform();
+  // The instance list as the platform shows it: the entries that run, and those leaving.
+  std::optional<error> list_instances(const std::string& leaving = "");
+  std::vector<std::string> targets() const;
+
+  // The name of the entry that a cell's record names as its assigner; empty if unknown.
+  std::string assigner_of(const std::string& cell) const;
+  // Waits until a running entry knows an owner for each shard of each keyed service.
+  bool wait_until_served(duration most) const;
+  // The whole journals of all upstreams, of all lives of their processes.
+  result<std::vector<run_record>> runs() const;
+  std::string status(const std::string& entry) const;  // JSON, empty if it doesn't answer
+
+ private:
+  cluster(const cluster_layout& layout, std::string bin, std::string folder)
+      : layout_(layout), bin_(std::move(bin)), folder_(std::move(folder)) {}
+  std::optional<error> start_all();
+  std::optional<error> apply_table() const;
+  std::string file(const std::string& name) const { return folder_ + "/" + name; }
+
+  cluster_layout layout_;
+  std::string bin_;
+  std::string folder_;
+};
+
+// Harrowgate's three services with a few upstreams in each failure domain.
+cluster_layout make_harrowgate_layout(std::size_t upstreams_per_domain);
+
+// Load classes for that layout; scale multiplies the rates.
+load_plan make_harrowgate_plan(const std::vector<std::string>& targets, duration length,
+                               double scale, std::uint64_t seed);
+
+}  // namespace plantainpaddle
