--- a/src/http/message.h
+++ b/src/http/message.h
@@ -28,7 +28,7 @@
 using chunk_source = std::function<boost::asio::awaitable<std::optional<std::string>>()>;
 
 struct http_response {
-  unsigned status = 200;
+  unsigned status = 200;  // 0: the server closes the connection without an answer
   std::vector<http_header> headers;
   std::string body;
   chunk_source stream;  // if set, the body is chunked and comes from here
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -80,6 +80,7 @@
     const bool keep_alive = parser.get().keep_alive();
     const bool head = parser.get().method() == http::verb::head;
     http_response response = co_await serve(from_beast(parser.release()));
+    if (response.status == 0) break;  // no answer
     const bool again = response.stream
                            ? co_await answer_stream(stream, std::move(response))
                            : co_await answer(stream, std::move(response), keep_alive, head);
