--- a/src/apps/standin_main.cc
+++ b/src/apps/standin_main.cc
@@ -1,4 +1,5 @@
-// plantainpaddle-standin: stand-ins of the platform and of upstreams, for tests and demonstrations.
+// plantainpaddle-standin: stand-ins of the platform, of upstreams and of a faulty network, for
+// tests and demonstrations.
 
 #include <tclap/CmdLine.h>
 
@@ -8,31 +9,49 @@
 #include <iostream>
 
 #include "apps/exit_codes.h"
-#include "standin/store.h"
+#include "http/server.h"
+#include "standin/platform.h"
+#include "standin/relay.h"
 #include "standin/upstream.h"
 
 namespace plantainpaddle {
 namespace {
 
-// Runs a stand-in until SIGTERM; its address is the first line on standard output.
-template <class Standin>
-int serve(boost::asio::io_context& io, Standin& standin, const std::string& address) {
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const auto&, int) { io.stop(); });
-  const auto started = standin.listen(address);
+// Runs what has started until SIGTERM; its address is the first line on standard output.
+int serve(boost::asio::io_context& io, const result<std::string>& started) {
   if (!started) {
     std::cerr << to_string(started.error()) << '\n';
     return exit_unavailable;
   }
   std::cout << *started << std::endl;
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const auto&, int) { io.stop(); });
   io.run();
   return exit_ok;
 }
 
+int serve_platform(boost::asio::io_context& io, const std::string& listen,
+                   const std::string& control) {
+  platform_standin platform(io.get_executor());
+  if (!control.empty()) {
+    if (const auto started = platform.listen_control(control); !started) return serve(io, started);
+  }
+  return serve(io, platform.listen(listen));
+}
+
+int serve_relay(boost::asio::io_context& io, const std::string& listen) {
+  fault_relay relay(io.get_executor());
+  http_server control(io.get_executor());
+  const auto handle = [&](http_request request) -> boost::asio::awaitable<http_response> {
+    co_return relay.handle(request);
+  };
+  return serve(io, control.listen(listen, handle));
+}
+
 int run(int argc, char** argv) {
   TCLAP::CmdLine command("Stand-ins of the systems around plantainpaddle.", ' ',
                          PLANTAINPADDLE_VERSION);
-  std::vector<std::string> kinds{"platform", "upstream"};
+  std::vector<std::string> kinds{"platform", "upstream", "relay"};
   TCLAP::ValuesConstraint<std::string> allowed(kinds);
   TCLAP::UnlabeledValueArg<std::string> kind("kind", "what to stand in for", true, "", &allowed,
                                              command);
@@ -48,14 +67,17 @@
                                         false, "{}", "JSON", command);
   TCLAP::ValueArg<int> cold("", "cold-ms", "length of the upstream's cold start", false, 0, "MS",
                             command);
+  TCLAP::ValueArg<std::string> control("", "control",
+                                       "further address of the platform's control paths", false, "",
+                                       "IP:port", command);
   TCLAP::SwitchArg no_fence_check("", "no-fence-check", "the upstream checks no fences", command);
   command.parse(argc, argv);
 
   boost::asio::io_context io(1);
   if (kind.getValue() == "platform") {
-    platform_standin platform(io.get_executor());
-    return serve(io, platform, listen.getValue());
+    return serve_platform(io, listen.getValue(), control.getValue());
   }
+  if (kind.getValue() == "relay") return serve_relay(io, listen.getValue());
   upstream_options options{.name = name.getValue(),
                            .service = service.getValue(),
                            .journal_file = journal.getValue(),
@@ -66,7 +88,7 @@
     return exit_bad_input;
   }
   upstream_standin upstream(io.get_executor(), options);
-  return serve(io, upstream, listen.getValue());
+  return serve(io, upstream.listen(listen.getValue()));
 }
 
 }  // namespace
