--- a/src/standin/store.h
+++ b/src/standin/platform.h
@@ -1,5 +1,12 @@
-// Stand-in of the platform: the key-value service (etcd v3 over HTTP/JSON, in memory) and the
-// instance list.
+// Stand-in of the platform: the key-value service (etcd v3 over HTTP/JSON, in memory) and the list
+// of instances, with faults on order. docs/PLATFORM.md has the protocol and the faults.
+//
+//   platform_standin platform(executor);
+//   auto address = platform.listen("127.0.0.1:0");
+//   auto control = platform.listen_control("127.0.0.1:0");   // answers also while it is down
+//
+// The control paths are served at both addresses: PUT /control/instances, POST /control/faults,
+// GET /control/counters. One thread.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -18,6 +25,8 @@
   platform_standin& operator=(const platform_standin&) = delete;
 
   result<std::string> listen(const std::string& address);
+  result<std::string> listen_control(const std::string& address);
+  void close();
 
  private:
   struct impl;
