--- a/src/apps/fleet.cc
+++ b/src/apps/fleet.cc
@@ -57,6 +57,17 @@
   }
 }
 
+std::vector<std::string> texts_of(const json::object& object, std::string_view name) {
+  std::vector<std::string> texts;
+  const auto* value = object.if_contains(name);
+  const auto* items = value == nullptr ? nullptr : value->if_array();
+  if (items == nullptr) return texts;
+  for (const auto& item : *items) {
+    if (const auto* text = item.if_string()) texts.emplace_back(*text);
+  }
+  return texts;
+}
+
 cell_status read_cell(const json::object& object) {
   cell_status cell;
   cell.cell.value = text_of(object, "cell");
@@ -71,11 +82,8 @@
   if (object.contains("phase")) cell.phase = text_of(object, "phase");
   cell.has_right = flag_of(object, "has_right");
   cell.moves = static_cast<int>(number_of(object, "moves"));
-  if (const auto* suspected = object.if_contains("suspected"); suspected && suspected->is_array()) {
-    for (const auto& name : suspected->as_array()) {
-      if (const auto* text = name.if_string()) cell.suspected.emplace_back(*text);
-    }
-  }
+  cell.standbys = texts_of(object, "standbys");
+  cell.suspected = texts_of(object, "suspected");
   return cell;
 }
 
@@ -107,36 +115,59 @@
   for_objects(*object, "queues",
               [&](const json::object& queue) { status.queues.push_back(read_queue(queue)); });
   status.store_reachable = flag_of(*object, "store_reachable");
-  status.draining = flag_of(*object, "draining").value_or(false);
+  status.leaving = flag_of(*object, "leaving").value_or(false);
   return status;
 }
 
-fleet_view gather_fleet(const std::string& instance_list, duration timeout) {
+namespace {
+
+// An instance of which only the operators' address is known.
+instance_view known_instance(const std::string& operators) {
+  instance_view view;
+  view.info.name = operators;
+  view.info.operators = operators;
+  return view;
+}
+
+void take_answer(instance_view& instance, const result<http_response>& answer) {
+  if (!answer) {
+    instance.failure = answer.error();
+    return;
+  }
+  auto status = parse_instance_status(answer->body);
+  if (!status) {
+    instance.failure = status.error();
+    return;
+  }
+  if (instance.info.name == instance.info.operators) {
+    instance.info.name = instance_name({status->instance});
+    instance.info.domain = status->domain;
+  }
+  instance.status = std::move(*status);
+}
+
+}  // namespace
+
+fleet_view gather_fleet(const fleet_address& address, duration timeout) {
   fleet_view fleet;
   boost::asio::io_context io(1);
   http_client client(io.get_executor());
-  fetch_instances(client, instance_list, timeout, [&](result<std::vector<instance_info>> list) {
-    if (!list) {
-      fleet.list_failure = list.error();
-      return;
-    }
-    for (auto& info : *list) fleet.instances.push_back({std::move(info), {}, {}});
-  });
+  fetch_instances(client, address.instance_list, timeout,
+                  [&](result<std::vector<instance_info>> list) {
+                    if (!list) {
+                      fleet.list_failure = list.error();
+                      return;
+                    }
+                    for (auto& info : *list) fleet.instances.push_back({std::move(info), {}, {}});
+                  });
   io.run();
+  if (fleet.list_failure) {
+    for (const auto& known : address.operators) fleet.instances.push_back(known_instance(known));
+  }
   for (auto& instance : fleet.instances) {
-    client.send(instance.info.operators, {"GET", "/status", {}, ""}, timeout,
-                [&instance](result<http_response> answer) {
-                  if (!answer) {
-                    instance.failure = answer.error();
-                    return;
-                  }
-                  auto status = parse_instance_status(answer->body);
-                  if (status) {
-                    instance.status = std::move(*status);
-                  } else {
-                    instance.failure = status.error();
-                  }
-                });
+    client.send(
+        instance.info.operators, {"GET", "/status", {}, ""}, timeout,
+        [&instance](const result<http_response>& answer) { take_answer(instance, answer); });
   }
   io.restart();
   io.run();
--- a/src/apps/fleet.h
+++ b/src/apps/fleet.h
@@ -1,6 +1,6 @@
 // What all entry instances say of themselves, gathered once.
 //
-//   fleet_view fleet = gather_fleet("127.0.0.1:2379", milliseconds(1000));
+//   fleet_view fleet = gather_fleet({.instance_list = "127.0.0.1:2379"}, milliseconds(1000));
 //   instances_at(fleet, service, revision);
 #pragma once
 
@@ -24,6 +24,7 @@
   term_number term;
   revision_number revision;
   std::string assigner;               // instance id
+  std::vector<std::string> standbys;  // instance ids
   std::map<std::string, int> shards;  // by owner; "nobody" for those without
   std::optional<std::string> phase;
   std::optional<bool> has_right;
@@ -47,8 +48,8 @@
   std::map<service_id, revision_number> tables;  // in force
   std::vector<cell_status> cells;
   std::vector<queue_status> queues;
-  std::optional<bool> store_reachable;  // only from instances that follow the store
-  bool draining = false;
+  std::optional<bool> store_reachable;  // only from instances that say so
+  bool leaving = false;
 
   bool operator==(const instance_status&) const = default;
 };
@@ -68,7 +69,12 @@
   std::vector<instance_view> instances;
 };
 
-fleet_view gather_fleet(const std::string& instance_list, duration timeout);
+struct fleet_address {
+  std::string instance_list;           // "IP:port"
+  std::vector<std::string> operators;  // of known instances, asked if the list can't be read
+};
+
+fleet_view gather_fleet(const fleet_address& address, duration timeout);
 
 // Of the instances that answered, how many have a table's revision or a later one in force.
 std::size_t instances_at(const fleet_view& fleet, const service_id& service,
--- a/src/apps/platform_options.cc
+++ b/src/apps/platform_options.cc
@@ -32,7 +32,9 @@
              "IP:port", command),
       cluster_("c", "cluster", "name of the cluster", false, "", "NAME", command),
       instances_("", "instances", "address of the instance list; default: the first store's", false,
-                 "", "IP:port", command) {}
+                 "", "IP:port", command),
+      ask_("", "ask", "operators' address of an entry instance, for when the list can't be read",
+           false, "IP:port", command) {}
 
 result<platform_address> platform_options::address() {
   platform_address found;
@@ -41,14 +43,16 @@
   if (!file.empty()) {
     const auto settings = read_entry_settings(file);
     if (!settings) return settings.error();
-    found = {settings->cluster, settings->store, settings->instances};
+    found = {
+        settings->cluster, settings->store, {settings->instances, {settings->listen_operators}}};
   }
   if (store_.isSet()) {
     found.store = store_.getValue();
-    found.instances = found.store.front();
+    found.fleet.instance_list = found.store.front();
   }
   if (cluster_.isSet()) found.cluster = cluster_.getValue();
-  if (instances_.isSet()) found.instances = instances_.getValue();
+  if (instances_.isSet()) found.fleet.instance_list = instances_.getValue();
+  if (ask_.isSet()) found.fleet.operators = ask_.getValue();
   if (found.cluster.empty() || found.store.empty()) {
     return error{errc::bad_input, step::settings, "",
                  "--settings FILE, or --store IP:port and --cluster NAME, is wanted"};
@@ -56,7 +60,7 @@
   for (const auto& address : found.store) {
     if (const auto checked = check_address("--store", address); !checked) return checked.error();
   }
-  if (const auto checked = check_address("--instances", found.instances); !checked) {
+  if (const auto checked = check_address("--instances", found.fleet.instance_list); !checked) {
     return checked.error();
   }
   return found;
--- a/src/apps/platform_options.h
+++ b/src/apps/platform_options.h
@@ -7,18 +7,17 @@
 #include <string>
 #include <vector>
 
-#include "base/error.h"
+#include "apps/fleet.h"
 
 namespace plantainpaddle {
 
 struct platform_address {
   std::string cluster;
   std::vector<std::string> store;  // "IP:port"
-  std::string instances;           // "IP:port"
-  bool operator==(const platform_address&) const = default;
+  fleet_address fleet;
 };
 
-// The options --settings, --store, --cluster and --instances of a command.
+// The options --settings, --store, --cluster, --instances and --ask of a command.
 class platform_options {
  public:
   explicit platform_options(TCLAP::CmdLine& command);
@@ -30,6 +29,7 @@
   TCLAP::MultiArg<std::string> store_;
   TCLAP::ValueArg<std::string> cluster_;
   TCLAP::ValueArg<std::string> instances_;
+  TCLAP::MultiArg<std::string> ask_;
 };
 
 }  // namespace plantainpaddle
--- /dev/null
+++ b/src/apps/status_view.h
@@ -0,0 +1,16 @@
+// The state of the whole system as people read it: what is wrong on top, then who does what.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "apps/findings.h"
+
+namespace plantainpaddle {
+
+std::string show_status(const fleet_view& fleet, const result<table>& declared,
+                        const std::vector<finding>& findings);
+std::string show_status_json(const fleet_view& fleet, const result<table>& declared,
+                             const std::vector<finding>& findings);
+
+}  // namespace plantainpaddle
--- a/src/apps/table_commands.cc
+++ b/src/apps/table_commands.cc
@@ -116,6 +116,10 @@
 // 0, or the exit code that refuses the changes: nothing is written if any of them can't be.
 int review(const std::vector<planned_change>& changes, const change_options& options,
            bool count_moves) {
+  if (options.author.getValue().empty()) {
+    std::cerr << "--author NAME or the variable USER is wanted\n";
+    return exit_usage;
+  }
   if (print_conflicts(changes)) {
     std::cerr << "nothing was written: read the table anew and repeat your edit\n";
     return exit_conflict;
@@ -142,7 +146,7 @@
                   const std::map<service_id, revision_number>& wanted, seconds limit) {
   const auto start = monotonic_now();
   while (true) {
-    const auto fleet = gather_fleet(address.instances, status_timeout);
+    const auto fleet = gather_fleet(address.fleet, status_timeout);
     bool everywhere = !fleet.instances.empty();
     for (const auto& [service, revision] : wanted) {
       everywhere = everywhere && instances_at(fleet, service, revision) == fleet.instances.size();
@@ -228,7 +232,7 @@
     return with_tables(where, [&](const table& tables, platform_access&, const auto& address) {
       const auto shown = keep_service(tables, service.getValue());
       if (!shown) return fail(shown.error());
-      const auto fleet = gather_fleet(address.instances, status_timeout);
+      const auto fleet = gather_fleet(address.fleet, status_timeout);
       std::cout << (as_json.getValue() ? show_tables_json(*shown, fleet)
                                        : show_tables(*shown, fleet));
       return int{exit_ok};
