Show that the ownership fuzzer bites: mutants without a guard each

Each file of testing/mutants removes one guard; the build makes a copy of the fuzzer from it, a test asserts that the oracle objects, and scripts/mutants prints after how many steps. Not caught yet: both_lists, because the model's instances never drop off the platform's list.

--- a/src/ownership/assigner.cc
+++ b/src/ownership/assigner.cc
@@ -96,6 +96,12 @@
   }
   if (event.unsure_write) {
     pending_ = pending_write{0, *event.unsure_write, version_, now};
+    // Shards that the write moves are on their way.
+    for (const auto& [shard, entry] : event.unsure_write->shards) {
+      const shard_owner& old = record_->shards.at(shard);
+      if (entry.fence == old.fence || !entry.owner) continue;
+      moves_[shard] = {old.owner, old.fence, *entry.owner, /*forced=*/false, /*released=*/true};
+    }
     resend_write(now);
   }
   next_plan_ = now;
@@ -356,12 +362,11 @@
   return place->second.load;
 }
 
-// What the upstream should hold now: the record's shards less those on their way out. A write that
-// was handed over with the term moves shards too.
+// What the upstream should hold now: the record's shards less those on their way out.
 std::vector<shard_grant> assigner::set_for(const upstream_id& name) const {
   std::vector<shard_grant> set;
   for (const auto& grant : grants_of(*record_, name)) {
-    if (moves_.contains(grant.shard) || is_being_written(grant.shard)) continue;
+    if (moves_.contains(grant.shard)) continue;
     set.push_back(grant);
   }
   return set;
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -10,3 +10,28 @@
 target_link_libraries(ownership_fuzz PRIVATE ownership_fuzz_main ownership_model ownership rapidcheck)
 
 target_link_libraries(ownership_test PRIVATE ownership_model)
+
+# Mutants: each is the fuzzer with one guard of the protocol removed. The test of each passes if the
+# oracle objects. scripts/mutants prints after how many steps.
+file(GLOB mutants CONFIGURE_DEPENDS ${testing}/mutants/*.txt)
+foreach(mutant ${mutants})
+  get_filename_component(name ${mutant} NAME_WE)
+  file(STRINGS ${mutant} source_line REGEX "^file " LIMIT_COUNT 1)
+  string(REPLACE "file " "" source_name "${source_line}")
+  set(source ${CMAKE_SOURCE_DIR}/src/ownership/${source_name})
+  set(mutated ${CMAKE_BINARY_DIR}/mutants/${name}/${source_name})
+  add_custom_command(OUTPUT ${mutated}
+    COMMAND ${CMAKE_COMMAND} -DMUTANT=${mutant} -DSOURCE=${source} -DOUTPUT=${mutated}
+      -P ${testing}/mutate.cmake
+    DEPENDS ${mutant} ${source} ${testing}/mutate.cmake)
+  add_executable(ownership_mutant_${name} ${mutated})
+  set_target_properties(ownership_mutant_${name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/mutants)
+  # A guard that is gone leaves names unused.
+  target_compile_options(ownership_mutant_${name} PRIVATE -w)
+  target_link_libraries(ownership_mutant_${name} PRIVATE ownership_fuzz_main ownership_model ownership
+    rapidcheck)
+  add_test(NAME ownership_mutant_${name} COMMAND ownership_mutant_${name} --expect-violation)
+  set_tests_properties(ownership_mutant_${name} PROPERTIES TIMEOUT 300
+    ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=5000")
+endforeach()
--- a/src/ownership/testing/model.cc
+++ b/src/ownership/testing/model.cc
@@ -11,6 +11,10 @@
 constexpr duration settle_time = seconds(2);
 
 std::string process_name(std::uint32_t number, int count) {
+  if (number == role_assigner) return "the assigner";
+  if (number == role_first_standby) return "the first standby";
+  if (number == role_second_standby) return "the second standby";
+  if (number == role_owner) return "the owner of shard 0";
   const int n = static_cast<int>(number % static_cast<std::uint32_t>(count));
   if (n == store_process) return "store";
   return n < instance_count ? "i" + std::to_string(n) : "u" + std::to_string(n - instance_count);
@@ -20,6 +24,24 @@
   return "u" + std::to_string(number % upstream_count);
 }
 
+std::string group_of(std::uint32_t bits) {
+  std::string text;
+  for (std::uint32_t number = 0; number < process_count; ++number) {
+    if ((bits >> number & 1U) != 0) text += " " + process_name(number, process_count);
+  }
+  return text;
+}
+
+std::string roles_of(std::uint32_t bits) {
+  constexpr const char* names[] = {" store",          " assigner", " first-standby",
+                                   " second-standby", " owner",    " others"};
+  std::string text;
+  for (std::size_t bit = 0; bit < std::size(names); ++bit) {
+    if ((bits >> bit & 1U) != 0) text += names[bit];
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string to_string(const fault_step& step) {
@@ -49,11 +71,15 @@
     case fault::store_late:
       return "the store's messages take up to " + length + " more for 2 s";
     case fault::leave:
-      return "the assigner hands over to i" + std::to_string(step.whom % instance_count);
+      return "the assigner hands over to " + process_name(step.whom, instance_count);
     case fault::drain:
       return upstream_name(step.who) + " is drained for " + length;
     case fault::remove:
       return upstream_name(step.who) + " is not in the table for " + length;
+    case fault::partition:
+      return "a partition for " + length + " of" + group_of(step.whom);
+    case fault::confine:
+      return one + " exchanges messages only with" + roles_of(step.whom) + " for " + length;
   }
   return "nothing";
 }
--- a/src/ownership/testing/model.h
+++ b/src/ownership/testing/model.h
@@ -42,13 +42,29 @@
   leave,       // the acting assigner hands its term over to instance whom
   drain,       // the table sets upstream who to drain, and back after length
   remove,      // the table lacks upstream who for length
+  partition,  // the processes whose bits are set in whom and the others are cut off from each other
+  confine,    // who exchanges messages only with the roles whose bits are set in whom
 };
 
-inline constexpr int fault_count = static_cast<int>(fault::remove) + 1;
+inline constexpr int fault_count = static_cast<int>(fault::confine) + 1;
+
+// A process of a fault step: by number, or by the role that it has when the fault comes.
+inline constexpr std::uint32_t role_assigner = 100;
+inline constexpr std::uint32_t role_first_standby = 101;
+inline constexpr std::uint32_t role_second_standby = 102;
+inline constexpr std::uint32_t role_owner = 103;  // of shard 0
+
+// Bits of confine: store, then the roles.
+inline constexpr std::uint32_t with_store = 1;
+inline constexpr std::uint32_t with_assigner = 2;
+inline constexpr std::uint32_t with_first_standby = 4;
+inline constexpr std::uint32_t with_second_standby = 8;
+inline constexpr std::uint32_t with_owner = 16;
+inline constexpr std::uint32_t with_others = 32;
 
 struct fault_step {
   fault kind = fault::freeze;
-  std::uint32_t who = 0;  // taken modulo the number of processes of the fitting kind
+  std::uint32_t who = 0;  // a role, or taken modulo the number of processes of the fitting kind
   std::uint32_t whom = 0;
   duration wait{0};  // from the step before to this one
   duration length{0};
--- a/src/ownership/testing/oracle.cc
+++ b/src/ownership/testing/oracle.cc
@@ -1,5 +1,7 @@
 #include "ownership/testing/oracle.h"
 
+#include <algorithm>
+
 namespace plantainpaddle::model {
 namespace {
 
@@ -54,6 +56,26 @@
   }
 }
 
+void oracle::ordered(const std::string& upstream_life, const grant_order& order,
+                     grant_status status, const std::vector<shard_grant>& before,
+                     const std::vector<shard_grant>& after) {
+  auto& highest = highest_ordered_[upstream_life];
+  if (status == grant_status::accepted && order.term < highest) {
+    object(upstream_life + " accepted an order of term " + std::to_string(order.term.value) +
+           " after one of " + std::to_string(highest.value));
+  }
+  highest = std::max(highest, order.term);
+  auto& revoked = revoked_[upstream_life];
+  for (const auto& grant : before) {
+    if (std::find(after.begin(), after.end(), grant) == after.end()) revoked.insert(grant);
+  }
+  for (const auto& grant : after) {
+    if (revoked.contains(grant)) {
+      object(upstream_life + " took " + describe(grant) + " again after it was revoked");
+    }
+  }
+}
+
 void oracle::started(const upstream_id& upstream, const shard_grant& grant) {
   if (grant.fence < highest_granted_[grant.shard]) {
     object(upstream.value + " starts a request of " + describe(grant) + " after fence " +
--- a/src/ownership/testing/oracle.h
+++ b/src/ownership/testing/oracle.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
   void published(const cell_record& record);
   // An upstream takes requests for these.
   void granted(const upstream_id& upstream, const std::vector<shard_grant>& grants);
+  // One life of an upstream was given an order; what it held before and after.
+  void ordered(const std::string& upstream_life, const grant_order& order, grant_status status,
+               const std::vector<shard_grant>& before, const std::vector<shard_grant>& after);
   // A request starts.
   void started(const upstream_id& upstream, const shard_grant& grant);
   void running(const std::vector<running_grants>& now);
@@ -36,6 +40,8 @@
   std::map<revision_number, cell_record> records_;
   std::map<shard_grant, std::optional<upstream_id>> owners_;  // of each fence ever recorded
   std::map<shard_id, fence_number> highest_granted_;
+  std::map<std::string, term_number> highest_ordered_;  // by life of an upstream
+  std::map<std::string, std::set<shard_grant>> revoked_;
 };
 
 }  // namespace plantainpaddle::model
--- a/src/ownership/testing/scenario_generator.h
+++ b/src/ownership/testing/scenario_generator.h
@@ -14,11 +14,19 @@
                       [](int ms) -> duration { return milliseconds(ms); });
 }
 
+inline rc::Gen<std::uint32_t> gen_process() {
+  return rc::gen::weightedOneOf<std::uint32_t>(
+      {{1, rc::gen::inRange<std::uint32_t>(0, 56)},
+       {1, rc::gen::inRange<std::uint32_t>(role_assigner, role_owner + 1)}});
+}
+
 inline rc::Gen<fault_step> gen_fault_step() {
   return rc::gen::construct<fault_step>(
       rc::gen::map(rc::gen::inRange(0, fault_count),
                    [](int kind) { return static_cast<fault>(kind); }),
-      rc::gen::inRange<std::uint32_t>(0, 56), rc::gen::inRange<std::uint32_t>(0, 56),
+      gen_process(),
+      rc::gen::weightedOneOf<std::uint32_t>(
+          {{2, gen_process()}, {1, rc::gen::inRange<std::uint32_t>(0, 256)}}),
       // Faults come in bursts: most follow within the times of the protocol.
       rc::gen::weightedOneOf<duration>({{3, gen_duration(400)}, {1, gen_duration(2000)}}),
       rc::gen::weightedOneOf<duration>({{2, gen_duration(1500)}, {1, gen_duration(6000)}}));
--- a/src/ownership/testing/world.cc
+++ b/src/ownership/testing/world.cc
@@ -97,39 +97,71 @@
 
 // Faults.
 
-void world::inject(const fault_step& step) {
+std::uint32_t world::resolve(std::uint32_t role) const {
+  const auto instance_of = [&](const instance_id& id) {
+    return static_cast<std::uint32_t>(number_of(instance_name(id)));
+  };
+  if (role < role_assigner || role > role_owner || !stored_) return role;
+  if (role == role_assigner) return instance_of(stored_->assigner);
+  if (role == role_owner) {
+    const auto& owner = stored_->shards.begin()->second.owner;
+    return owner ? static_cast<std::uint32_t>(number_of(owner->value)) : 0;
+  }
+  const std::size_t rank = role - role_first_standby;
+  return rank < stored_->standbys.size() ? instance_of(stored_->standbys[rank]) : 0;
+}
+
+void world::cut_both_ways(int one, int other, true_time until) {
+  links_[one][other].cut_until = links_[other][one].cut_until = until;
+}
+
+void world::confine(int number, std::uint32_t roles, true_time until) {
+  std::uint32_t with_role[process_count] = {};
+  with_role[store_process] = with_store;
+  with_role[resolve(role_assigner) % process_count] = with_assigner;
+  with_role[resolve(role_first_standby) % process_count] = with_first_standby;
+  with_role[resolve(role_second_standby) % process_count] = with_second_standby;
+  with_role[resolve(role_owner) % process_count] = with_owner;
+  for (int other = 0; other < process_count; ++other) {
+    const std::uint32_t bit = with_role[other] == 0 ? with_others : with_role[other];
+    if (other != number && (roles & bit) == 0) cut_both_ways(number, other, until);
+  }
+}
+
+void world::crash(int number, true_time until) {
+  processes_[number].alive = false;
+  ++processes_[number].life;
+  if (number < instance_count) {
+    instances_[number] = {};
+  } else {
+    upstreams_[number - instance_count].holder.reset();
+    upstreams_[number - instance_count].work.clear();
+  }
+  at(until, -1, [this, number] {
+    if (processes_[number].alive) return;
+    number < instance_count ? start_instance(number) : start_upstream(number - instance_count);
+  });
+}
+
+void world::inject(fault_step step) {
   note("fault: " + to_string(step));
+  step.who = resolve(step.who);
+  step.whom = resolve(step.whom);
   const int any = static_cast<int>(step.who % (process_count - 1));
-  const int from = static_cast<int>(step.who % process_count);
-  const int to = static_cast<int>(step.whom % process_count);
   const true_time until = now_ + step.length;
-  link& path = links_[from][to];
+  link& path = links_[step.who % process_count][step.whom % process_count];
   switch (step.kind) {
     case fault::freeze:
       processes_[any].frozen_until = until;
       break;
-    case fault::crash: {
-      processes_[any].alive = false;
-      ++processes_[any].life;
-      if (any < instance_count) {
-        instances_[any] = {};
-      } else {
-        upstreams_[any - instance_count].holder.reset();
-        upstreams_[any - instance_count].work.clear();
-      }
-      at(until, -1, [this, any] {
-        if (processes_[any].alive) return;
-        any < instance_count ? start_instance(any) : start_upstream(any - instance_count);
-      });
+    case fault::crash:
+      crash(any, until);
       break;
-    }
     case fault::cut:
       path.cut_until = until;
       break;
     case fault::isolate:
-      for (int other = 0; other < process_count; ++other) {
-        links_[any][other].cut_until = links_[other][any].cut_until = until;
-      }
+      confine(any, 0, until);
       break;
     case fault::lose:
       path.lossy_until = until;
@@ -153,13 +185,7 @@
       store_delay_ = step.length;
       break;
     case fault::leave:
-      for (int number = 0; number < instance_count; ++number) {
-        if (processes_[number].alive && now_ >= processes_[number].frozen_until &&
-            instances_[number].acting) {
-          leave(number, static_cast<int>(step.whom % instance_count));
-          break;
-        }
-      }
+      leave(static_cast<int>(step.whom % instance_count));
       break;
     case fault::drain:
       upstreams_[step.who % upstream_count].drained_until = until;
@@ -167,6 +193,18 @@
     case fault::remove:
       upstreams_[step.who % upstream_count].removed_until = until;
       break;
+    case fault::partition:
+      for (int one = 0; one < process_count; ++one) {
+        for (int other = 0; other < one; ++other) {
+          if ((step.whom >> one & 1U) != (step.whom >> other & 1U)) {
+            cut_both_ways(one, other, until);
+          }
+        }
+      }
+      break;
+    case fault::confine:
+      confine(any, step.whom, until);
+      break;
   }
 }
 
--- a/src/ownership/testing/world.h
+++ b/src/ownership/testing/world.h
@@ -26,7 +26,7 @@
  public:
   world(std::uint64_t seed, bool with_trace);
 
-  void inject(const fault_step& step);
+  void inject(fault_step step);
   void run_until(true_time end);
   void heal();
   bool all_served() const;
@@ -85,6 +85,12 @@
   instance_id id_of(int number) const;
   int number_of(const std::string& name) const;
 
+  // Faults.
+  std::uint32_t resolve(std::uint32_t role) const;
+  void crash(int number, true_time until);
+  void cut_both_ways(int one, int other, true_time until);
+  void confine(int number, std::uint32_t roles, true_time until);
+
   // Instances.
   void tick_instance(int number);
   void update_role(int number);
@@ -100,7 +106,7 @@
   void perform(int number, std::uint64_t made, const publish_record& action);
   void perform(int number, std::uint64_t made, const retire& action);
   void learn(int number, const cell_record& record);
-  void leave(int number, int successor);
+  void leave(int successor);
   void start_instance(int number);
 
   // The store.
--- a/src/ownership/testing/world_instances.cc
+++ b/src/ownership/testing/world_instances.cc
@@ -131,6 +131,15 @@
       std::visit([&](const auto& a) { perform(number, made, a); }, action);
     });
   }
+  if (self.acting->phase() != before && self.acting->phase() == assigner_phase::active) {
+    for (const auto& other : instances_) {
+      if (&other == &self || !other.acting || !other.acting->record()) continue;
+      if (other.acting->phase() == assigner_phase::active &&
+          other.acting->record()->term == self.acting->record()->term) {
+        judge_.object("two assigners act under one term");
+      }
+    }
+  }
   if (self.acting->phase() != before) {
     note(id_of(number).value + " is " + std::string(phase_name(self.acting->phase())));
   }
@@ -145,7 +154,11 @@
   send(number, to, [this, number, made, to, action] {
     const int u = to - instance_count;
     stop_lapsed_work(u);
-    grant_answer answer = upstreams_[u].holder->handle(action.order, clock(to));
+    auto& holder = *upstreams_[u].holder;
+    const auto before = holder.held(clock(to));
+    const grant_answer answer = holder.handle(action.order, clock(to));
+    judge_.ordered(processes_[to].name + "@" + std::to_string(processes_[to].life), action.order,
+                   answer.status, before, holder.held(clock(to)));
     if (answer.status == grant_status::accepted && action.order.set) {
       std::string line = processes_[to].name + " accepts of " + action.order.assigner.value + ":";
       for (const auto& grant : answer.held) {
@@ -205,9 +218,15 @@
   note(id_of(number).value + " retires: " + action.reason);
 }
 
-void world::leave(int number, int successor) {
+void world::leave(int successor) {
+  int number = 0;
+  const auto can_leave = [&] {
+    return processes_[number].alive && now_ >= processes_[number].frozen_until &&
+           instances_[number].acting && number != successor;
+  };
+  while (number < instance_count && !can_leave()) ++number;
+  if (number == instance_count) return;
   auto& self = instances_[number];
-  if (successor == number || !self.acting) return;
   const auto handed = self.acting->hand_over(clock(number));
   if (!handed) return;
   self.acting.reset();
