Let instances drop off the list in the model, and vary known scenarios

Now the list follows signs of life, the last step's fault lasts, and a fifth of the scenarios are known ones at other times with one fault more.

--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -1,6 +1,6 @@
 set(testing ${CMAKE_SOURCE_DIR}/src/ownership/testing)
 add_library(ownership_model OBJECT ${testing}/model.cc ${testing}/world.cc
-  ${testing}/world_instances.cc ${testing}/oracle.cc)
+  ${testing}/world_instances.cc ${testing}/oracle.cc ${testing}/scenarios.cc)
 target_link_libraries(ownership_model PUBLIC warnings ownership)
 
 add_library(ownership_fuzz_main OBJECT ${testing}/ownership_fuzz_main.cc)
--- a/src/ownership/testing/model.cc
+++ b/src/ownership/testing/model.cc
@@ -103,6 +103,7 @@
     if (w.judge().violation()) break;
     w.inject(step);
   }
+  if (!s.steps.empty()) w.run_until(w.now() + s.steps.back().length);
   verdict result;
   if (!w.judge().violation()) w.heal();
   const true_time end = w.now() + recovery_bound;
--- a/src/ownership/testing/ownership_fuzz_main.cc
+++ b/src/ownership/testing/ownership_fuzz_main.cc
@@ -1,11 +1,12 @@
-// Stateful fuzzing of a cell: ownership_fuzz [--expect-violation]
+// Stateful fuzzing of a cell: ownership_fuzz [--expect-violation | --known NUMBER SEED]
 //
 // RC_PARAMS="seed=7 max_success=1000" ownership_fuzz runs a thousand scenarios. On a violation it
 // prints the smallest scenario found and its trace. With --expect-violation, for a copy of the code
 // that lacks a guard, it prints the count of steps until the oracle objects, and fails if it never
-// does.
+// does. --known prints the trace of one of the known scenarios.
 
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 
 #include "ownership/testing/scenario_generator.h"
@@ -33,6 +34,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  if (argc == 4 && std::strcmp(argv[1], "--known") == 0) {
+    const auto number = std::strtoul(argv[2], nullptr, 10) % known_scenarios().size();
+    print_failure({std::strtoul(argv[3], nullptr, 10), known_scenarios()[number].steps});
+    return 0;
+  }
   const bool expect_violation = argc > 1 && std::strcmp(argv[1], "--expect-violation") == 0;
   totals sum;
   const bool passed = rc::check("a cell keeps its promises", [&] {
--- a/src/ownership/testing/scenario_generator.h
+++ b/src/ownership/testing/scenario_generator.h
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include "ownership/testing/model.h"
+#include "ownership/testing/scenarios.h"
 
 namespace plantainpaddle::model {
 
@@ -32,11 +33,32 @@
       rc::gen::weightedOneOf<duration>({{2, gen_duration(1500)}, {1, gen_duration(6000)}}));
 }
 
+inline rc::Gen<std::vector<fault_step>> gen_random_steps() {
+  return rc::gen::resize(max_fault_steps, rc::gen::container<std::vector<fault_step>>(
+                                              rc::gen::resize(100, gen_fault_step())));
+}
+
+// A known scenario at other times, with one random fault more.
+inline rc::Gen<std::vector<fault_step>> gen_varied_steps() {
+  return rc::gen::apply(
+      [](std::size_t number, std::vector<int> percent, const fault_step& more, std::size_t place) {
+        auto steps = known_scenarios()[number].steps;
+        for (std::size_t i = 0; i < steps.size(); ++i) {
+          steps[i].wait = steps[i].wait * percent[2 * i % percent.size()] / 100;
+          steps[i].length = steps[i].length * percent[(2 * i + 1) % percent.size()] / 100;
+        }
+        steps.insert(steps.begin() + static_cast<std::ptrdiff_t>(place % (steps.size() + 1)), more);
+        return steps;
+      },
+      rc::gen::inRange<std::size_t>(0, known_scenarios().size()),
+      rc::gen::container<std::vector<int>>(12, rc::gen::inRange(80, 121)),
+      rc::gen::resize(100, gen_fault_step()), rc::gen::inRange<std::size_t>(0, 16));
+}
+
 inline rc::Gen<scenario> gen_scenario() {
-  return rc::gen::construct<scenario>(
-      rc::gen::inRange<std::uint64_t>(0, 1 << 20),
-      rc::gen::resize(max_fault_steps, rc::gen::container<std::vector<fault_step>>(
-                                           rc::gen::resize(100, gen_fault_step()))));
+  return rc::gen::construct<scenario>(rc::gen::inRange<std::uint64_t>(0, 1 << 20),
+                                      rc::gen::weightedOneOf<std::vector<fault_step>>(
+                                          {{4, gen_random_steps()}, {1, gen_varied_steps()}}));
 }
 
 }  // namespace plantainpaddle::model
--- a/src/ownership/testing/world.cc
+++ b/src/ownership/testing/world.cc
@@ -19,7 +19,8 @@
       processes_(process_count),
       instances_(instance_count),
       upstreams_(upstream_count),
-      links_(process_count, std::vector<link>(process_count)) {
+      links_(process_count, std::vector<link>(process_count)),
+      listed_until_(instance_count) {
   std::uniform_real_distribution<double> drift(-0.02, 0.02);
   for (int number = 0; number < process_count; ++number) {
     auto& p = processes_[number];
@@ -209,7 +210,6 @@
 }
 
 void world::heal() {
-  healed_at_ = now_;
   note("all faults end");
   for (auto& row : links_) {
     for (auto& path : row) path = {};
--- a/src/ownership/testing/world.h
+++ b/src/ownership/testing/world.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "ownership/assigner.h"
@@ -52,6 +53,7 @@
     std::optional<cell_inputs> inputs;  // as last fed to acting
     std::optional<cell_record> known;   // the newest record heard of
     std::map<std::string, instance_id> lives;
+    std::set<std::string> listed;  // the platform's list, as last read
     monotonic_time restart_after{};
     std::uint64_t assigners_made = 0;
   };
@@ -105,6 +107,7 @@
   void perform(int number, std::uint64_t made, const write_record& action);
   void perform(int number, std::uint64_t made, const publish_record& action);
   void perform(int number, std::uint64_t made, const retire& action);
+  void read_platform(int number);
   void learn(int number, const cell_record& record);
   void leave(int successor);
   void start_instance(int number);
@@ -136,7 +139,7 @@
   true_time store_mute_until_{0};
   true_time store_late_until_{0};
   duration store_delay_{0};
-  true_time healed_at_ = duration::max();
+  std::vector<true_time> listed_until_;  // by instance: on the platform's list
   oracle judge_;
   std::vector<std::string> trace_;
 };
--- a/src/ownership/testing/world_instances.cc
+++ b/src/ownership/testing/world_instances.cc
@@ -10,6 +10,7 @@
 
 const cell_id the_cell{"sklad/d1/0"};
 constexpr duration tick_period = milliseconds(20);
+constexpr duration list_time = milliseconds(600);  // from the last sign of life
 constexpr duration restart_pause = milliseconds(300);
 // Between deciding on an action and carrying it out.
 constexpr duration action_pause = microseconds(300);
@@ -30,6 +31,9 @@
   processes_[number].alive = true;
   ++processes_[number].life;
   instances_[number] = {};
+  for (int other = 0; other < instance_count; ++other) {
+    instances_[number].listed.insert(processes_[other].name);
+  }
   note(id_of(number).value + " starts");
   // The platform's list of instances, and what peers say of their lives.
   for (int other = 0; other < instance_count; ++other) {
@@ -51,16 +55,28 @@
       if (known) learn(other, *known);
     });
   }
-  if (random_() % 50 == 0) {  // the watcher reads the store
-    send(number, store_process, [this, number] {
-      if (now_ < store_down_until_ || !stored_) return;
-      send(store_process, number, [this, number, record = *stored_] { learn(number, record); });
-    });
-  }
+  if (random_() % 10 == 0) read_platform(number);
   update_role(number);
   feed(number, self.assigners_made, tick{});
 }
 
+// Five times a second: a sign of life, the list of instances, and what a watch of the store brings.
+void world::read_platform(int number) {
+  send(number, store_process, [this, number] {
+    listed_until_[number] = now_ + list_time;
+    std::set<std::string> listed;
+    for (int other = 0; other < instance_count; ++other) {
+      if (now_ < listed_until_[other]) listed.insert(processes_[other].name);
+    }
+    std::optional<cell_record> record;
+    if (now_ >= store_down_until_) record = stored_;
+    send(store_process, number, [this, number, listed, record] {
+      instances_[number].listed = listed;
+      if (record) learn(number, *record);
+    });
+  });
+}
+
 void world::learn(int number, const cell_record& record) {
   auto& known = instances_[number].known;
   if (!known || record.revision > known->revision) known = record;
@@ -93,7 +109,8 @@
     inputs.home.push_back({shard_id{shard}, fence_number{1}});
   }
   for (const auto& [name, id] : instances_[number].lives) {
-    if (id != id_of(number)) inputs.standby_candidates.push_back(id);
+    if (id != id_of(number) && instances_[number].listed.contains(name))
+      inputs.standby_candidates.push_back(id);
   }
   inputs.move_budget = 1;
   return inputs;
