--- /dev/null
+++ b/src/entry/status.h
@@ -0,0 +1,28 @@
+// The state of an instance as JSON, for the operators' port and plantainpaddle-status.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "base/traffic_counter.h"
+#include "entry/cell_runner.h"
+#include "entry/state_cache.h"
+
+namespace plantainpaddle {
+
+struct status_head {
+  instance_id instance;
+  domain_id domain;
+  bool leaving = false;
+  traffic_totals traffic;  // of the control part
+  duration cpu_time{0};    // of the control part's threads
+};
+
+// {"instance", "domain", "leaving", "control": {"cpu_us", "messages_sent", "bytes_sent",
+// "messages_received", "bytes_received"}, "tables": {service: revision}, "cells": [{"cell", "term",
+// "revision", "assigner", "standbys", "shards": {owner: count}, and of an assigner here: "phase",
+// "has_right", "moves", "suspected"}]}
+std::string format_status(const status_head& head, const state_cache& cache,
+                          const std::map<cell_id, cell_runner::cell_state>& running);
+
+}  // namespace plantainpaddle
