--- a/src/ownership/testing/world.h
+++ b/src/ownership/testing/world.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "ownership/assigner.h"
@@ -26,7 +27,7 @@
  public:
   world(std::uint64_t seed, bool with_trace);
 
-  void inject(const fault_step& step);
+  void inject(fault_step step);
   void run_until(true_time end);
   void heal();
   bool all_served() const;
@@ -52,6 +53,7 @@
     std::optional<cell_inputs> inputs;  // as last fed to acting
     std::optional<cell_record> known;   // the newest record heard of
     std::map<std::string, instance_id> lives;
+    std::set<std::string> listed;  // the platform's list, as last read
     monotonic_time restart_after{};
     std::uint64_t assigners_made = 0;
   };
@@ -85,6 +87,12 @@
   instance_id id_of(int number) const;
   int number_of(const std::string& name) const;
 
+  // Faults.
+  std::uint32_t resolve(std::uint32_t role) const;
+  void crash(int number, true_time until);
+  void cut_both_ways(int one, int other, true_time until);
+  void confine(int number, std::uint32_t roles, true_time until);
+
   // Instances.
   void tick_instance(int number);
   void update_role(int number);
@@ -99,8 +107,9 @@
   void perform(int number, std::uint64_t made, const write_record& action);
   void perform(int number, std::uint64_t made, const publish_record& action);
   void perform(int number, std::uint64_t made, const retire& action);
+  void read_platform(int number);
   void learn(int number, const cell_record& record);
-  void leave(int number, int successor);
+  void leave(int successor);
   void start_instance(int number);
 
   // The store.
@@ -130,7 +139,7 @@
   true_time store_mute_until_{0};
   true_time store_late_until_{0};
   duration store_delay_{0};
-  true_time healed_at_ = duration::max();
+  std::vector<true_time> listed_until_;  // by instance: on the platform's list
   oracle judge_;
   std::vector<std::string> trace_;
 };
