--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -2,8 +2,12 @@
 //
 // Between classes: the most urgent class with a waiting request and room goes first, except that a
 // class which was passed over max_passes times while it had room goes before it. A waiting request
-// at the head of its class is therefore passed over a bounded number of times. Room is nested: a
-// class and all less urgent ones share class_slots, so slow uploads can't hold every slot.
+// at the head of its class is therefore passed over a bounded number of times.
+//
+// Room is nested: a class and all less urgent ones share class_slots, so slow uploads can't hold
+// every slot. With 3 slots such whole numbers would leave much idle, so they may go beyond it, up
+// to all slots but one, while the smoothed use of the more urgent classes and spare_slots fit in
+// what is left.
 //
 // Between tenants of a class: in turn, one request each. A full queue takes a request of a tenant
 // that waits with fewer than the longest one, which loses its newest.
@@ -16,6 +20,7 @@
 #include "routing/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plantainpaddle {
 namespace {
@@ -33,6 +38,14 @@
   return names[static_cast<std::size_t>(reason)];
 }
 
+per_class<std::uint32_t> queue_lengths(const admission_config& config) {
+  per_class<std::uint32_t> made{};
+  for (std::size_t c = 0; c < request_class_count; ++c) {
+    made[c] = std::max(1U, static_cast<std::uint32_t>(config.queued_per_slot[c] * config.slots));
+  }
+  return made;
+}
+
 per_class<std::uint32_t> class_slots(std::uint32_t slots) {
   if (slots <= 1) return {slots, slots, slots, slots};
   const std::uint32_t slow = slots / 2;
@@ -42,6 +55,7 @@
 admission::admission(admission_config config)
     : config_(config),
       class_slots_(plantainpaddle::class_slots(config.slots)),
+      max_queued_(queue_lengths(config)),
       mean_service_(config.first_service) {}
 
 std::size_t admission::running(request_class klass) const {
@@ -56,13 +70,30 @@
 
 bool admission::has_room(std::size_t klass) const {
   std::uint32_t held = 0;
-  for (std::size_t c = request_class_count; c-- > 0;) {
-    held += running_by_class_[c];
-    if (c <= klass && held >= class_slots_[c]) return false;
+  for (const auto running : running_by_class_) held += running;
+  if (held >= config_.slots) return false;
+  double urgent_use = 0;
+  for (std::size_t c = 1; c <= klass; ++c) {
+    held -= running_by_class_[c - 1];
+    urgent_use += use_[c - 1];
+    if (held < class_slots_[c]) continue;
+    if (held + 1 >= config_.slots) return false;
+    if (held + 1 + urgent_use + config_.spare_slots > config_.slots) return false;
   }
   return true;
 }
 
+void admission::smooth_use(monotonic_time now) {
+  if (now <= use_updated_) return;
+  const double keep = std::exp(-std::chrono::duration<double>(now - use_updated_) /
+                               std::chrono::duration<double>(config_.use_window));
+  for (std::size_t c = 0; c < request_class_count; ++c) {
+    const auto used = static_cast<double>(running_by_class_[c] + queues_[c].size);
+    use_[c] = used + keep * (use_[c] - used);
+  }
+  use_updated_ = now;
+}
+
 void admission::start(admission_id id, std::size_t klass, monotonic_time now) {
   running_.emplace(id, running_request{static_cast<request_class>(klass), now});
   ++running_by_class_[klass];
@@ -87,7 +118,8 @@
 
 admission_offer admission::offer(const admission_request& request, monotonic_time now) {
   admission_offer made;
-  made.expired = expire(now).expired;
+  smooth_use(now);
+  made.expired = drop_late(now);
   const std::size_t c = index_of(request.klass);
   const monotonic_time latest_start = request.deadline - mean_service_[c];
   if (running_.contains(request.id) || waiting_.contains(request.id)) {
@@ -111,7 +143,7 @@
     made.reason = refusal::too_late;
     return made;
   }
-  if (queues_[c].size >= config_.max_queued[c]) {
+  if (queues_[c].size >= max_queued_[c]) {
     const auto displaced = displace_for(request);
     if (!displaced) {
       made.reason = refusal::queue_full;
@@ -196,15 +228,13 @@
 admission_changes admission::finish(admission_id id, monotonic_time now, bool observe) {
   const auto place = running_.find(id);
   if (place == running_.end()) return {};
+  smooth_use(now);
   const auto request = place->second;
   running_.erase(place);
   const std::size_t c = index_of(request.klass);
   --running_by_class_[c];
   if (observe) mean_service_[c] += (now - request.since - mean_service_[c]) / service_smoothing;
-  auto expired = expire(now).expired;
-  auto changes = fill(now);
-  changes.expired = std::move(expired);
-  return changes;
+  return expire(now);
 }
 
 bool admission::cancel(admission_id id) {
@@ -213,23 +243,29 @@
   return true;
 }
 
-admission_changes admission::expire(monotonic_time now) {
-  admission_changes changes;
+std::vector<admission_id> admission::drop_late(monotonic_time now) {
+  std::vector<admission_id> late;
   while (!by_latest_start_.empty() && by_latest_start_.begin()->first <= now) {
-    const admission_id id = by_latest_start_.begin()->second;
-    remove_waiting(id);
-    changes.expired.push_back(id);
+    late.push_back(by_latest_start_.begin()->second);
+    remove_waiting(late.back());
   }
+  return late;
+}
+
+admission_changes admission::expire(monotonic_time now) {
+  smooth_use(now);
+  auto late = drop_late(now);
+  auto changes = fill(now);
+  changes.expired = std::move(late);
   return changes;
 }
 
 admission_changes admission::set_slots(std::uint32_t slots, monotonic_time now) {
+  smooth_use(now);
   config_.slots = slots;
   class_slots_ = plantainpaddle::class_slots(slots);
-  auto expired = expire(now).expired;
-  auto changes = fill(now);
-  changes.expired = std::move(expired);
-  return changes;
+  max_queued_ = queue_lengths(config_);
+  return expire(now);
 }
 
 std::optional<monotonic_time> admission::next_wakeup() const {
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -34,21 +34,28 @@
 
 struct admission_config {
   std::uint32_t slots = 6;
-  // Most waiting requests of each class.
-  per_class<std::uint32_t> max_queued{12, 12, 6, 3};
+  // Most waiting requests of each class, per slot; at least one.
+  per_class<double> queued_per_slot{1, 2, 1, 1};
   // Most more urgent admissions that may pass over a class whose next request could run.
   per_class<std::uint32_t> max_passes{0, 16, 32, 64};
   // Service times assumed until the first one of a class has been observed.
   per_class<duration> first_service{milliseconds(10), milliseconds(20), milliseconds(500),
                                     milliseconds(500)};
+  // Slots that are left free besides the mean use of the more urgent classes, when a class takes
+  // more than class_slots gives it; and the time over which that use is smoothed.
+  double spare_slots = 0.4;
+  duration use_window = milliseconds(500);
 
   bool operator==(const admission_config&) const = default;
 };
 
-// The most slots that a class and all less urgent ones may hold together. The last slot goes to
-// counter requests alone, and half of the slots are out of reach of uploads and bulk.
+// The slots that a class and all less urgent ones may always hold together. They may hold more, but
+// never the last slot, while the more urgent classes use few. One slot: any class may hold it.
 per_class<std::uint32_t> class_slots(std::uint32_t slots);
 
+// Most waiting requests of each class.
+per_class<std::uint32_t> queue_lengths(const admission_config& config);
+
 struct admission_request {
   admission_id id = 0;
   request_class klass = request_class::counter;
@@ -88,7 +95,8 @@
   // Forgets a waiting request: true. A running one keeps its slot until finish(): false.
   bool cancel(admission_id id);
 
-  // Waiting requests that can't be served in time any more.
+  // Waiting requests that can't be served in time any more, and those that may run by now since the
+  // more urgent classes use fewer slots.
   admission_changes expire(monotonic_time now);
 
   // From the table, or less of it during a cold start. Running requests go on.
@@ -126,6 +134,8 @@
   };
 
   bool has_room(std::size_t klass) const;
+  void smooth_use(monotonic_time now);
+  std::vector<admission_id> drop_late(monotonic_time now);
   void start(admission_id id, std::size_t klass, monotonic_time now);
   void remove_waiting(admission_id id);
   std::optional<std::size_t> next_class() const;
@@ -134,7 +144,10 @@
 
   admission_config config_;
   per_class<std::uint32_t> class_slots_;
+  per_class<std::uint32_t> max_queued_;
   per_class<std::uint32_t> running_by_class_{};
+  per_class<double> use_{};  // slots used or waited for, smoothed
+  monotonic_time use_updated_{};
   per_class<duration> mean_service_;
   per_class<class_queue> queues_;
   std::unordered_map<admission_id, running_request> running_;
