--- a/src/ownership/grant_holder.cc
+++ b/src/ownership/grant_holder.cc
@@ -34,6 +34,8 @@
   if (order.nonce == 0 || order.life != life_ || order.nonce != nonce_) {
     return answer(grant_status::stale_nonce, now);
   }
+  // Too late to extend anything: it must not look like a grant that holds nothing.
+  if (nonce_issued_ + order.length <= now) return answer(grant_status::stale_nonce, now);
   if (order.set) {
     apply(*order.set);
   } else if (digest_of(to_set(held_)) != order.digest) {
@@ -90,4 +92,15 @@
   if (--place->second == 0) in_flight_.erase(place);
 }
 
+std::vector<shard_grant> grant_holder::held(monotonic_time now) const {
+  return now < ends_ ? to_set(held_) : std::vector<shard_grant>{};
+}
+
+std::vector<shard_grant> grant_holder::running(monotonic_time now) const {
+  std::vector<shard_grant> grants;
+  if (now >= ends_) return grants;
+  for (const auto& [grant, count] : in_flight_) grants.push_back(grant);
+  return grants;
+}
+
 }  // namespace plantainpaddle
