Store client: protocol as a variant, one move to the next address, watches that end once

Causes found while writing the tests: calls that failed together moved two addresses on and so came back to the bad one; an answer other than 200 kept the address; a watch went on after a line that made no sense, against its contract; a refused watch was read as if its body were lines; a watch's connect waited as long as an idle watch. Each has a test against a scripted server. Nothing is repeated inside the client.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -19,7 +20,8 @@
 
 namespace {
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-}
+constexpr duration stream_connect_timeout = seconds(2);
+}  // namespace
 
 struct http_client::connection {
   explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
@@ -160,7 +162,7 @@
     const auto endpoint = parse_address(address);
     if (!endpoint) co_return end(endpoint.error());
     auto& stream = self->used->stream;
-    stream.expires_after(idle);
+    stream.expires_after(std::min<duration>(idle, stream_connect_timeout));
     auto [code] = co_await stream.async_connect(*endpoint, as_result);
     if (code) co_return end(failed(code, step::connect, address, errc::unavailable));
     auto message = to_beast(request, address);
@@ -170,16 +172,18 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     std::string text;
-    std::size_t seen = 0;
     while (!self->stopped) {
       stream.expires_after(idle);
       auto [read_code, size] =
           co_await http::async_read_some(stream, self->used->buffer, parser, as_result);
       client->traffic.received(size);
       if (read_code) co_return end(failed(read_code, step::read_answer, address, errc::protocol));
-      text.append(parser.get().body(), seen);
+      if (parser.is_header_done() && parser.get().result_int() != 200) {
+        co_return end({errc::unavailable, step::read_answer, address,
+                       "status " + std::to_string(parser.get().result_int())});
+      }
+      text += parser.get().body();
       parser.get().body().clear();
-      seen = 0;
       if (text.size() > limit) {
         co_return end({errc::limit_exceeded, step::read_answer, address, "a line is too long"});
       }
--- a/src/platform/etcd_codec.h
+++ b/src/platform/etcd_codec.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/store_client.h"
+#include "platform/store_protocol.h"
 
 namespace plantainpaddle {
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -1,11 +1,13 @@
-// Client of the platform's key-value service: the HTTP/JSON form of the etcd v3 interface.
+// Client of the platform's key-value service, whichever it is: what is said to the service is a
+// store_protocol, one alternative for each kind of service.
 //
-//   store_client store(executor, {"127.0.0.1:2379"});
+//   store_client store(executor, {.addresses = {"127.0.0.1:2379"}});
 //   store.compare_and_swap(key, version, value, [](result<swap_answer> answer) { ... });
 //
-// Every call counts against the store's rate, a waiting watch as one. An error of a write says
-// nothing on whether it took effect. Handlers run on the executor's thread, exactly once, never
-// inside the call.
+// Every call counts against the store's rate, a waiting watch as one. No call is repeated here:
+// whether to ask again, and when, is decided by the callers. An error of a write says nothing on
+// whether it took effect. Handlers run on the executor's thread, exactly once, never inside the
+// call. After an error the next call goes to the next address.
 #pragma once
 
 #include <cstdint>
@@ -18,36 +20,16 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "http/client.h"
+#include "platform/store_protocol.h"
 
 namespace plantainpaddle {
 
-struct stored_value {
-  std::string key;
-  std::string value;
-  std::uint64_t version = 0;  // modification revision
-  bool operator==(const stored_value&) const = default;
-};
-
-struct range_answer {
-  std::vector<stored_value> values;
-  std::uint64_t revision = 0;  // of the whole store, to start a watch after
-};
-
-struct swap_answer {
-  bool written = false;
-  std::uint64_t version = 0;         // of the key now; 0: the key is absent
-  std::optional<std::string> value;  // if not written: the value that stands there
-};
-
-struct watch_event {
-  bool removed = false;
-  stored_value value;
-};
-
 struct store_settings {
   std::vector<std::string> addresses;  // "IP:port"; tried in turn
   duration timeout = milliseconds(800);
-  duration watch_idle = seconds(30);
+  duration watch_idle = seconds(30);    // a watch without any line for so long has ended
+  std::size_t answer_bytes = 16 << 20;  // largest answer, and largest line of a watch
+  store_protocol protocol = etcd_protocol{};
 };
 
 class store_client {
@@ -68,12 +50,12 @@
       std::function<void(result<std::vector<watch_event>>)> on_events);
 
  private:
-  const std::string& address() const;
-  void call(const std::string& path, std::string body,
-            std::function<void(result<std::string>)> done);
+  // Which address is in use; shared with calls under way.
+  struct rotation;
+  void call(store_request request, std::function<void(result<std::string>)> done);
 
   store_settings settings_;
-  std::shared_ptr<std::size_t> current_;  // index into addresses; moves on after an error
+  std::shared_ptr<rotation> rotation_;
   http_client http_;
 };
 
