--- a/src/entry/cell_runner.h
+++ b/src/entry/cell_runner.h
@@ -81,6 +81,8 @@
   void carry_out(const cell_ref& from, const read_record& action);
   void carry_out(const cell_ref& from, const write_record& action);
   void carry_out(const cell_ref& from, const publish_record& action);
+  void carry_out(const cell_ref& from, const remember_term& action);
+  void carry_out(const cell_ref& from, const publish_moving& action);
   void carry_out(const cell_ref& from, const retire& action);
   void send_handover(const cell_id& cell, const handover_received& handover);
   const upstream_row* find_upstream(const cell_id& cell, const upstream_id& name) const;
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -5,6 +5,14 @@
 
 std::string to_text(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
 
+capnp::Data::Reader to_data(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+std::string to_bytes(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
 error bad_message(std::string detail) {
   return error{errc::protocol, step::peer, "", std::move(detail)};
 }
@@ -93,9 +101,7 @@
 }
 
 state_item read_item(wire::StateItem::Reader from) {
-  const auto value = from.getValue();
-  return {to_text(from.getKey()), from.getVersion(),
-          std::string(reinterpret_cast<const char*>(value.begin()), value.size())};
+  return {to_text(from.getKey()), from.getVersion(), to_bytes(from.getValue())};
 }
 
 void write_items(const std::vector<state_item>& items, capnp::List<wire::StateItem>::Builder to) {
@@ -129,7 +135,10 @@
     }
   }
   void operator()(const term_handover& handover) {
-    write_item(handover.record, to.initTermHandover());
+    auto out = to.initTermHandover();
+    write_item(handover.record, out.initRecord());
+    out.setHasUnsureWrite(handover.unsure_write.has_value());
+    if (handover.unsure_write) out.setUnsureWrite(to_data(*handover.unsure_write));
   }
   void operator()(const dispatcher_order& order) {
     auto out = to.initDispatcherOrder();
@@ -196,8 +205,12 @@
       }
       return peer_request(std::move(digest));
     }
-    case wire::Request::TERM_HANDOVER:
-      return peer_request(term_handover{read_item(from.getTermHandover())});
+    case wire::Request::TERM_HANDOVER: {
+      const auto in = from.getTermHandover();
+      term_handover handover{read_item(in.getRecord()), std::nullopt};
+      if (in.getHasUnsureWrite()) handover.unsure_write = to_bytes(in.getUnsureWrite());
+      return peer_request(std::move(handover));
+    }
     case wire::Request::DISPATCHER_ORDER: {
       const auto in = from.getDispatcherOrder();
       return peer_request(
