--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -205,7 +205,7 @@
     const auto* info = directory.find(name);
     if (info == nullptr) continue;
     const bool same_domain = info->domain == settings.domain;
-    network.call(info->peers, limit_tree.report(same_domain, now), limit_share_period,
+    network.call(info->peers, limit_tree.report(now), limit_share_period,
                  [this, same_domain](result<peer_answer> answer) {
                    if (!answer) return;
                    post([this, same_domain, answer = std::move(*answer)] {
--- a/src/entry/usage_tree.cc
+++ b/src/entry/usage_tree.cc
@@ -56,7 +56,7 @@
   return usage;
 }
 
-limit_usage usage_tree::report(bool /*same_domain*/, monotonic_time now) const {
+limit_usage usage_tree::report(monotonic_time now) const {
   sums total;
   for (const auto& entry : own_.entries) total[{entry.limit, entry.tenant}] += entry.used;
   add(total, children_, now, nullptr);
--- a/src/entry/usage_tree.h
+++ b/src/entry/usage_tree.h
@@ -26,8 +26,8 @@
  public:
   void set_own(const std::vector<limit_use>& used);
 
-  // To the parent the sum of this part; to another domain's root that of the domain: the same sum.
-  limit_usage report(bool same_domain, monotonic_time now) const;
+  // The sum of this part, for the parent; a root's part is its domain.
+  limit_usage report(monotonic_time now) const;
   // A child's or another root's report; the answer is what is asked outside of the sender's part.
   limit_usage on_report(const instance_id& from, bool same_domain, const limit_usage& usage,
                         monotonic_time now);
