--- a/src/harness/cluster.cc
+++ b/src/harness/cluster.cc
@@ -199,10 +199,10 @@
   table declared;
   for (const auto& service : layout_.services) declared.emplace(service.service.name, service);
   std::ofstream(file("table.json")) << format_table_file(declared);
-  auto applied =
-      child_process::start({bin_ + "/plantainpaddle-table", "apply", file("table.json"), "--store",
-                            platform_address, "--cluster", std::string(cluster_name)},
-                           file("table.log"));
+  auto applied = child_process::start(
+      {bin_ + "/plantainpaddle-table", "apply", file("table.json"), "--store", platform_address,
+       "--cluster", std::string(cluster_name), "--author", "harness"},
+      file("table.log"));
   if (!applied) return applied.error();
   const auto code = applied->wait(start_timeout);
   if (code && *code == 0) return std::nullopt;
