Keep renewals and digests small: no list of shards, no list of keys where nothing differs

Change: an answer whose digest is the order's leaves the list out; digests are compared by a summary first.

--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -269,7 +269,7 @@
     spreader.received(from.domain, *push);
     reply(acknowledgement{});
   } else if (const auto* digest = std::get_if<state_digest>(&request)) {
-    reply(spreader.missing(*digest));
+    reply(spreader.answer(*digest));
   } else if (const auto* handover = std::get_if<term_handover>(&request)) {
     reply(acknowledgement{cells.take_over(*handover, now)});
   } else if (const auto* usage = std::get_if<limit_usage>(&request)) {
--- a/src/entry/state_cache.cc
+++ b/src/entry/state_cache.cc
@@ -1,9 +1,17 @@
 #include "entry/state_cache.h"
 
+#include "base/hash.h"
 #include "table/parse.h"
 
 namespace plantainpaddle {
 
+namespace {
+
+// Combined by exclusive or, so that the order of arrival doesn't matter.
+std::uint64_t hash_of(const state_item& item) { return hash64(item.key, item.version); }
+
+}  // namespace
+
 result<bool> state_cache::apply(const state_item& item) {
   const auto known = items_.find(item.key);
   if (known != items_.end() && known->second.version >= item.version) return false;
@@ -27,12 +35,14 @@
   } else {
     return false;
   }
+  if (known != items_.end()) summary_ ^= hash_of(known->second);
+  summary_ ^= hash_of(item);
   items_[item.key] = item;
   return true;
 }
 
 state_digest state_cache::digest() const {
-  state_digest digest;
+  state_digest digest{summary_, true, {}};
   for (const auto& [key, item] : items_) digest.entries.push_back({key, item.version});
   return digest;
 }
--- a/src/entry/state_cache.h
+++ b/src/entry/state_cache.h
@@ -35,6 +35,8 @@
   // True if the item is newer than what was known and can be read. Its key says what it is.
   result<bool> apply(const state_item& item);
 
+  // Of all keys and versions, in any order of arrival.
+  std::uint64_t summary() const { return summary_; }
   state_digest digest() const;
   // What is newer here than in the digest, at most max_bytes of it.
   state_push newer_than(const state_digest& theirs, std::size_t max_bytes) const;
@@ -47,6 +49,7 @@
  private:
   state_keys keys_;
   std::map<std::string, state_item> items_;
+  std::uint64_t summary_ = 0;
   std::map<service_id, service_table> tables_;
   std::map<service_id, service_layout> layouts_;
   std::map<cell_id, known_record> cells_;
--- a/src/entry/state_spreader.cc
+++ b/src/entry/state_spreader.cc
@@ -80,11 +80,22 @@
     if (info.name != directory_.self_name()) others.push_back(&info);
   }
   if (others.empty()) return;
-  const auto* chosen = others[random_() % others.size()];
-  network_.call(chosen->peers, cache_.digest(), peer_timeout, [this](result<peer_answer> answer) {
+  const std::string address = others[random_() % others.size()]->peers;
+  const state_digest summary{cache_.summary(), false, {}};
+  network_.call(address, summary, peer_timeout, [this, address](result<peer_answer> answer) {
     if (!answer) return;
-    post_([this, answer = std::move(*answer)] {
+    post_([this, address, answer = std::move(*answer)] {
       on_peer_(answer.from);
+      if (std::holds_alternative<state_push>(answer.reply)) return;  // the same state
+      send_digest(address);
+    });
+  });
+}
+
+void state_spreader::send_digest(const std::string& address) {
+  network_.call(address, cache_.digest(), peer_timeout, [this](result<peer_answer> answer) {
+    if (!answer) return;
+    post_([this, answer = std::move(*answer)] {
       if (const auto* push = std::get_if<state_push>(&answer.reply)) {
         received(answer.from.domain, *push);
       }
@@ -98,7 +109,9 @@
   apply(push.items, from == domain_ ? origin::own_domain : origin::other_domain);
 }
 
-state_push state_spreader::missing(const state_digest& theirs) const {
+peer_reply state_spreader::answer(const state_digest& theirs) const {
+  if (theirs.summary == cache_.summary()) return state_push{};
+  if (!theirs.has_entries) return acknowledgement{false};
   return cache_.newer_than(theirs, max_push_bytes);
 }
 
--- a/src/entry/state_spreader.h
+++ b/src/entry/state_spreader.h
@@ -32,7 +32,7 @@
   // A value that this instance has just written to the store.
   void written(const state_item& item);
   void received(const domain_id& from, const state_push& push);
-  state_push missing(const state_digest& theirs) const;
+  peer_reply answer(const state_digest& theirs) const;
 
  private:
   // Where an item came from, which decides whom it is passed on to.
@@ -41,6 +41,7 @@
   void follow_store(monotonic_time now);
   void start_watch(std::uint64_t after_revision);
   void exchange_digest(monotonic_time now);
+  void send_digest(const std::string& address);
   void apply(const std::vector<state_item>& items, origin from);
   void pass_on(const state_push& push, origin from);
   void push_to(const std::vector<std::string>& names, const state_push& push);
--- a/src/entry/testing/state_cache_test.cc
+++ b/src/entry/testing/state_cache_test.cc
@@ -63,6 +63,9 @@
   BOOST_REQUIRE_EQUAL(push.items.size(), 1U);
   BOOST_TEST(push.items.front().version == 4U);
   BOOST_TEST(behind.newer_than(ahead.digest(), 1000).items.empty());
+  BOOST_TEST(behind.summary() != ahead.summary());
+  BOOST_REQUIRE(behind.apply(push.items.front()).value());
+  BOOST_TEST(behind.summary() == ahead.summary());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/ownership/assigner.cc
+++ b/src/ownership/assigner.cc
@@ -445,18 +445,20 @@
   const auto stands_in = [](const std::vector<shard_grant>& set, const shard_grant& grant) {
     return std::find(set.begin(), set.end(), grant) != set.end();
   };
+  const bool holds_all = answer.held_digest == digest_of(sent.set);
+  const std::vector<shard_grant>& held = holds_all ? sent.set : answer.held;
   for (auto& [shard, move] : moves_) {
     if (move.from != name || move.released) continue;
     const shard_grant old{shard, move.fence};
     // The order that was accepted must itself have left the shard out.
-    move.released = !stands_in(sent.set, old) && !stands_in(answer.held, old) &&
-                    !stands_in(answer.draining, old);
+    move.released =
+        !stands_in(sent.set, old) && !stands_in(held, old) && !stands_in(answer.draining, old);
   }
   // A fence that was revoked before, by an assigner whose move was never recorded, is not taken
   // again.
   if (phase_ == assigner_phase::active) {
     for (const auto& grant : sent.set) {
-      if (stands_in(answer.held, grant) || moves_.contains(grant.shard)) continue;
+      if (stands_in(held, grant) || moves_.contains(grant.shard)) continue;
       if (stands_in(answer.draining, grant)) continue;
       start_move(grant.shard, name, now);
       moves_[grant.shard].released = true;
--- a/src/ownership/grant_holder.cc
+++ b/src/ownership/grant_holder.cc
@@ -29,20 +29,20 @@
   // A lapsed grant holds nothing, but its fences aren't revoked: as long as the record names this
   // upstream they can be granted again without a write to the store.
   if (now >= ends_) held_.clear();
-  if (order.term < highest_term_) return answer(grant_status::stale_term, now);
+  if (order.term < highest_term_) return answer(grant_status::stale_term, order, now);
   highest_term_ = order.term;
   if (order.nonce == 0 || order.life != life_ || order.nonce != nonce_) {
-    return answer(grant_status::stale_nonce, now);
+    return answer(grant_status::stale_nonce, order, now);
   }
   // Too late to extend anything: it must not look like a grant that holds nothing.
-  if (nonce_issued_ + order.length <= now) return answer(grant_status::stale_nonce, now);
+  if (nonce_issued_ + order.length <= now) return answer(grant_status::stale_nonce, order, now);
   if (order.set) {
     apply(*order.set);
   } else if (digest_of(to_set(held_)) != order.digest) {
-    return answer(grant_status::need_set, now);
+    return answer(grant_status::need_set, order, now);
   }
   ends_ = std::max(ends_, nonce_issued_ + order.length);
-  return answer(grant_status::accepted, now);
+  return answer(grant_status::accepted, order, now);
 }
 
 void grant_holder::apply(const std::vector<shard_grant>& set) {
@@ -61,7 +61,8 @@
   held_ = std::move(next);
 }
 
-grant_answer grant_holder::answer(grant_status status, monotonic_time now) {
+grant_answer grant_holder::answer(grant_status status, const grant_order& order,
+                                  monotonic_time now) {
   nonce_ = next_nonce(nonce_);
   nonce_issued_ = now;
   grant_answer reply;
@@ -71,6 +72,7 @@
   reply.highest_term = highest_term_;
   if (now < ends_) reply.held = to_set(held_);
   reply.held_digest = digest_of(reply.held);
+  if (reply.held_digest == order.digest) reply.held.clear();
   for (const auto& [grant, count] : in_flight_) {
     const auto held = held_.find(grant.shard);
     if (held == held_.end() || held->second != grant.fence) reply.draining.push_back(grant);
--- a/src/ownership/grant_holder.h
+++ b/src/ownership/grant_holder.h
@@ -39,7 +39,7 @@
 
  private:
   void apply(const std::vector<shard_grant>& set);
-  grant_answer answer(grant_status status, monotonic_time now);
+  grant_answer answer(grant_status status, const grant_order& order, monotonic_time now);
 
   std::uint64_t life_;
   std::uint64_t nonce_;
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -145,10 +145,13 @@
     write_items(push.items, to.initStatePush(static_cast<unsigned>(push.items.size())));
   }
   void operator()(const state_digest& digest) {
-    auto out = to.initStateDigest(static_cast<unsigned>(digest.entries.size()));
-    for (unsigned i = 0; i < out.size(); ++i) {
-      out[i].setKey(digest.entries[i].key);
-      out[i].setVersion(digest.entries[i].version);
+    auto out = to.initStateDigest();
+    out.setSummary(digest.summary);
+    out.setHasEntries(digest.has_entries);
+    auto entries = out.initEntries(static_cast<unsigned>(digest.entries.size()));
+    for (unsigned i = 0; i < entries.size(); ++i) {
+      entries[i].setKey(digest.entries[i].key);
+      entries[i].setVersion(digest.entries[i].version);
     }
   }
   void operator()(const term_handover& handover) {
@@ -214,8 +217,11 @@
     case wire::Request::STATE_PUSH:
       return peer_request(read_items(from.getStatePush()));
     case wire::Request::STATE_DIGEST: {
+      const auto in = from.getStateDigest();
       state_digest digest;
-      for (const auto entry : from.getStateDigest()) {
+      digest.summary = in.getSummary();
+      digest.has_entries = in.getHasEntries();
+      for (const auto entry : in.getEntries()) {
         digest.entries.push_back({to_text(entry.getKey()), entry.getVersion()});
       }
       return peer_request(std::move(digest));
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -27,8 +27,11 @@
   bool operator==(const state_push&) const = default;
 };
 
-// What the sender has; the answer is a push of what is newer at the receiver.
+// What the sender has; the answer is a push of what is newer at the receiver. First the summary
+// alone is sent; if the receiver's differs, it does not acknowledge, and the entries follow.
 struct state_digest {
+  std::uint64_t summary = 0;  // of all keys and versions
+  bool has_entries = false;
   struct entry {
     std::string key;
     std::uint64_t version = 0;
--- a/src/peer/wire.capnp
+++ b/src/peer/wire.capnp
@@ -66,6 +66,12 @@
   version @1 :UInt64;
 }
 
+struct StateDigest {
+  summary @0 :UInt64;
+  hasEntries @1 :Bool;
+  entries @2 :List(DigestEntry);
+}
+
 struct DispatcherOrder {
   upstream @0 :Text;
   order @1 :GrantOrder;
@@ -87,7 +93,7 @@
   union {
     termQuestion @0 :TermQuestion;
     statePush @1 :List(StateItem);
-    stateDigest @2 :List(DigestEntry);
+    stateDigest @2 :StateDigest;
     termHandover @3 :TermHandover;
     dispatcherOrder @4 :DispatcherOrder;
     limitUsage @5 :List(UsageEntry);
--- a/src/peer/wire.capnp.c++
+++ b/src/peer/wire.capnp.c++
@@ -814,6 +814,87 @@
   0, 2, i_dd556e8b80c275c3, nullptr, nullptr, { &s_dd556e8b80c275c3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<67> b_8ddfd11298bd2ce9 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    233,  44, 189, 152,  18, 209, 223, 141,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     65, 154, 107, 126, 165, 240, 193, 209,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  83, 116,  97, 116, 101,
+     68, 105, 103, 101, 115, 116,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+    115, 117, 109, 109,  97, 114, 121,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,  97, 115,  69, 110, 116, 114, 105,
+    101, 115,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 116, 114, 105, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    195, 117, 194, 128, 139, 110,  85, 221,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8ddfd11298bd2ce9 = b_8ddfd11298bd2ce9.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8ddfd11298bd2ce9[] = {
+  &s_dd556e8b80c275c3,
+};
+static const uint16_t m_8ddfd11298bd2ce9[] = {2, 1, 0};
+static const uint16_t i_8ddfd11298bd2ce9[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_8ddfd11298bd2ce9 = {
+  0x8ddfd11298bd2ce9, b_8ddfd11298bd2ce9.words, 67, d_8ddfd11298bd2ce9, m_8ddfd11298bd2ce9,
+  1, 3, i_8ddfd11298bd2ce9, nullptr, nullptr, { &s_8ddfd11298bd2ce9, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<49> b_c296dbd5a7969607 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
       7, 150, 150, 167, 213, 219, 150, 194,
@@ -1028,7 +1109,7 @@
   0, 3, i_a5ecdf71d72c4551, nullptr, nullptr, { &s_a5ecdf71d72c4551, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<125> b_f0e92d0dcbf3701e = {
+static const ::capnp::_::AlignedData<121> b_f0e92d0dcbf3701e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      30, 112, 243, 203,  13,  45, 233, 240,
      11,   0,   0,   0,   1,   0,   1,   0,
@@ -1066,28 +1147,28 @@
     185,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     184,   0,   0,   0,   3,   0,   1,   0,
-    212,   0,   0,   0,   2,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
       3,   0, 252, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0, 106,   0,   0,   0,
+    193,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    208,   0,   0,   0,   3,   0,   1,   0,
-    220,   0,   0,   0,   2,   0,   1,   0,
+    192,   0,   0,   0,   3,   0,   1,   0,
+    204,   0,   0,   0,   2,   0,   1,   0,
       4,   0, 251, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    217,   0,   0,   0, 130,   0,   0,   0,
+    201,   0,   0,   0, 130,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    216,   0,   0,   0,   3,   0,   1,   0,
-    228,   0,   0,   0,   2,   0,   1,   0,
+    200,   0,   0,   0,   3,   0,   1,   0,
+    212,   0,   0,   0,   2,   0,   1,   0,
       5,   0, 250, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    225,   0,   0,   0,  90,   0,   0,   0,
+    209,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    224,   0,   0,   0,   3,   0,   1,   0,
-    252,   0,   0,   0,   2,   0,   1,   0,
+    208,   0,   0,   0,   3,   0,   1,   0,
+    236,   0,   0,   0,   2,   0,   1,   0,
     116, 101, 114, 109,  81, 117, 101, 115,
     116, 105, 111, 110,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -1112,15 +1193,11 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116,  97, 116, 101,  68, 105, 103,
     101, 115, 116,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    195, 117, 194, 128, 139, 110,  85, 221,
+    233,  44, 189, 152,  18, 209, 223, 141,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     116, 101, 114, 109,  72,  97, 110, 100,
@@ -1159,16 +1236,16 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_f0e92d0dcbf3701e[] = {
   &s_8c61da3ce8903faf,
+  &s_8ddfd11298bd2ce9,
   &s_a5ecdf71d72c4551,
   &s_b4572fe6f9e01e40,
   &s_c296dbd5a7969607,
-  &s_dd556e8b80c275c3,
   &s_f44cd75482c9e6d2,
 };
 static const uint16_t m_f0e92d0dcbf3701e[] = {4, 5, 2, 1, 3, 0};
 static const uint16_t i_f0e92d0dcbf3701e[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_f0e92d0dcbf3701e = {
-  0xf0e92d0dcbf3701e, b_f0e92d0dcbf3701e.words, 125, d_f0e92d0dcbf3701e, m_f0e92d0dcbf3701e,
+  0xf0e92d0dcbf3701e, b_f0e92d0dcbf3701e.words, 121, d_f0e92d0dcbf3701e, m_f0e92d0dcbf3701e,
   6, 6, i_f0e92d0dcbf3701e, nullptr, nullptr, { &s_f0e92d0dcbf3701e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -1649,6 +1726,14 @@
 constexpr ::capnp::_::RawSchema const* DigestEntry::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// StateDigest
+constexpr uint16_t StateDigest::_capnpPrivate::dataWordSize;
+constexpr uint16_t StateDigest::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StateDigest::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StateDigest::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // DispatcherOrder
 constexpr uint16_t DispatcherOrder::_capnpPrivate::dataWordSize;
 constexpr uint16_t DispatcherOrder::_capnpPrivate::pointerCount;
--- a/src/peer/wire.capnp.h
+++ b/src/peer/wire.capnp.h
@@ -27,6 +27,7 @@
 CAPNP_DECLARE_SCHEMA(f44cd75482c9e6d2);
 CAPNP_DECLARE_SCHEMA(b4572fe6f9e01e40);
 CAPNP_DECLARE_SCHEMA(dd556e8b80c275c3);
+CAPNP_DECLARE_SCHEMA(8ddfd11298bd2ce9);
 CAPNP_DECLARE_SCHEMA(c296dbd5a7969607);
 CAPNP_DECLARE_SCHEMA(8c61da3ce8903faf);
 CAPNP_DECLARE_SCHEMA(a5ecdf71d72c4551);
@@ -165,6 +166,21 @@
   };
 };
 
+struct StateDigest {
+  StateDigest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ddfd11298bd2ce9, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct DispatcherOrder {
   DispatcherOrder() = delete;
 
@@ -1184,6 +1200,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class StateDigest::Reader {
+public:
+  typedef StateDigest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSummary() const;
+
+  inline bool getHasEntries() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StateDigest::Builder {
+public:
+  typedef StateDigest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSummary();
+  inline void setSummary( ::uint64_t value);
+
+  inline bool getHasEntries();
+  inline void setHasEntries(bool value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StateDigest::Pipeline {
+public:
+  typedef StateDigest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class DispatcherOrder::Reader {
 public:
   typedef DispatcherOrder Reads;
@@ -1497,7 +1604,7 @@
 
   inline bool isStateDigest() const;
   inline bool hasStateDigest() const;
-  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader getStateDigest() const;
+  inline  ::plantainpaddle::wire::StateDigest::Reader getStateDigest() const;
 
   inline bool isTermHandover() const;
   inline bool hasTermHandover() const;
@@ -1558,11 +1665,11 @@
 
   inline bool isStateDigest();
   inline bool hasStateDigest();
-  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder getStateDigest();
-  inline void setStateDigest( ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder initStateDigest(unsigned int size);
-  inline void adoptStateDigest(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>> disownStateDigest();
+  inline  ::plantainpaddle::wire::StateDigest::Builder getStateDigest();
+  inline void setStateDigest( ::plantainpaddle::wire::StateDigest::Reader value);
+  inline  ::plantainpaddle::wire::StateDigest::Builder initStateDigest();
+  inline void adoptStateDigest(::capnp::Orphan< ::plantainpaddle::wire::StateDigest>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::StateDigest> disownStateDigest();
 
   inline bool isTermHandover();
   inline bool hasTermHandover();
@@ -3011,6 +3118,68 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StateDigest::Reader::getSummary() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateDigest::Builder::getSummary() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StateDigest::Builder::setSummary( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StateDigest::Reader::getHasEntries() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool StateDigest::Builder::getHasEntries() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StateDigest::Builder::setHasEntries(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StateDigest::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StateDigest::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader StateDigest::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder StateDigest::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StateDigest::Builder::setEntries( ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder StateDigest::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StateDigest::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>> StateDigest::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool DispatcherOrder::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3386,41 +3555,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getStateDigest() const {
+inline  ::plantainpaddle::wire::StateDigest::Reader Request::Reader::getStateDigest() const {
   KJ_IREQUIRE((which() == Request::STATE_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateDigest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getStateDigest() {
+inline  ::plantainpaddle::wire::StateDigest::Builder Request::Builder::getStateDigest() {
   KJ_IREQUIRE((which() == Request::STATE_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateDigest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setStateDigest( ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void Request::Builder::setStateDigest( ::plantainpaddle::wire::StateDigest::Reader value) {
   _builder.setDataField<Request::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_DIGEST);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateDigest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initStateDigest(unsigned int size) {
+inline  ::plantainpaddle::wire::StateDigest::Builder Request::Builder::initStateDigest() {
   _builder.setDataField<Request::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_DIGEST);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::adoptStateDigest(
-    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>&& value) {
+    ::capnp::Orphan< ::plantainpaddle::wire::StateDigest>&& value) {
   _builder.setDataField<Request::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::STATE_DIGEST);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateDigest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>> Request::Builder::disownStateDigest() {
+inline ::capnp::Orphan< ::plantainpaddle::wire::StateDigest> Request::Builder::disownStateDigest() {
   KJ_IREQUIRE((which() == Request::STATE_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::DigestEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::StateDigest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
