--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 #include "apps/exit_codes.h"
 #include "base/log.h"
@@ -16,6 +17,7 @@
 namespace plantainpaddle {
 namespace {
 
+constexpr duration drain_time = seconds(20);
 constexpr duration leave_time = seconds(3);
 
 int run(const entry_settings& settings) {
@@ -27,9 +29,14 @@
                  .instance = settings.name,
                  .domain = settings.domain},
                 counters);
-  control_plane control(settings, counters, [&](std::shared_ptr<const routing_snapshot> snapshot) {
-    traffic.set_snapshot(std::move(snapshot));
-  });
+  control_plane control(settings, counters,
+                        {[&](std::shared_ptr<const routing_snapshot> snapshot) {
+                           traffic.set_snapshot(std::move(snapshot));
+                         },
+                         [&] { return traffic.limit_usage(); },
+                         [&](const instance_id& from, const std::vector<limit_use>& entries) {
+                           traffic.on_limit_usage(from, entries);
+                         }});
   boost::asio::io_context io;
   http_server operators(io.get_executor());
   const auto serve = [&](http_request request) -> boost::asio::awaitable<http_response> {
@@ -53,7 +60,18 @@
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const auto&, int) { io.stop(); });
   io.run();
+  // Requests in flight still need this instance's part of the ownership: first they, then the
+  // cells.
+  control.set_leaving();
+  std::thread operators_thread([&] {
+    io.restart();
+    io.run();
+  });
+  const bool drained = traffic.drain(drain_time);
   control.leave(leave_time);
+  io.stop();
+  operators_thread.join();
+  if (!drained) log_line(log_level::warning, {.message = "connections were left after the drain"});
   log_line(log_level::info, {.message = "stops"});
   return exit_ok;
 }
--- a/src/bench/control_bench.cc
+++ b/src/bench/control_bench.cc
@@ -10,29 +10,21 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <thread>
 
 #include "base/json.h"
 #include "entry/state_cache.h"
-#include "http/client.h"
-#include "platform/instance_list.h"
+#include "harness/cluster.h"
 #include "platform/store_client.h"
-#include "standin/child_process.h"
-#include "standin/upstream.h"
 #include "table/parse.h"
 
 namespace plantainpaddle {
 namespace {
 
 namespace json = boost::json;
-namespace fs = std::filesystem;
 
-constexpr duration call_timeout = seconds(2);
-constexpr duration settle_time = seconds(60);
-constexpr std::uint16_t first_port = 31000;
-const std::string cluster = "bench";
+constexpr std::size_t max_status_bytes = 8 << 20;
 
 struct shape {
   std::uint32_t domains = 1;
@@ -56,208 +48,45 @@
   usage most;
 };
 
-// One call at a time, from the bench's own thread.
-class caller {
- public:
-  caller() : client_(io_.get_executor()) {}
-
-  result<http_response> send(const std::string& address, http_request request) {
-    result<http_response> answer = error{errc::internal, step::connect, address, ""};
-    client_.send(address, std::move(request), call_timeout,
-                 [&](result<http_response> got) { answer = std::move(got); });
-    io_.restart();
-    io_.run();
-    return answer;
-  }
-
- private:
-  boost::asio::io_context io_{1};
-  http_client client_;
-};
-
-class fleet {
- public:
-  explicit fleet(const shape& wanted) : shape_(wanted), folder_(make_folder()) {}
-  ~fleet() {
-    entries_.clear();
-    upstream_io_.stop();
-    if (upstream_thread_.joinable()) upstream_thread_.join();
-    std::error_code ignored;
-    fs::remove_all(folder_, ignored);
-  }
-  fleet(const fleet&) = delete;
-  fleet& operator=(const fleet&) = delete;
-
-  bool start(const std::string& programs);
-  bool wait_until_served();
-  point measure(duration span);
-
- private:
-  struct sample {
-    double cpu_us = 0;
-    double bytes = 0;
-    double messages = 0;
-  };
-
-  static std::string make_folder() {
-    std::string name = (fs::temp_directory_path() / "control-bench-XXXXXX").string();
-    return mkdtemp(name.data()) == nullptr ? "." : name;
-  }
-  std::string next_address() { return "127.0.0.1:" + std::to_string(port_++); }
-  std::string domain_name(std::uint32_t number) const { return "d" + std::to_string(number); }
-  void start_upstreams();
-  void write_settings(const instance_info& info) const;
-  bool put_table(std::uint64_t revision);
-  std::optional<sample> read_sample(const instance_info& info);
-  bool is_served(const instance_info& info);
-
-  shape shape_;
-  std::string folder_;
-  std::uint16_t port_ = first_port;
-  std::string platform_;
-  std::optional<child_process> platform_process_;
-  std::vector<child_process> entries_;
-  std::vector<instance_info> instances_;
-  boost::asio::io_context upstream_io_{1};
-  std::vector<std::unique_ptr<upstream_standin>> upstreams_;
-  std::vector<service_table> tables_;
-  std::vector<std::uint64_t> versions_;
-  std::thread upstream_thread_;
-  caller calls_;
-};
-
-void fleet::start_upstreams() {
-  for (std::uint32_t s = 0; s < shape_.services; ++s) {
-    service_table declared;
-    declared.service.name.value = "s" + std::to_string(s);
-    declared.service.shards = shape_.shards;
-    for (std::uint32_t d = 0; d < shape_.domains; ++d) {
-      for (std::uint32_t u = 0; u < shape_.upstreams; ++u) {
-        const std::string name =
-            "u" + std::to_string(s) + "-" + std::to_string(d) + "-" + std::to_string(u);
-        auto made = std::make_unique<upstream_standin>(upstream_io_.get_executor(),
-                                                       upstream_options{.name = name});
-        const auto address = made->listen("127.0.0.1:0");
-        if (!address) continue;
-        declared.upstreams.push_back(
-            {.name = {name}, .address = *address, .domain = {domain_name(d)}});
-        upstreams_.push_back(std::move(made));
-      }
-    }
-    declared.routes.push_back({.name = "all",
-                               .host = declared.service.name.value,
-                               .path_prefix = "/",
-                               .key_from = key_source::path_segment,
-                               .key_name = "0"});
-    tables_.push_back(std::move(declared));
-    versions_.push_back(0);
-  }
-  upstream_thread_ = std::thread([this] { upstream_io_.run(); });
-}
-
-void fleet::write_settings(const instance_info& info) const {
-  const json::object settings{
-      {"name", info.name},
-      {"cluster", cluster},
-      {"region", info.region},
-      {"domain", info.domain.value},
-      {"listen",
-       {{"callers", info.callers},
-        {"forward", info.forward},
-        {"operators", info.operators},
-        {"peers", info.peers}}},
-      {"platform", {{"store", json::array{json::string(platform_)}}, {"instances", platform_}}},
-      {"threads", 1},
-      {"log_level", "warning"}};
-  std::ofstream(folder_ + "/" + info.name + ".json") << json::serialize(settings);
-}
-
-bool fleet::put_table(std::uint64_t revision) {
-  boost::asio::io_context io(1);
-  store_client store(io.get_executor(), {{platform_}});
-  const state_cache cache(cluster);
-  bool written = true;
-  for (std::size_t i = 0; i < tables_.size(); ++i) {
-    tables_[i].revision.value = revision;
-    store.compare_and_swap(cache.keys().table(tables_[i].service.name), versions_[i],
-                           format_service_table(tables_[i]),
-                           [&, i](const result<swap_answer>& answer) {
-                             written = written && answer && answer->written;
-                             if (answer) versions_[i] = answer->version;
-                           });
-  }
-  io.run();
-  return written;
-}
-
-bool fleet::start(const std::string& programs) {
-  platform_ = next_address();
-  auto platform = child_process::start(
-      {programs + "/plantainpaddle-standin", "platform", "--listen", platform_},
-      folder_ + "/platform.log");
-  if (!platform) return false;
-  platform_process_ = std::move(*platform);
-  start_upstreams();
-  for (std::uint32_t d = 0; d < shape_.domains; ++d) {
-    for (std::uint32_t e = 0; e < shape_.entries; ++e) {
-      instance_info info;
-      info.name = domain_name(d) + "-" + std::to_string(e);
-      info.domain.value = domain_name(d);
-      info.region = "region";
-      info.callers = next_address();
-      info.forward = next_address();
-      info.operators = next_address();
-      info.peers = next_address();
-      write_settings(info);
-      instances_.push_back(std::move(info));
+service_table service_of(const shape& at, std::uint32_t number) {
+  service_table declared;
+  const std::string name = "s" + std::to_string(number);
+  declared.service.name.value = name;
+  declared.service.shards = at.shards;
+  for (std::uint32_t d = 0; d < at.domains; ++d) {
+    for (std::uint32_t u = 0; u < at.upstreams; ++u) {
+      upstream_row row;
+      row.domain.value = "d" + std::to_string(d);
+      row.name.value = name + "-" + row.domain.value + "-" + std::to_string(u);
+      declared.upstreams.push_back(std::move(row));
     }
   }
-  const http_request list{"PUT", "/control/instances", {}, format_instance_list(instances_)};
-  for (int attempt = 0; attempt < 50; ++attempt) {
-    const auto answer = calls_.send(platform_, list);
-    if (answer && answer->status == 200) break;
-    std::this_thread::sleep_for(milliseconds(50));
-  }
-  if (!put_table(1)) return false;
-  for (const auto& info : instances_) {
-    auto entry = child_process::start(
-        {programs + "/plantainpaddle-entry", "--settings", folder_ + "/" + info.name + ".json"},
-        folder_ + "/" + info.name + ".log");
-    if (!entry) return false;
-    entries_.push_back(std::move(*entry));
-  }
-  return true;
+  declared.routes.push_back({.name = "all",
+                             .host = name,
+                             .path_prefix = "/",
+                             .key_from = key_source::path_segment,
+                             .key_name = "0"});
+  return declared;
 }
 
-bool fleet::is_served(const instance_info& info) {
-  const auto answer = calls_.send(info.operators, {"GET", "/status", {}, ""});
-  if (!answer) return false;
-  const auto status = parse_json(answer->body, step::read_answer, 8 << 20);
-  if (!status) return false;
-  std::uint64_t owned = 0;
-  for (const auto& cell : status->at("cells").as_array()) {
-    for (const auto& owner : cell.at("shards").as_object()) {
-      if (owner.key() != "nobody") owned += owner.value().to_number<std::uint64_t>();
-    }
-  }
-  return owned == std::uint64_t{shape_.shards} * shape_.services;
+cluster_layout layout_of(const shape& at) {
+  cluster_layout layout;
+  layout.domains.clear();
+  for (std::uint32_t d = 0; d < at.domains; ++d) layout.domains.push_back("d" + std::to_string(d));
+  layout.entries_per_domain = at.entries;
+  for (std::uint32_t s = 0; s < at.services; ++s) layout.services.push_back(service_of(at, s));
+  return layout;
 }
 
-bool fleet::wait_until_served() {
-  const monotonic_time end = monotonic_now() + settle_time;
-  for (const auto& info : instances_) {
-    while (!is_served(info)) {
-      if (monotonic_now() > end) return false;
-      std::this_thread::sleep_for(milliseconds(100));
-    }
-  }
-  return true;
-}
+// What an entry instance has used since its start.
+struct sample {
+  double cpu_us = 0;
+  double bytes = 0;
+  double messages = 0;
+};
 
-std::optional<fleet::sample> fleet::read_sample(const instance_info& info) {
-  const auto answer = calls_.send(info.operators, {"GET", "/status", {}, ""});
-  if (!answer) return std::nullopt;
-  const auto status = parse_json(answer->body, step::read_answer, 8 << 20);
+std::optional<sample> read_sample(const cluster& system, const std::string& entry) {
+  const auto status = parse_json(system.status(entry), step::read_answer, max_status_bytes);
   if (!status) return std::nullopt;
   const auto& control = status->at("control").as_object();
   const auto number = [&](std::string_view name) { return control.at(name).to_number<double>(); };
@@ -265,26 +94,47 @@
                 number("messages_sent") + number("messages_received")};
 }
 
-point fleet::measure(duration span) {
-  std::vector<std::optional<sample>> before;
-  for (const auto& info : instances_) before.push_back(read_sample(info));
+// Writes the first service's table again, with the next revision. Others' writes don't matter here.
+void change_table(const std::string& platform) {
+  boost::asio::io_context io(1);
+  store_client store(io.get_executor(), {{platform}});
+  const std::string key = state_cache(std::string(cluster_name)).keys().table({"s0"});
+  store.get(key, [&](const result<std::optional<stored_value>>& found) {
+    if (!found || !*found) return;
+    auto declared = parse_service_table((*found)->value);
+    if (!declared) return;
+    ++declared->revision.value;
+    store.compare_and_swap(key, (*found)->version, format_service_table(*declared),
+                           [](const result<swap_answer>&) {});
+  });
+  io.run();
+}
+
+point measure(cluster& system, const shape& at, duration span) {
+  std::map<std::string, std::optional<sample>> before;
+  for (const auto& [name, entry] : system.entries) before[name] = read_sample(system, name);
   const monotonic_time start = monotonic_now();
-  std::uint64_t revision = 1;
+  const auto elapsed = [&] {
+    return std::chrono::duration<double>(monotonic_now() - start).count();
+  };
+  double changed = 0;
   while (monotonic_now() < start + span) {
-    const double elapsed = std::chrono::duration<double>(monotonic_now() - start).count();
-    if (elapsed * shape_.changes > static_cast<double>(revision - 1)) put_table(++revision);
+    if (elapsed() * at.changes > changed) {
+      change_table(system.platform_address);
+      ++changed;
+    }
     std::this_thread::sleep_for(milliseconds(5));
   }
-  const double elapsed = std::chrono::duration<double>(monotonic_now() - start).count();
-  point made{shape_, {}, {}};
-  for (std::size_t i = 0; i < instances_.size(); ++i) {
-    const auto after = read_sample(instances_[i]);
-    if (!before[i] || !after) continue;
-    const usage used{(after->cpu_us - before[i]->cpu_us) / elapsed / 1e4,
-                     (after->bytes - before[i]->bytes) / elapsed,
-                     (after->messages - before[i]->messages) / elapsed,
-                     static_cast<double>(entries_[i].resident_bytes()) / 1e6};
-    const double share = 1.0 / static_cast<double>(instances_.size());
+  const double total = elapsed();
+  point made{at, {}, {}};
+  for (auto& [name, entry] : system.entries) {
+    const auto after = read_sample(system, name);
+    if (!before[name] || !after) continue;
+    const usage used{(after->cpu_us - before[name]->cpu_us) / total / 1e4,
+                     (after->bytes - before[name]->bytes) / total,
+                     (after->messages - before[name]->messages) / total,
+                     static_cast<double>(entry.process->resident_bytes()) / 1e6};
+    const double share = 1.0 / static_cast<double>(system.entries.size());
     made.mean.cpu_percent += used.cpu_percent * share;
     made.mean.bytes += used.bytes * share;
     made.mean.messages += used.messages * share;
@@ -297,6 +147,20 @@
   return made;
 }
 
+std::optional<point> run_shape(const shape& at, const std::string& programs, duration span) {
+  std::string folder = (std::filesystem::temp_directory_path() / "control-bench-XXXXXX").string();
+  if (mkdtemp(folder.data()) == nullptr) return std::nullopt;
+  std::optional<point> made;
+  if (auto system = cluster::start(layout_of(at), programs, folder)) {
+    made = measure(**system, at, span);
+  } else {
+    std::cout << to_string(system.error()) << '\n';
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(folder, ignored);
+  return made;
+}
+
 // What grows, with how to make a shape of that size.
 struct series {
   std::string name;
@@ -389,13 +253,12 @@
   for (const auto& what : all_series()) {
     std::vector<point> points;
     for (std::size_t i = 0; i < std::min(most_sizes, what.sizes.size()); ++i) {
-      fleet running(what.at(what.sizes[i]));
-      if (!running.start(programs) || !running.wait_until_served()) {
-        std::cout << what.name << " " << what.sizes[i] << ": not served in time\n";
+      const auto made = run_shape(what.at(what.sizes[i]), programs, seconds(span_seconds));
+      if (!made) {
         complete = false;
         break;
       }
-      points.push_back(running.measure(seconds(span_seconds)));
+      points.push_back(*made);
       const auto& p = points.back();
       std::printf("%-10s %6.0f %9.3f %9.3f %12.0f %8.0f %11.1f %9.1f\n", what.name.c_str(),
                   what.sizes[i], p.mean.cpu_percent, p.most.cpu_percent, p.mean.bytes, p.most.bytes,
--- a/src/entry/cell_runner.h
+++ b/src/entry/cell_runner.h
@@ -40,6 +40,8 @@
   // Another instance leaves and hands a cell over. False: this one can't take it.
   bool take_over(const term_handover& handover, monotonic_time now);
 
+  // Starts and takes over no cell any more.
+  void set_leaving() { leaving_ = true; }
   // Hands over all cells, starts none any more. True once none is left.
   bool leave(monotonic_time now);
 
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -13,6 +13,7 @@
 #include "entry/instance_directory.h"
 #include "entry/state_spreader.h"
 #include "entry/status.h"
+#include "entry/usage_tree.h"
 #include "ownership/layout.h"
 #include "ownership/rendezvous.h"
 
@@ -25,16 +26,17 @@
 constexpr duration tick_period = milliseconds(20);
 constexpr duration list_period = seconds(1);
 constexpr duration list_timeout = milliseconds(800);
+constexpr duration limit_share_period = milliseconds(500);
 constexpr duration layout_retry = seconds(1);
 
 }  // namespace
 
 // All members but work, io and network belong to the control thread once it runs.
 struct control_plane::impl {
-  impl(entry_settings s, metrics& m, snapshot_handler handler)
+  impl(entry_settings s, metrics& m, traffic_hooks h)
       : settings(std::move(s)),
         counters(m),
-        on_snapshot(std::move(handler)),
+        hooks(std::move(h)),
         work(asio::make_work_guard(io)),
         timer(io),
         store(io.get_executor(), {settings.store}),
@@ -65,7 +67,7 @@
 
   entry_settings settings;
   metrics& counters;
-  snapshot_handler on_snapshot;
+  traffic_hooks hooks;
   asio::io_context io{1};
   asio::executor_work_guard<asio::io_context::executor_type> work;
   asio::steady_timer timer;
@@ -81,23 +83,26 @@
   std::thread thread;
   monotonic_time next_list{};
   monotonic_time next_layout{};
+  monotonic_time next_share{};
+  usage_tree limit_tree;
   bool state_changed = true;
   bool leaving = false;
+  bool handing_over = false;
   std::promise<void> left;
 
   void post(std::function<void()> item) { asio::post(io, std::move(item)); }
   void schedule();
   void run_tick();
   void fetch_list(monotonic_time now);
+  void share_limits(monotonic_time now);
   void publish_snapshot();
   void create_layouts(monotonic_time now);
   void write_layout(const service_table& declared);
   void serve(const peer_identity& from, const peer_request& request, const peer_replier& reply);
 };
 
-control_plane::control_plane(entry_settings settings, metrics& counters,
-                             snapshot_handler on_snapshot)
-    : impl_(std::make_unique<impl>(std::move(settings), counters, std::move(on_snapshot))) {}
+control_plane::control_plane(entry_settings settings, metrics& counters, traffic_hooks hooks)
+    : impl_(std::make_unique<impl>(std::move(settings), counters, std::move(hooks))) {}
 
 control_plane::~control_plane() { stop(); }
 
@@ -117,9 +122,16 @@
   impl_->thread.join();
 }
 
+void control_plane::set_leaving() {
+  impl_->post([this] {
+    impl_->leaving = true;
+    impl_->cells.set_leaving();
+  });
+}
+
 void control_plane::leave(duration within) {
   auto done = impl_->left.get_future();
-  impl_->post([this] { impl_->leaving = true; });
+  impl_->post([this] { impl_->handing_over = impl_->leaving = true; });
   done.wait_for(within);
 }
 
@@ -158,13 +170,14 @@
   fetch_list(now);
   spreader.tick(now);
   create_layouts(now);
+  share_limits(now);
   cells.tick(now);
   if (state_changed) {
     state_changed = false;
     publish_snapshot();
   }
-  if (leaving && cells.leave(now)) {
-    leaving = false;
+  if (handing_over && cells.leave(now)) {
+    handing_over = false;
     left.set_value();
   }
 }
@@ -181,6 +194,31 @@
                   });
 }
 
+// Up the tree what is asked for in this instance's part of it; down comes what is asked elsewhere.
+void control_plane::impl::share_limits(monotonic_time now) {
+  if (now < next_share) return;
+  next_share = now + limit_share_period;
+  limit_tree.set_own(hooks.limit_usage());
+  const auto parents = limit_tree_parents(directory);
+  if (parents.empty()) hooks.on_limit_usage(self, limit_tree.elsewhere(now));
+  for (const auto& name : parents) {
+    const auto* info = directory.find(name);
+    if (info == nullptr) continue;
+    const bool same_domain = info->domain == settings.domain;
+    network.call(info->peers, limit_tree.report(same_domain, now), limit_share_period,
+                 [this, same_domain](result<peer_answer> answer) {
+                   if (!answer) return;
+                   post([this, same_domain, answer = std::move(*answer)] {
+                     const auto* usage = std::get_if<limit_usage>(&answer.reply);
+                     if (usage == nullptr) return;
+                     const monotonic_time then = monotonic_now();
+                     limit_tree.on_answer(answer.from.instance, same_domain, *usage, then);
+                     hooks.on_limit_usage(self, limit_tree.elsewhere(then));
+                   });
+                 });
+  }
+}
+
 void control_plane::impl::publish_snapshot() {
   auto made = std::make_shared<routing_snapshot>();
   for (const auto& [name, declared] : cache.tables()) {
@@ -190,7 +228,7 @@
     }
     made->services.push_back(make_service_snapshot(declared, records));
   }
-  on_snapshot(std::move(made));
+  hooks.on_snapshot(std::move(made));
 }
 
 // Each service's first layout is written by one instance, if the store has none yet.
@@ -234,6 +272,8 @@
     reply(spreader.missing(*digest));
   } else if (const auto* handover = std::get_if<term_handover>(&request)) {
     reply(acknowledgement{cells.take_over(*handover, now)});
+  } else if (const auto* usage = std::get_if<limit_usage>(&request)) {
+    reply(limit_tree.on_report(from.instance, from.domain == settings.domain, *usage, now));
   } else {
     reply(acknowledgement{false});
   }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -15,16 +15,21 @@
 #include "base/time.h"
 #include "entry/settings.h"
 #include "metrics/metrics.h"
+#include "routing/limiter.h"
 #include "routing/snapshot.h"
 
 namespace plantainpaddle {
 
-using snapshot_handler = std::function<void(std::shared_ptr<const routing_snapshot>)>;
+// What the traffic threads and the control thread tell each other; called on the control thread.
+struct traffic_hooks {
+  std::function<void(std::shared_ptr<const routing_snapshot>)> on_snapshot;
+  std::function<std::vector<limit_use>()> limit_usage;
+  std::function<void(const instance_id& from, const std::vector<limit_use>&)> on_limit_usage;
+};
 
 class control_plane {
  public:
-  // on_snapshot is called on the control thread.
-  control_plane(entry_settings settings, metrics& counters, snapshot_handler on_snapshot);
+  control_plane(entry_settings settings, metrics& counters, traffic_hooks hooks);
   ~control_plane();
   control_plane(const control_plane&) = delete;
   control_plane& operator=(const control_plane&) = delete;
@@ -33,6 +38,8 @@
   result<std::string> start();
   void stop();
 
+  // From now on this instance is not ready, and starts as assigner of no cell.
+  void set_leaving();
   // Hands the cells of this instance over to their standbys; returns when that is done or time is
   // up.
   void leave(duration within);
--- a/src/harness/cluster.cc
+++ b/src/harness/cluster.cc
@@ -28,7 +28,6 @@
 constexpr duration start_timeout = seconds(10);
 constexpr duration serve_timeout = seconds(30);
 constexpr duration poll_period = milliseconds(50);
-constexpr std::string_view cluster_name = "demo";
 
 // A port of the range that nobody listens on now. Several benches at once start at different
 // places.
--- a/src/harness/cluster.h
+++ b/src/harness/cluster.h
@@ -22,6 +22,9 @@
 
 namespace plantainpaddle {
 
+// The name in the settings of all systems that are started here.
+inline constexpr std::string_view cluster_name = "demo";
+
 struct cluster_layout {
   std::vector<std::string> domains{"north", "east", "south"};
   std::size_t entries_per_domain = 2;
--- a/src/harness/process.h
+++ b/src/harness/process.h
@@ -9,6 +9,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,7 +32,8 @@
   bool running();
   // The exit code, 128 + the signal's number, or nothing if it still runs after the time.
   std::optional<int> wait(duration most);
-  void kill();  // SIGKILL and wait
+  void kill();                           // SIGKILL and wait
+  std::uint64_t resident_bytes() const;  // 0 if it has ended
 
  private:
   explicit child_process(pid_t pid) : pid_(pid) {}
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -115,6 +115,23 @@
   return push;
 }
 
+void write_usage(const limit_usage& usage, capnp::List<wire::UsageEntry>::Builder to) {
+  for (unsigned i = 0; i < to.size(); ++i) {
+    to[i].setLimit(usage.entries[i].limit);
+    to[i].setTenant(usage.entries[i].tenant);
+    to[i].setUsed(usage.entries[i].used);
+  }
+}
+
+limit_usage read_usage(capnp::List<wire::UsageEntry>::Reader from) {
+  limit_usage usage;
+  for (const auto entry : from) {
+    usage.entries.push_back(
+        {to_text(entry.getLimit()), to_text(entry.getTenant()), entry.getUsed()});
+  }
+  return usage;
+}
+
 struct request_writer {
   wire::Request::Builder to;
 
@@ -146,12 +163,7 @@
     write_order(order.order, out.initOrder());
   }
   void operator()(const limit_usage& usage) {
-    auto out = to.initLimitUsage(static_cast<unsigned>(usage.entries.size()));
-    for (unsigned i = 0; i < out.size(); ++i) {
-      out[i].setLimit(usage.entries[i].limit);
-      out[i].setTenant(usage.entries[i].tenant);
-      out[i].setUsed(usage.entries[i].used);
-    }
+    write_usage(usage, to.initLimitUsage(static_cast<unsigned>(usage.entries.size())));
   }
 };
 
@@ -164,6 +176,9 @@
     write_items(reply.items, to.initStatePush(static_cast<unsigned>(reply.items.size())));
   }
   void operator()(const grant_answer& reply) { write_answer(reply, to.initGrantAnswer()); }
+  void operator()(const limit_usage& reply) {
+    write_usage(reply, to.initLimitUsage(static_cast<unsigned>(reply.entries.size())));
+  }
 };
 
 }  // namespace
@@ -216,14 +231,8 @@
       return peer_request(
           dispatcher_order{upstream_id{to_text(in.getUpstream())}, read_order(in.getOrder())});
     }
-    case wire::Request::LIMIT_USAGE: {
-      limit_usage usage;
-      for (const auto entry : from.getLimitUsage()) {
-        usage.entries.push_back(
-            {to_text(entry.getLimit()), to_text(entry.getTenant()), entry.getUsed()});
-      }
-      return peer_request(std::move(usage));
-    }
+    case wire::Request::LIMIT_USAGE:
+      return peer_request(read_usage(from.getLimitUsage()));
   }
   return bad_message("unknown request");
 }
@@ -241,6 +250,8 @@
       if (!answer) return answer.error();
       return peer_reply(std::move(*answer));
     }
+    case wire::Reply::LIMIT_USAGE:
+      return peer_reply(read_usage(from.getLimitUsage()));
   }
   return bad_message("unknown reply");
 }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -71,7 +71,9 @@
 
 using peer_request = std::variant<term_question, state_push, state_digest, term_handover,
                                   dispatcher_order, limit_usage>;
-using peer_reply = std::variant<acknowledgement, term_answer, state_push, grant_answer>;
+// Of a limit_usage the answer is one too: what is asked for elsewhere.
+using peer_reply =
+    std::variant<acknowledgement, term_answer, state_push, grant_answer, limit_usage>;
 
 // Who a peer is. Cluster name, protocol version and region must match, or the connection is
 // refused.
--- a/src/peer/wire.capnp
+++ b/src/peer/wire.capnp
@@ -100,6 +100,7 @@
     termAnswer @1 :UInt64;
     statePush @2 :List(StateItem);
     grantAnswer @3 :GrantAnswer;
+    limitUsage @4 :List(UsageEntry);
   }
 }
 
--- a/src/peer/wire.capnp.h
+++ b/src/peer/wire.capnp.h
@@ -244,6 +244,7 @@
     TERM_ANSWER,
     STATE_PUSH,
     GRANT_ANSWER,
+    LIMIT_USAGE,
   };
 
   struct _capnpPrivate {
@@ -1645,6 +1646,10 @@
   inline bool hasGrantAnswer() const;
   inline  ::plantainpaddle::wire::GrantAnswer::Reader getGrantAnswer() const;
 
+  inline bool isLimitUsage() const;
+  inline bool hasLimitUsage() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader getLimitUsage() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1698,6 +1703,14 @@
   inline void adoptGrantAnswer(::capnp::Orphan< ::plantainpaddle::wire::GrantAnswer>&& value);
   inline ::capnp::Orphan< ::plantainpaddle::wire::GrantAnswer> disownGrantAnswer();
 
+  inline bool isLimitUsage();
+  inline bool hasLimitUsage();
+  inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder getLimitUsage();
+  inline void setLimitUsage( ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder initLimitUsage(unsigned int size);
+  inline void adoptLimitUsage(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>> disownLimitUsage();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3742,6 +3755,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Reply::Reader::isLimitUsage() const {
+  return which() == Reply::LIMIT_USAGE;
+}
+inline bool Reply::Builder::isLimitUsage() {
+  return which() == Reply::LIMIT_USAGE;
+}
+inline bool Reply::Reader::hasLimitUsage() const {
+  if (which() != Reply::LIMIT_USAGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Reply::Builder::hasLimitUsage() {
+  if (which() != Reply::LIMIT_USAGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader Reply::Reader::getLimitUsage() const {
+  KJ_IREQUIRE((which() == Reply::LIMIT_USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder Reply::Builder::getLimitUsage() {
+  KJ_IREQUIRE((which() == Reply::LIMIT_USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Reply::Builder::setLimitUsage( ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::LIMIT_USAGE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder Reply::Builder::initLimitUsage(unsigned int size) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::LIMIT_USAGE);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Reply::Builder::adoptLimitUsage(
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Reply::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, Reply::LIMIT_USAGE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>> Reply::Builder::disownLimitUsage() {
+  KJ_IREQUIRE((which() == Reply::LIMIT_USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
