--- a/src/ownership/planner.cc
+++ b/src/ownership/planner.cc
@@ -127,7 +127,9 @@
   const double threshold = std::max(input.hysteresis, noise_to_start * noise_of(input, in));
   if (input.move_budget == 0 || best.highest / least - 1 <= threshold) return best;
   double best_cost = cost_of(input, in, best, least);
+  const double reached = best.highest;
   for (const double excess : candidate_excess) {
+    if (least * (1 + excess) >= reached) break;
     auto plan = rebalance(in.weights, in.items, least * (1 + excess));
     const double cost = cost_of(input, in, plan, least);
     if (cost >= best_cost) continue;
--- a/src/ownership/rebalance.cc
+++ b/src/ownership/rebalance.cc
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
 
 namespace plantainpaddle {
 namespace {
@@ -35,6 +36,12 @@
     }
   }
 
+  // The plan that moves nothing; nothing if some item must be placed.
+  std::optional<rebalance_plan> unchanged() const {
+    if (std::find(place_.begin(), place_.end(), no_bin) != place_.end()) return std::nullopt;
+    return rebalance_plan{place_, 0, highest()};
+  }
+
   rebalance_plan run(bool tightest, std::size_t kept) {
     take_excess(kept);
     put_loose(tightest);
@@ -200,6 +207,8 @@
 
 rebalance_plan rebalance(const std::vector<double>& weights,
                          const std::vector<rebalance_item>& items, double cap) {
+  auto unchanged = rebalancer(weights, items, cap).unchanged();
+  if (unchanged && unchanged->highest <= cap * slack) return *std::move(unchanged);
   rebalance_plan best = best_variant(weights, items, cap);
   for (int i = 0; i < reached_cap_rounds && best.highest > cap * slack; ++i) {
     auto again = best_variant(weights, items, best.highest);
