--- a/src/ownership/testing/world_instances.cc
+++ b/src/ownership/testing/world_instances.cc
@@ -10,6 +10,7 @@
 
 const cell_id the_cell{"sklad/d1/0"};
 constexpr duration tick_period = milliseconds(20);
+constexpr duration list_time = milliseconds(600);  // from the last sign of life
 constexpr duration restart_pause = milliseconds(300);
 // Between deciding on an action and carrying it out.
 constexpr duration action_pause = microseconds(300);
@@ -30,6 +31,9 @@
   processes_[number].alive = true;
   ++processes_[number].life;
   instances_[number] = {};
+  for (int other = 0; other < instance_count; ++other) {
+    instances_[number].listed.insert(processes_[other].name);
+  }
   note(id_of(number).value + " starts");
   // The platform's list of instances, and what peers say of their lives.
   for (int other = 0; other < instance_count; ++other) {
@@ -51,16 +55,28 @@
       if (known) learn(other, *known);
     });
   }
-  if (random_() % 50 == 0) {  // the watcher reads the store
-    send(number, store_process, [this, number] {
-      if (now_ < store_down_until_ || !stored_) return;
-      send(store_process, number, [this, number, record = *stored_] { learn(number, record); });
-    });
-  }
+  if (random_() % 10 == 0) read_platform(number);
   update_role(number);
   feed(number, self.assigners_made, tick{});
 }
 
+// Five times a second: a sign of life, the list of instances, and what a watch of the store brings.
+void world::read_platform(int number) {
+  send(number, store_process, [this, number] {
+    listed_until_[number] = now_ + list_time;
+    std::set<std::string> listed;
+    for (int other = 0; other < instance_count; ++other) {
+      if (now_ < listed_until_[other]) listed.insert(processes_[other].name);
+    }
+    std::optional<cell_record> record;
+    if (now_ >= store_down_until_) record = stored_;
+    send(store_process, number, [this, number, listed, record] {
+      instances_[number].listed = listed;
+      if (record) learn(number, *record);
+    });
+  });
+}
+
 void world::learn(int number, const cell_record& record) {
   auto& known = instances_[number].known;
   if (!known || record.revision > known->revision) known = record;
@@ -93,7 +109,8 @@
     inputs.home.push_back({shard_id{shard}, fence_number{1}});
   }
   for (const auto& [name, id] : instances_[number].lives) {
-    if (id != id_of(number)) inputs.standby_candidates.push_back(id);
+    if (id != id_of(number) && instances_[number].listed.contains(name))
+      inputs.standby_candidates.push_back(id);
   }
   inputs.move_budget = 1;
   return inputs;
@@ -131,6 +148,15 @@
       std::visit([&](const auto& a) { perform(number, made, a); }, action);
     });
   }
+  if (self.acting->phase() != before && self.acting->phase() == assigner_phase::active) {
+    for (const auto& other : instances_) {
+      if (&other == &self || !other.acting || !other.acting->record()) continue;
+      if (other.acting->phase() == assigner_phase::active &&
+          other.acting->record()->term == self.acting->record()->term) {
+        judge_.object("two assigners act under one term");
+      }
+    }
+  }
   if (self.acting->phase() != before) {
     note(id_of(number).value + " is " + std::string(phase_name(self.acting->phase())));
   }
@@ -145,7 +171,11 @@
   send(number, to, [this, number, made, to, action] {
     const int u = to - instance_count;
     stop_lapsed_work(u);
-    grant_answer answer = upstreams_[u].holder->handle(action.order, clock(to));
+    auto& holder = *upstreams_[u].holder;
+    const auto before = holder.held(clock(to));
+    const grant_answer answer = holder.handle(action.order, clock(to));
+    judge_.ordered(processes_[to].name + "@" + std::to_string(processes_[to].life), action.order,
+                   answer.status, before, holder.held(clock(to)));
     if (answer.status == grant_status::accepted && action.order.set) {
       std::string line = processes_[to].name + " accepts of " + action.order.assigner.value + ":";
       for (const auto& grant : answer.held) {
@@ -205,9 +235,15 @@
   note(id_of(number).value + " retires: " + action.reason);
 }
 
-void world::leave(int number, int successor) {
+void world::leave(int successor) {
+  int number = 0;
+  const auto can_leave = [&] {
+    return processes_[number].alive && now_ >= processes_[number].frozen_until &&
+           instances_[number].acting && number != successor;
+  };
+  while (number < instance_count && !can_leave()) ++number;
+  if (number == instance_count) return;
   auto& self = instances_[number];
-  if (successor == number || !self.acting) return;
   const auto handed = self.acting->hand_over(clock(number));
   if (!handed) return;
   self.acting.reset();
