Mend a crash on a last chunk that comes in pieces

The fuzzer of the guard found in its first seconds that "0\r\n" and then one byte more ends the process: Beast's parser asserts that five bytes of a last chunk are there once its size line was seen. Any caller could have done it.

--- a/src/upstream/message_parser.h
+++ b/src/upstream/message_parser.h
@@ -53,10 +53,14 @@
   void parse_body(wire_buffer& buffer, code& ec) {
     ec = {};
     if (base::is_done() || buffer.begin == buffer.end) return;
+    // Beast's parser asserts that what it asked for, after the size line of a last chunk, came
+    // whole.
+    if (wants_more_ && buffer.unread().size() < shortest_last_chunk) return;
     bytes_ = buffer.bytes.data();
     buffer.begin +=
         base::put(boost::asio::const_buffer(buffer.unread().data(), buffer.unread().size()), ec);
-    if (ec == boost::beast::http::error::need_more) ec = {};
+    wants_more_ = ec == boost::beast::http::error::need_more;
+    if (wants_more_) ec = {};
   }
 
   std::span<const head_field> fields() const { return {fields_.data(), count_}; }
@@ -126,9 +130,12 @@
     return bytes.size();
   }
 
+  static constexpr std::size_t shortest_last_chunk = std::string_view("0\r\n\r\n").size();
+
   std::array<head_field, max_head_fields> fields_;
   std::size_t count_ = 0;
   bool head_done_ = false;
+  bool wants_more_ = false;
   boost::beast::http::verb method_ = boost::beast::http::verb::unknown;
   std::string_view method_text_;
   std::string_view target_;
