--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -362,10 +362,7 @@
   if (relayed == relay_end::whole) end.known = run_state::complete;
   if (relayed == relay_end::upstream_failed) end.judged = failure_kind::error;
   if (relayed == relay_end::upstream_slow) end.judged = failure_kind::silent;
-  home_.counters().add("requests_total",
-                       {{"class", std::string(class_name(match_.route->klass))},
-                        {"status", std::to_string(answer.status())},
-                        {"outcome", relayed == relay_end::whole ? "complete" : "broken"}});
+  record(answer.status(), relayed == relay_end::whole ? "complete" : "broken", answer.body_bytes());
   co_return end;
 }
 
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -314,16 +314,45 @@
          !home_.draining() && !caller_.caller_gone();
 }
 
+void exchange::record(unsigned status, std::string_view outcome, std::uint64_t answer_bytes) {
+  const auto now = monotonic_now();
+  home_.record(
+      {.klass = match_.route == nullptr ? no_class : static_cast<std::size_t>(match_.route->klass),
+       .tenant = tenant_,
+       .status = status,
+       .outcome = outcome,
+       .latency = now - started_,
+       .queued = (sent_ == monotonic_time{} ? now : sent_) - started_,
+       .request_bytes = messages_.request->body_bytes(),
+       .answer_bytes = answer_bytes});
+  if (!log_enabled(log_level::debug)) return;
+  const std::string message = std::string(messages_.request->method_text()) + " " +
+                              std::string(messages_.request->target()) + " " +
+                              std::to_string(status) + " " + std::string(outcome);
+  log_line(log_level::debug, {.message = message, .request = messages_.request_id});
+}
+
+// A server's failure is worth a line; what a caller did wrong shows in the counters.
+void exchange::log_answer(const own_answer& own) const {
+  constexpr unsigned first_server_error = 500;
+  if (own.status < first_server_error || !log_enabled(log_level::info)) return;
+  const bool routed = match_.service != nullptr;
+  log_line(log_level::info,
+           {.message = own.why.detail,
+            .at = own.why.at,
+            .peer = own.why.peer,
+            .service = routed ? std::string_view(service().service.name.value) : "",
+            .revision = routed ? std::optional(service().table_revision.value) : std::nullopt,
+            .request = messages_.request_id});
+}
+
 task<bool> exchange::answer(own_answer own) {
   if (connection_) release_connection(false);
   leave_gate(false);
   const bool keep = may_keep();
   const auto& request = *messages_.request;
-  const auto klass =
-      match_.route == nullptr ? std::string_view("none") : class_name(match_.route->klass);
-  home_.counters().add("requests_total", {{"class", std::string(klass)},
-                                          {"status", std::to_string(own.status)},
-                                          {"outcome", std::string(outcome_name(own.outcome))}});
+  record(own.status, outcome_name(own.outcome), 0);
+  log_answer(own);
   const bool sent = co_await caller_.send(own, {.request_id = messages_.request_id,
                                                 .head_only = request.method() == http::verb::head,
                                                 .close = !keep});
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -80,6 +80,8 @@
   task<std::optional<own_answer>> plan_retry(const attempt_end& end);
 
   task<bool> answer(own_answer own);
+  void record(unsigned status, std::string_view outcome, std::uint64_t answer_bytes);
+  void log_answer(const own_answer& own) const;
   bool may_keep() const;
   bool repeatable() const;
   const service_snapshot& service() const { return *match_.service; }
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -6,6 +6,7 @@
 #include "entry/acceptor.h"
 #include "entry/traffic_state.h"
 #include "entry/worker.h"
+#include "metrics/labels.h"
 
 namespace plantainpaddle {
 
@@ -16,7 +17,7 @@
 }  // namespace
 
 struct proxy::impl {
-  impl(proxy_settings settings, metrics& counters) : shared(std::move(settings)) {
+  impl(proxy_settings settings, metrics& counters) : shared(std::move(settings)), page(counters) {
     for (std::uint32_t i = 0; i < shared.settings().threads; ++i) {
       workers.push_back(std::make_unique<worker>(shared, counters, i));
     }
@@ -24,9 +25,17 @@
     for (const auto& one : workers) all.push_back(one.get());
     callers.emplace(all, false);
     forwards.emplace(all, true);
+    source = page.add_source([this] { return describe_traffic(); });
   }
+  ~impl() { page.remove_source(source); }
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  std::string describe_traffic() const;
 
   traffic_state shared;
+  metrics& page;
+  std::uint64_t source = 0;
   std::vector<std::unique_ptr<worker>> workers;
   std::optional<connection_acceptor> callers;
   std::optional<connection_acceptor> forwards;
@@ -34,6 +43,26 @@
   bool started = false;
 };
 
+std::string proxy::impl::describe_traffic() const {
+  traffic_stats sum(traffic_class_names());
+  for (const auto& one : workers) one->add_stats(sum);
+  std::string text = sum.prometheus_text();
+  text += "plantainpaddle_connections " + std::to_string(shared.connections.load()) + "\n";
+  const auto view = shared.view();
+  for (std::size_t i = 0; i < view->services.size(); ++i) {
+    const auto& service = view->snapshot->services[i];
+    for (std::size_t j = 0; j < service.upstreams.size(); ++j) {
+      const auto& gate = view->services[i].upstreams[j]->gate;
+      const std::string labels = "{service=\"" + escape_label(service.service.name.value) +
+                                 "\",upstream=\"" + escape_label(service.upstreams[j].name.value) +
+                                 "\"} ";
+      text += "plantainpaddle_upstream_running" + labels + std::to_string(gate.running()) + "\n";
+      text += "plantainpaddle_upstream_queued" + labels + std::to_string(gate.queued()) + "\n";
+    }
+  }
+  return text;
+}
+
 proxy::proxy(proxy_settings settings, metrics& counters)
     : impl_(std::make_unique<impl>(std::move(settings), counters)) {}
 
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -4,6 +4,15 @@
 
 namespace plantainpaddle {
 
+std::vector<std::string> traffic_class_names() {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < request_class_count; ++i) {
+    names.emplace_back(class_name(static_cast<request_class>(i)));
+  }
+  names.emplace_back("none");
+  return names;
+}
+
 void service_health::on_success(std::size_t upstream, duration latency, monotonic_time now) {
   const std::lock_guard lock(mutex_);
   tracker_.on_success(upstream, latency, now);
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -24,6 +24,10 @@
 
 namespace plantainpaddle {
 
+// Names of the classes in the figures: the request classes, and one for requests without a route.
+inline constexpr std::size_t no_class = request_class_count;
+std::vector<std::string> traffic_class_names();
+
 struct upstream_traffic {
   explicit upstream_traffic(admission_config config) : gate(config) {}
 
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -34,7 +34,8 @@
       sweep_timer_(io_),
       view_(thread_local_copy(shared.view())),
       pool_(io_.get_executor()),
-      random_(random_number()) {}
+      random_(random_number()),
+      stats_(traffic_class_names()) {}
 
 worker::~worker() { stop(); }
 
@@ -55,6 +56,16 @@
   thread_.join();
 }
 
+void worker::record(const traffic_sample& sample) {
+  const std::lock_guard lock(stats_mutex_);
+  stats_.record(sample);
+}
+
+void worker::add_stats(traffic_stats& sum) const {
+  const std::lock_guard lock(stats_mutex_);
+  sum.merge(stats_);
+}
+
 void worker::abort_sessions() {
   for (auto& [id, open] : sessions_) open->abort();
   if (sessions_.empty()) work_.reset();
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -12,6 +12,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <set>
 #include <string>
@@ -22,6 +23,7 @@
 #include "entry/message_state.h"
 #include "entry/traffic_state.h"
 #include "metrics/metrics.h"
+#include "metrics/traffic_stats.h"
 #include "upstream/pool.h"
 
 namespace plantainpaddle {
@@ -43,12 +45,15 @@
   void adopt(std::shared_ptr<const traffic_view> view);
   void take(tcp_socket socket, bool internal);
   void begin_drain();
+  // What was recorded, added to sum. Any thread.
+  void add_stats(traffic_stats& sum) const;
   // The request of this session and admission got its slot, or won't get one. Any thread.
   void decide(std::uint64_t session, admission_id id, bool admitted);
 
   traffic_state& shared() { return shared_; }
   const proxy_settings& settings() const { return shared_.settings(); }
   metrics& counters() { return counters_; }
+  void record(const traffic_sample& sample);
   // A reference count of its own for each thread: copies are cheap.
   std::shared_ptr<const traffic_view> view() const { return view_; }
   connection_pool& pool() { return pool_; }
@@ -89,6 +94,8 @@
   monotonic_time next_retire_{};
   std::set<std::uint64_t> waiting_for_owner_;
   std::unordered_map<std::uint64_t, std::unique_ptr<session>> sessions_;
+  mutable std::mutex stats_mutex_;
+  traffic_stats stats_;
   std::thread thread_;
 };
 
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "metrics/labels.h"
+
 namespace plantainpaddle {
 namespace {
 
@@ -11,12 +13,7 @@
   text += '{';
   for (std::size_t i = 0; i < labels.size(); ++i) {
     if (i != 0) text += ',';
-    text += labels[i].first + "=\"";
-    for (const char c : labels[i].second) {
-      if (c == '"' || c == '\\') text += '\\';
-      text += c == '\n' ? ' ' : c;
-    }
-    text += '"';
+    text += labels[i].first + "=\"" + escape_label(labels[i].second) + '"';
   }
   return text + '}';
 }
@@ -44,11 +41,23 @@
   if (auto* kept = series(name, labels)) *kept = value;
 }
 
+std::uint64_t metrics::add_source(source text) {
+  const std::lock_guard lock(mutex_);
+  sources_.emplace(++last_source_, std::move(text));
+  return last_source_;
+}
+
+void metrics::remove_source(std::uint64_t id) {
+  const std::lock_guard lock(mutex_);
+  sources_.erase(id);
+}
+
 std::string metrics::prometheus_text() const {
   const std::lock_guard lock(mutex_);
   std::ostringstream out;
   for (const auto& [name, value] : values_) out << name << ' ' << value << '\n';
   out << "plantainpaddle_series_dropped_total " << dropped_ << '\n';
+  for (const auto& [id, text] : sources_) out << text();
   return out.str();
 }
 
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -7,6 +7,8 @@
 // "series_dropped_total".
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -23,6 +25,13 @@
 
   void add(const std::string& name, const metric_labels& labels, double amount = 1);
   void set(const std::string& name, const metric_labels& labels, double value);
+
+  // Text that is made when the page is read, such as the merged figures of the traffic threads. A
+  // source must not use the metrics it belongs to.
+  using source = std::function<std::string()>;
+  std::uint64_t add_source(source text);
+  void remove_source(std::uint64_t id);
+
   std::string prometheus_text() const;
 
  private:
@@ -30,6 +39,8 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, double> values_;
+  std::map<std::uint64_t, source> sources_;
+  std::uint64_t last_source_ = 0;
   double dropped_ = 0;
 };
 
