--- a/src/apps/testing/commands_test.cc
+++ b/src/apps/testing/commands_test.cc
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "apps/exit_codes.h"
-#include "standin/store.h"
+#include "standin/platform.h"
 
 using namespace plantainpaddle;
 
--- a/src/bench/control_bench.cc
+++ b/src/bench/control_bench.cc
@@ -16,10 +16,10 @@
 
 #include "base/json.h"
 #include "entry/state_cache.h"
+#include "harness/process.h"
 #include "http/client.h"
 #include "platform/instance_list.h"
 #include "platform/store_client.h"
-#include "standin/child_process.h"
 #include "standin/upstream.h"
 #include "table/parse.h"
 
--- a/src/harness/cluster.cc
+++ b/src/harness/cluster.cc
@@ -13,6 +13,7 @@
 #include <sstream>
 #include <thread>
 
+#include "harness/list_servers.h"
 #include "harness/store_view.h"
 #include "harness/web.h"
 #include "platform/instance_list.h"
@@ -67,7 +68,8 @@
   return done();
 }
 
-std::string settings_of(const running_entry& entry, const std::string& platform) {
+std::string settings_of(const running_entry& entry, const std::string& platform,
+                        const std::string& instances) {
   return json::serialize(
       json::object{{"name", entry.name},
                    {"cluster", cluster_name},
@@ -78,12 +80,17 @@
                      {"forward", entry.forward},
                      {"operators", entry.operators},
                      {"peers", entry.peers}}},
-                   {"platform", {{"store", json::array{platform}}, {"instances", platform}}},
+                   {"platform", {{"store", json::array{platform}}, {"instances", instances}}},
                    {"threads", 2}});
 }
 
 }  // namespace
 
+cluster::cluster(const cluster_layout& layout, std::string bin, std::string folder)
+    : layout_(layout), bin_(std::move(bin)), folder_(std::move(folder)) {}
+
+cluster::~cluster() = default;
+
 result<std::unique_ptr<cluster>> cluster::start(const cluster_layout& layout,
                                                 const std::string& bin, const std::string& folder) {
   std::unique_ptr<cluster> made(new cluster(layout, bin, folder));
@@ -96,49 +103,118 @@
 
 std::optional<error> cluster::start_all() {
   platform_address = free_address();
+  platform_control = free_address();
   if (auto bad = start_platform()) return bad;
+  if (auto bad = start_relay()) return bad;
+  if (auto bad = declare_upstreams()) return bad;
+  if (auto bad = declare_entries()) return bad;
+  for (auto& [name, upstream] : upstreams) {
+    if (auto bad = start_upstream(name)) return bad;
+  }
+  for (auto& [name, entry] : entries) {
+    if (auto bad = start_entry(name)) return bad;
+  }
+  if (auto bad = list_instances()) return bad;
+  if (auto bad = apply_table()) return bad;
+  if (!wait_until_served(serve_timeout)) {
+    return error{errc::timed_out, step::ownership, "", "not every shard has an owner in time"};
+  }
+  return std::nullopt;
+}
+
+std::optional<error> cluster::declare_upstreams() {
   for (auto& service : layout_.services) {
     for (auto& row : service.upstreams) {
-      row.address = free_address();
-      upstreams[row.name.value] = {.name = row.name.value,
-                                   .service = service.service.name.value,
-                                   .domain = row.domain.value,
-                                   .address = row.address,
-                                   .checks_fence = service.service.checks_fence,
-                                   .process = std::nullopt};
-      if (auto bad = start_upstream(row.name.value)) return bad;
+      running_upstream upstream{.name = row.name.value,
+                                .service = service.service.name.value,
+                                .domain = row.domain.value,
+                                .address = free_address(),
+                                .table_address = "",
+                                .checks_fence = service.service.checks_fence,
+                                .process = std::nullopt};
+      const auto route = add_route(upstream.name, upstream.address);
+      if (!route) return route.error();
+      upstream.table_address = *route;
+      row.address = *route;
+      upstreams.emplace(upstream.name, std::move(upstream));
     }
   }
+  return std::nullopt;
+}
+
+std::optional<error> cluster::declare_entries() {
   for (const auto& domain : layout_.domains) {
     for (std::size_t i = 0; i < layout_.entries_per_domain; ++i) {
-      running_entry entry{
-          .name = domain + "-" + std::to_string(i),
-          .domain = domain,
-          .callers = free_address(),
-          .forward = free_address(),
-          .operators = free_address(),
-          .peers = free_address(),
-          .settings_file = file("entry-" + domain + "-" + std::to_string(i) + ".json"),
-          .process = std::nullopt};
-      std::ofstream(entry.settings_file) << settings_of(entry, platform_address);
+      running_entry entry;
+      entry.name = domain + "-" + std::to_string(i);
+      entry.domain = domain;
+      entry.callers = free_address();
+      entry.forward = free_address();
+      entry.operators = free_address();
+      entry.peers = free_address();
+      entry.settings_file = file("entry-" + entry.name + ".json");
       entries.emplace(entry.name, std::move(entry));
     }
   }
+  if (layout_.relayed) lists_ = std::make_unique<list_servers>();
   for (auto& [name, entry] : entries) {
-    if (auto bad = start_entry(name)) return bad;
-  }
-  if (auto bad = list_instances()) return bad;
-  if (auto bad = apply_table()) return bad;
-  if (!wait_until_served(serve_timeout)) {
-    return error{errc::timed_out, step::ownership, "", "not every shard has an owner in time"};
+    const auto route = add_route(name + "-platform", platform_address);
+    if (!route) return route.error();
+    std::string instances = *route;
+    if (lists_) {
+      const auto own = lists_->listen(name);
+      if (!own) return own.error();
+      instances = *own;
+    }
+    for (const auto& [other, unused] : entries) {
+      if (other == name) continue;
+      const auto peer_route = add_route(std::string(other).append(">").append(name), entry.peers);
+      if (!peer_route) return peer_route.error();
+      entry.peer_routes[other] = *peer_route;
+    }
+    std::ofstream(entry.settings_file) << settings_of(entry, *route, instances);
   }
   return std::nullopt;
 }
 
-std::optional<error> cluster::start_platform() {
+std::optional<error> cluster::start_relay() {
+  if (!layout_.relayed) return std::nullopt;
+  relay_control = free_address();
   auto started = child_process::start(
-      {bin_ + "/plantainpaddle-standin", "platform", "--listen", platform_address},
-      file("platform.log"));
+      {bin_ + "/plantainpaddle-standin", "relay", "--listen", relay_control}, file("relay.log"));
+  if (!started) return started.error();
+  relay = std::move(*started);
+  const auto up = [&] { return web_get(relay_control, "/control/routes").has_value(); };
+  if (wait_until(start_timeout, up)) return std::nullopt;
+  return error{errc::timed_out, step::listen, relay_control, "the relay doesn't answer"};
+}
+
+// Without a relay the route is the address itself.
+result<std::string> cluster::add_route(const std::string& name, const std::string& to) const {
+  if (!relay) return to;
+  std::string listen = free_address();
+  const json::object wanted{{"name", name}, {"listen", listen}, {"to", to}};
+  const auto added = web_post(relay_control, "/control/routes", json::serialize(wanted));
+  if (!added) return added.error();
+  return listen;
+}
+
+std::optional<error> cluster::set_platform_fault(const std::string& fault) const {
+  const auto set = web_post(platform_control, "/control/faults", fault);
+  if (!set) return set.error();
+  return std::nullopt;
+}
+
+std::optional<error> cluster::set_relay_fault(const std::string& fault) const {
+  const auto set = web_post(relay_control, "/control/fault", fault);
+  if (!set) return set.error();
+  return std::nullopt;
+}
+
+std::optional<error> cluster::start_platform() {
+  auto started = child_process::start({bin_ + "/plantainpaddle-standin", "platform", "--listen",
+                                       platform_address, "--control", platform_control},
+                                      file("platform.log"));
   if (!started) return started.error();
   platform = std::move(*started);
   const auto up = [&] { return web_get(platform_address, "/v1/instances").has_value(); };
@@ -189,8 +265,20 @@
                     entry.operators, entry.peers,
                     name == leaving ? instance_state::leaving : instance_state::live});
   }
+  if (lists_) {
+    for (const auto& [viewer, unused] : entries) {
+      std::vector<instance_info> seen = list;
+      for (auto& info : seen) {
+        const auto& routes = entries.at(info.name).peer_routes;
+        if (const auto route = routes.find(viewer); route != routes.end()) {
+          info.peers = route->second;
+        }
+      }
+      lists_->set(viewer, format_instance_list(seen));
+    }
+  }
   const auto put =
-      web_call(platform_address, {"PUT", "/control/instances", {}, format_instance_list(list)});
+      web_call(platform_control, {"PUT", "/control/instances", {}, format_instance_list(list)});
   if (!put) return put.error();
   if (put->status == 200) return std::nullopt;
   return error{errc::refused, step::instance_list, platform_address, put->body};
@@ -200,14 +288,14 @@
   table declared;
   for (const auto& service : layout_.services) declared.emplace(service.service.name, service);
   std::ofstream(file("table.json")) << format_table_file(declared);
-  auto applied =
-      child_process::start({bin_ + "/plantainpaddle-table", "apply", file("table.json"), "--store",
-                            platform_address, "--cluster", std::string(cluster_name)},
-                           file("table.log"));
+  auto applied = child_process::start(
+      {bin_ + "/plantainpaddle-table", "apply", file("table.json"), "--store", platform_address,
+       "--cluster", std::string(cluster_name), "--author", "harness"},
+      file("table.log"));
   if (!applied) return applied.error();
   const auto code = applied->wait(start_timeout);
   if (code && *code == 0) return std::nullopt;
-  return error{errc::refused, step::table, "", "apply failed: " + read_file(file("table.log"))};
+  return error{errc::refused, step::table, "", "apply failed, see " + file("table.log")};
 }
 
 std::vector<std::string> cluster::targets() const {
--- a/src/harness/cluster.h
+++ b/src/harness/cluster.h
@@ -29,6 +29,9 @@
   // unique over all services.
   std::vector<service_table> services;
   std::string upstream_settings = R"({"queue":64,"connections":130})";
+  // Connections pass through relay routes: "<entry>-platform", "<entry>><entry>" between peers, and
+  // "<upstream>".
+  bool relayed = false;
 };
 
 struct running_entry {
@@ -39,6 +42,7 @@
   std::string operators;
   std::string peers;
   std::string settings_file;
+  std::map<std::string, std::string> peer_routes;  // addresses at which the others see it, by name
   std::optional<child_process> process;
 };
 
@@ -46,13 +50,20 @@
   std::string name;
   std::string service;
   std::string domain;
-  std::string address;
+  std::string address;        // of the process
+  std::string table_address;  // that entries connect to
   bool checks_fence = true;
   std::optional<child_process> process;
 };
 
+class list_servers;
+
 class cluster {
  public:
+  ~cluster();
+  cluster(const cluster&) = delete;
+  cluster& operator=(const cluster&) = delete;
+
   // Starts everything, applies the table and waits until every shard is served.
   static result<std::unique_ptr<cluster>> start(const cluster_layout& layout,
                                                 const std::string& bin, const std::string& folder);
@@ -60,11 +71,17 @@
   std::map<std::string, running_entry> entries;
   std::map<std::string, running_upstream> upstreams;
   std::string platform_address;
+  std::string platform_control;
+  std::string relay_control;
   std::optional<child_process> platform;
+  std::optional<child_process> relay;
 
   std::optional<error> start_entry(const std::string& name);
   std::optional<error> start_upstream(const std::string& name);
   std::optional<error> start_platform();
+  // JSON for POST /control/faults of the platform, and for POST /control/fault of the relay.
+  std::optional<error> set_platform_fault(const std::string& fault) const;
+  std::optional<error> set_relay_fault(const std::string& fault) const;
   // The instance list as the platform shows it: the entries that run, and those leaving.
   std::optional<error> list_instances(const std::string& leaving = "");
   std::vector<std::string> targets() const;
@@ -78,15 +95,19 @@
   std::string status(const std::string& entry) const;  // JSON, empty if it doesn't answer
 
  private:
-  cluster(const cluster_layout& layout, std::string bin, std::string folder)
-      : layout_(layout), bin_(std::move(bin)), folder_(std::move(folder)) {}
+  cluster(const cluster_layout& layout, std::string bin, std::string folder);
   std::optional<error> start_all();
+  std::optional<error> start_relay();
+  result<std::string> add_route(const std::string& name, const std::string& to) const;
+  std::optional<error> declare_upstreams();
+  std::optional<error> declare_entries();
   std::optional<error> apply_table() const;
   std::string file(const std::string& name) const { return folder_ + "/" + name; }
 
   cluster_layout layout_;
   std::string bin_;
   std::string folder_;
+  std::unique_ptr<list_servers> lists_;  // only if relayed
 };
 
 // Harrowgate's three services with a few upstreams in each failure domain.
--- a/src/harness/process.cc
+++ b/src/harness/process.cc
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <fstream>
 #include <thread>
 #include <utility>
 
@@ -86,4 +87,12 @@
   wait(seconds(10));
 }
 
+std::uint64_t child_process::resident_bytes() const {
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  in >> total >> resident;
+  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
 }  // namespace plantainpaddle
--- a/src/harness/process.h
+++ b/src/harness/process.h
@@ -9,6 +9,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,6 +33,8 @@
   // The exit code, 128 + the signal's number, or nothing if it still runs after the time.
   std::optional<int> wait(duration most);
   void kill();  // SIGKILL and wait
+  // Resident memory in bytes; 0 if it has ended.
+  std::uint64_t resident_bytes() const;
 
  private:
   explicit child_process(pid_t pid) : pid_(pid) {}
