Model the platform's balancer in the load tool; leave upstreams out of the relay in failover

Cause: entries that had just started were sent requests and answered 404 to 119 of 4,156; dead upstreams behind the relay took connections, so that 240 requests were unknown that should have been refused connections. Change: load plans name readiness addresses; the relay stands between entries and platform and between peers only, unless asked for.

--- a/src/bench/demo_bench.cc
+++ b/src/bench/demo_bench.cc
@@ -39,7 +39,8 @@
   if (!started) return fail(started.error());
   cluster& system = **started;
   say("every shard has an owner; load for " + std::to_string(load_length / seconds(1)) + " s");
-  const load_plan plan = make_harrowgate_plan(system.targets(), load_length, 1, 1);
+  load_plan plan = make_harrowgate_plan(system.targets(), load_length, 1, 1);
+  plan.readiness = system.readiness();
   auto load = std::async(std::launch::async, [&plan] { return run_load(plan); });
   std::this_thread::sleep_for(kill_after);
   say("killing counter-desk-north-0");
--- a/src/harness/cluster.h
+++ b/src/harness/cluster.h
@@ -29,9 +29,11 @@
   // unique over all services.
   std::vector<service_table> services;
   std::string upstream_settings = R"({"queue":64,"connections":130})";
-  // Connections pass through relay routes: "<entry>-platform", "<entry>><entry>" between peers, and
-  // "<upstream>".
+  // Connections to the platform and between peers pass through relay routes "<entry>-platform" and
+  // "<entry>><entry>"; those to upstreams through "<upstream>". A relay takes connections also
+  // while its target is dead, which hides a refused connection.
   bool relayed = false;
+  bool relayed_upstreams = false;
 };
 
 struct running_entry {
@@ -85,6 +87,7 @@
   // The instance list as the platform shows it: the entries that run, and those leaving.
   std::optional<error> list_instances(const std::string& leaving = "");
   std::vector<std::string> targets() const;
+  std::vector<std::string> readiness() const;  // for load_plan::readiness
 
   // The name of the entry that a cell's record names as its assigner; empty if unknown.
   std::string assigner_of(const std::string& cell) const;
--- a/src/harness/revision_watch.cc
+++ b/src/harness/revision_watch.cc
@@ -50,7 +50,8 @@
       const auto* cell = item.if_object();
       if (cell == nullptr || !cell->contains("cell") || !cell->at("cell").is_string()) continue;
       const std::string name(cell->at("cell").as_string());
-      add(instance + " cell " + name, number_of(cell->at("term")), number_of(cell->at("revision")));
+      add(std::string(instance).append(" cell ").append(name), number_of(cell->at("term")),
+          number_of(cell->at("revision")));
     }
   }
 }
--- a/src/load/plan.cc
+++ b/src/load/plan.cc
@@ -75,6 +75,10 @@
       reader.fail("targets", parsed.error().detail);
     }
   }
+  plan.readiness = reader.texts("readiness", false);
+  if (!plan.readiness.empty() && plan.readiness.size() != plan.targets.size()) {
+    reader.fail("readiness", "one address for each target is wanted");
+  }
   plan.length = read_ms(reader, "length_ms", plan.length);
   plan.seed = reader.unsigned_integer("seed", plan.seed);
   plan.threads = static_cast<std::uint32_t>(reader.integer("threads", 1, 64, plan.threads));
--- a/src/load/plan.h
+++ b/src/load/plan.h
@@ -44,6 +44,9 @@
 
 struct load_plan {
   std::vector<std::string> targets;  // "IP:port"
+  // For each target, the address of its GET /readyz; empty: none are asked. A target that answers
+  // with another status than 200 gets no requests, as behind a balancer.
+  std::vector<std::string> readiness;
   duration length = seconds(5);
   std::uint64_t seed = 1;
   std::uint32_t threads = 1;
--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -1,5 +1,6 @@
 #include "load/runner.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <thread>
 
 #include "http/address.h"
+#include "http/client.h"
 #include "load/exchange.h"
 #include "load/keys.h"
 #include "ownership/shard_map.h"
@@ -24,6 +26,7 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr duration connect_timeout = milliseconds(250);
+constexpr duration probe_period = milliseconds(100);
 constexpr duration give_up_margin = seconds(1);  // beyond the deadline told to the router
 
 std::string with_key(std::string path, const std::string& key) {
@@ -38,12 +41,20 @@
 class runner {
  public:
   runner(const load_plan& plan, std::uint32_t part, monotonic_time start)
-      : plan_(plan), part_(part), start_(start), idle_(plan.targets.size()) {}
+      : plan_(plan),
+        part_(part),
+        start_(start),
+        idle_(plan.targets.size()),
+        ready_(plan.targets.size(), true),
+        probes_(io_.get_executor()) {}
 
   std::vector<load_record> run() {
     for (std::size_t i = 0; i < plan_.classes.size(); ++i) {
       asio::co_spawn(io_, arrivals(i), asio::detached);
     }
+    for (std::size_t i = 0; i < plan_.readiness.size(); ++i) {
+      asio::co_spawn(io_, follow_readiness(i), asio::detached);
+    }
     io_.run();
     return std::move(records_);
   }
@@ -70,6 +81,19 @@
     }
   }
 
+  // A target that doesn't answer stays as it was: its listener decides.
+  asio::awaitable<void> follow_readiness(std::size_t target) {
+    asio::steady_timer timer(io_);
+    while (monotonic_now() < start_ + plan_.length) {
+      probes_.send(plan_.readiness[target], {"GET", "/readyz", {}, ""}, probe_period,
+                   [this, target](const result<http_response>& answer) {
+                     if (answer) ready_[target] = answer->status == 200;
+                   });
+      timer.expires_after(probe_period);
+      co_await timer.async_wait(as_result);
+    }
+  }
+
   void launch(const load_class& klass, const std::string& key, std::uint64_t tenant,
               monotonic_time scheduled) {
     load_record record;
@@ -106,8 +130,10 @@
 
   asio::awaitable<void> send(std::size_t place, exchange_spec spec) {
     const std::size_t first = next_target_++;
+    const bool some_ready = std::find(ready_.begin(), ready_.end(), true) != ready_.end();
     for (std::size_t i = 0; i < plan_.targets.size(); ++i) {
       const std::size_t target = (first + i) % plan_.targets.size();
+      if (some_ready && !ready_[target]) continue;
       auto connection = co_await open(target);
       if (!connection) continue;
       records_[place].target = plan_.targets[target];
@@ -153,6 +179,8 @@
   asio::io_context io_{1};
   std::vector<load_record> records_;
   std::vector<std::vector<std::unique_ptr<load_connection>>> idle_;  // by target
+  std::vector<bool> ready_;                                          // by target
+  http_client probes_;
   std::size_t next_target_ = 0;
   std::uint64_t outstanding_ = 0;
 };
