--- a/src/apps/findings.cc
+++ b/src/apps/findings.cc
@@ -39,6 +39,7 @@
     {fault::drain_under_way, "drain-under-way", severity::notice},
     {fault::drain_complete, "drain-complete", severity::notice},
     {fault::instance_leaving, "instance-leaving", severity::notice},
+    {fault::nothing_declared, "nothing-declared", severity::notice},
 };
 
 constexpr bool rows_are_in_order() {
@@ -68,6 +69,10 @@
       : fleet_(fleet), cells_(newest_cells(fleet)) {
     if (declared) {
       tables_ = *declared;
+      if (tables_.empty()) {
+        add(fault::nothing_declared, "table", "the table has no service yet",
+            "plantainpaddle-table apply FILE   # or: plantainpaddle-table add NAME/service/NAME");
+      }
     } else {
       add(fault::store_unreadable, "store",
           to_string(declared.error()) +
--- a/src/apps/findings.h
+++ b/src/apps/findings.h
@@ -42,6 +42,7 @@
   drain_under_way,
   drain_complete,
   instance_leaving,
+  nothing_declared,
 };
 std::string_view fault_name(fault f) noexcept;  // as in docs/OPERATIONS.md
 severity severity_of(fault f) noexcept;
--- a/src/apps/testing/findings_test.cc
+++ b/src/apps/testing/findings_test.cc
@@ -94,7 +94,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(faults_are_ordered_by_severity) {
-  for (int f = 1; f <= static_cast<int>(fault::instance_leaving); ++f) {
+  for (int f = 1; f <= static_cast<int>(fault::nothing_declared); ++f) {
     BOOST_TEST((severity_of(static_cast<fault>(f - 1)) <= severity_of(static_cast<fault>(f))));
   }
 }
@@ -254,6 +254,12 @@
   check_top(system, fault::drain_complete, "remove desk/upstream/desk-n");
 }
 
+BOOST_AUTO_TEST_CASE(an_empty_table) {
+  well_system system;
+  system.tables.clear();
+  check_top(system, fault::nothing_declared, "plantainpaddle-table apply FILE");
+}
+
 BOOST_AUTO_TEST_CASE(the_newest_view_of_a_cell_counts) {
   well_system system;
   auto& stale = system.fleet.instances[2].status->cells[0];
--- /dev/null
+++ b/src/entry/testing/settings_test.cc
@@ -0,0 +1,86 @@
+#include "entry/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpaddle;
+
+namespace {
+
+const std::string well = R"({"name":"n1","cluster":"c","region":"r","domain":"north",
+  "listen":{"callers":"127.0.0.1:1","forward":"127.0.0.1:2","operators":"127.0.0.1:3",
+            "peers":"[::1]:4"},
+  "platform":{"store":["127.0.0.1:5","127.0.0.1:6"],"instances":"127.0.0.1:7"},
+  "threads":4,"log_level":"warning"})";
+
+std::string with(const std::string& from, const std::string& to) {
+  std::string text = well;
+  const auto place = text.find(from);
+  BOOST_REQUIRE(place != std::string::npos);
+  return text.replace(place, from.size(), to);
+}
+
+// The error names the file, the place and what was found.
+void check_refused(const std::string& text, const std::string& expected) {
+  const auto read = parse_entry_settings(text, "n1.json");
+  BOOST_REQUIRE_MESSAGE(read.has_error(), expected);
+  const std::string& detail = read.error().detail;
+  BOOST_TEST(detail.find("n1.json: " + expected) != std::string::npos, detail);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(entry_settings_file)
+
+BOOST_AUTO_TEST_CASE(a_whole_file_is_read) {
+  const auto read = parse_entry_settings(well, "n1.json");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->name == "n1");
+  BOOST_TEST(read->domain.value == "north");
+  BOOST_TEST(read->listen_peers == "[::1]:4");
+  BOOST_TEST(read->store.size() == 2U);
+  BOOST_TEST(read->threads == 4U);
+  BOOST_TEST((read->level == log_level::warning));
+}
+
+BOOST_AUTO_TEST_CASE(threads_and_log_level_have_defaults) {
+  const auto read = parse_entry_settings(with(R"(,
+  "threads":4,"log_level":"warning")",
+                                              ""),
+                                         "n1.json");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->threads == 2U);
+  BOOST_TEST((read->level == log_level::info));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_wrong_is_named_with_its_place) {
+  check_refused("{", "line 1");
+  check_refused("[]", "$: found []");
+  check_refused(with("\"threads\":4", "\"threads\":65"),
+                "$.threads: found 65, a whole number from 1 to 64");
+  check_refused(with("\"threads\":4", "\"threads\":\"4\""), "$.threads: found \"4\"");
+  check_refused(with("\"threads\":4", "\"thread\":4"), "$.thread: unknown name");
+  check_refused(with("\"warning\"", "\"loud\""), "$.log_level: found \"loud\"");
+  check_refused(with("\"name\":\"n1\",", ""), "$.name: missing");
+  check_refused(with("\"n1\"", "\"n@1\""), "$.name: found \"n@1\"");
+  check_refused(with("127.0.0.1:1", "localhost:1"), "$.listen.callers: found \"localhost:1\"");
+  check_refused(with("127.0.0.1:5", "127.0.0.1"), "$.platform.store: found \"127.0.0.1\"");
+  check_refused(with("[\"127.0.0.1:5\",\"127.0.0.1:6\"]", "[]"), "$.platform.store: at least one");
+}
+
+BOOST_AUTO_TEST_CASE(all_errors_are_shown_at_once) {
+  std::string text = with("\"threads\":4", "\"threads\":0");
+  text.replace(text.find("\"region\""), 8, "\"regoin\"");
+  const auto read = parse_entry_settings(text, "n1.json");
+  BOOST_REQUIRE(read.has_error());
+  for (const char* part : {"$.threads", "$.region: missing", "$.regoin: unknown name"}) {
+    BOOST_TEST(read.error().detail.find(part) != std::string::npos, part);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_file_that_is_not_there) {
+  const auto read = read_entry_settings("/nonexistent/n1.json");
+  BOOST_REQUIRE(read.has_error());
+  BOOST_TEST((read.error().code == errc::not_found));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
