--- a/src/apps/table_commands.cc
+++ b/src/apps/table_commands.cc
@@ -293,21 +293,19 @@
   });
 }
 
-result<row_value> with_cells(const service_id& service, row_value row,
-                             const std::vector<std::string>& cells) {
-  if (cells.empty() || cells.size() % 2 != 0) {
+result<row_value> set_columns(const service_id& service, const row_value& row,
+                              const std::vector<std::string>& words) {
+  if (words.empty() || words.size() % 2 != 0) {
     return refused("pairs of COLUMN VALUE are wanted after the row");
   }
-  for (std::size_t i = 0; i < cells.size(); i += 2) {
-    auto changed = with_cell(row, cells[i], cells[i + 1]);
-    if (!changed) {
-      error e = changed.error();
-      e.detail = service.value + "/" + e.detail;
-      return e;
-    }
-    row = std::move(*changed);
-  }
-  return row;
+  std::vector<cell_edit> cells;
+  cells.reserve(words.size() / 2);
+  for (std::size_t i = 0; i < words.size(); i += 2) cells.push_back({words[i], words[i + 1]});
+  auto changed = with_cells(row, cells);
+  if (changed) return changed;
+  error e = changed.error();
+  e.detail = service.value + "/" + e.detail;
+  return e;
 }
 
 // Merges the one edit into the table, however it has changed since it was read.
@@ -338,7 +336,7 @@
       if (!before) {
         return fail({errc::not_found, step::table, "", row.getValue() + ": no such row; see add"});
       }
-      const auto after = with_cells(path->service, *before, cells.getValue());
+      const auto after = set_columns(path->service, *before, cells.getValue());
       if (!after) return fail(after.error());
       return change_row(tables, platform, address, *path, *after, options);
     });
@@ -401,7 +399,7 @@
       }
       const auto after = cells.getValue().empty()
                              ? result<row_value>(empty_row(path->row))
-                             : with_cells(path->service, empty_row(path->row), cells.getValue());
+                             : set_columns(path->service, empty_row(path->row), cells.getValue());
       if (!after) return fail(after.error());
       return change_row(tables, platform, address, *path, *after, options);
     });
--- a/src/table/edit.cc
+++ b/src/table/edit.cc
@@ -169,15 +169,17 @@
   return value_at(rows_of(declared), row);
 }
 
-result<row_value> with_cell(const row_value& row, std::string_view column, std::string_view text) {
+result<row_value> with_cells(const row_value& row, const std::vector<cell_edit>& cells) {
   json::object columns = row_to_json(row);
   const std::string path = to_string(id_of(row));
-  auto* cell = columns.if_contains(column);
-  if (cell == nullptr || column == "name") {
-    return refused(path + ": found column \"" + std::string(column) +
-                   "\", one of these is allowed: " + column_names(columns));
+  for (const auto& edit : cells) {
+    auto* cell = columns.if_contains(edit.column);
+    if (cell == nullptr || edit.column == "name") {
+      return refused(path + ": found column \"" + edit.column +
+                     "\", one of these is allowed: " + column_names(columns));
+    }
+    *cell = cell_value(*cell, edit.text);
   }
-  *cell = cell_value(*cell, text);
   error_list errors;
   // Through text, as unsigned numbers would otherwise not read back as what a file has.
   const json::value read_back = json::parse(json::serialize(columns));
@@ -186,6 +188,10 @@
   return changed;
 }
 
+result<row_value> with_cell(const row_value& row, std::string_view column, std::string_view text) {
+  return with_cells(row, {{std::string(column), std::string(text)}});
+}
+
 std::vector<row_edit> diff_rows(const service_table& from, const service_table& to) {
   const auto before = rows_of(from);
   const auto after = rows_of(to);
