--- a/src/ownership/assigner.cc
+++ b/src/ownership/assigner.cc
@@ -13,8 +13,10 @@
 constexpr duration least_grant = milliseconds(50);
 // An answer of the store that is not there by then is not waited for.
 constexpr duration store_patience = seconds(2);
-// A longer time between two events means that this process did not run.
+// An event that comes later than this after it was due means that this process did not run.
 constexpr duration most_idle = milliseconds(100);
+constexpr duration least_sleep = milliseconds(10);
+constexpr duration most_sleep = milliseconds(500);
 
 }  // namespace
 
@@ -33,6 +35,7 @@
       term_taken_(now),
       adopted_until_(now),
       last_event_(now),
+      expected_event_(now),
       next_plan_(now) {}
 
 assigner_actions assigner::handle(const assigner_event& event, monotonic_time now) {
@@ -41,13 +44,14 @@
   skip_pause(now);
   std::visit([&](const auto& e) { on(e, now); }, event);
   if (phase_ != assigner_phase::retired) advance(now);
+  expected_event_ = next_wake(now);
   return std::move(actions_);
 }
 
 // Silence of others counts only while this process ran: after a pause their answers may still lie
 // in its buffers.
 void assigner::skip_pause(monotonic_time now) {
-  const duration pause = now - last_event_;
+  const duration pause = now - std::max(last_event_, expected_event_);
   last_event_ = now;
   if (pause <= most_idle) return;
   for (auto& [name, side] : upstreams_) side.last_heard += pause;
@@ -98,9 +102,11 @@
     pending_ = pending_write{0, *event.unsure_write, version_, now};
     // Shards that the write moves are on their way.
     for (const auto& [shard, entry] : event.unsure_write->shards) {
-      const shard_owner& old = record_->shards.at(shard);
-      if (entry.fence == old.fence || !entry.owner) continue;
-      moves_[shard] = {old.owner, old.fence, *entry.owner, /*forced=*/false, /*released=*/true};
+      const auto place = record_->shards.find(shard);
+      if (place == record_->shards.end()) continue;
+      const shard_owner& old = place->second;
+      if (entry.fence == old.fence) continue;
+      moves_[shard] = {old.owner, old.fence, entry.owner, /*forced=*/false, /*released=*/true};
     }
     resend_write(now);
   }
@@ -209,7 +215,8 @@
 void assigner::committed(monotonic_time now) {
   // Not by the list of moves: a write that was handed over with the term has none.
   std::erase_if(moves_, [&](const auto& move) {
-    return record_->shards.at(move.first).fence > move.second.fence;
+    const auto place = record_->shards.find(move.first);
+    return place == record_->shards.end() || place->second.fence > move.second.fence;
   });
   pending_.reset();
   std::map<instance_id, standby_side> kept;
@@ -477,7 +484,11 @@
     input.upstreams.push_back({row.name, row.weight, usable});
   }
   input.shards = record_->shards;
+  std::erase_if(input.shards, [](const auto& item) { return item.second.released; });
   for (const auto& [shard, move] : moves_) input.shards[shard].owner = move.to;
+  for (const auto shard : inputs_.leaving) {
+    if (input.shards.erase(shard) > 0) start_move(shard, std::nullopt, now);
+  }
   input.load = inputs_.load;
   input.move_budget = moves_.empty() ? inputs_.move_budget : 0;
   input.imbalance_weight = inputs_.imbalance_weight;
@@ -486,7 +497,8 @@
   for (const auto& move : plan_moves(input)) start_move(move.shard, move.to, now);
 }
 
-void assigner::start_move(shard_id shard, const upstream_id& to, monotonic_time now) {
+void assigner::start_move(shard_id shard, const std::optional<upstream_id>& to,
+                          monotonic_time now) {
   const shard_owner& entry = record_->shards.at(shard);
   const auto known = moves_.find(shard);
   if (known != moves_.end()) {
@@ -517,17 +529,42 @@
 }
 
 bool assigner::is_being_written(shard_id shard) const {
-  return pending_ && pending_->record.shards.at(shard).fence > record_->shards.at(shard).fence;
+  if (!pending_) return false;
+  const auto next = pending_->record.shards.find(shard);
+  const auto place = record_->shards.find(shard);
+  return next != pending_->record.shards.end() && place != record_->shards.end() &&
+         next->second.fence > place->second.fence;
+}
+
+// Takes in what the layout has given to this cell, and forgets what it has given to others. A
+// released shard that comes back has a higher fence than it was released at.
+bool assigner::adopt_home(cell_record& record) const {
+  if (inputs_.home.empty()) return false;  // not known yet
+  std::set<shard_id> at_home;
+  bool changed = false;
+  for (const auto& grant : inputs_.home) {
+    at_home.insert(grant.shard);
+    const auto [place, added] =
+        record.shards.emplace(grant.shard, shard_owner{std::nullopt, grant.fence, false});
+    const bool back = place->second.released && grant.fence > place->second.fence;
+    if (back) place->second = {std::nullopt, grant.fence, false};
+    changed = changed || added || back;
+  }
+  const auto forgotten = std::erase_if(record.shards, [&](const auto& item) {
+    return item.second.released && !at_home.contains(item.first);
+  });
+  return changed || forgotten > 0;
 }
 
 // One write for all moves whose old owner has consented or surely lost its grant.
 void assigner::finish_moves(monotonic_time now) {
   cell_record record = *record_;
-  bool changed = false;
+  bool changed = adopt_home(record);
   for (const auto& [shard, move] : moves_) {
     if (!move.released && !has_lapsed(move, now)) continue;
     auto& entry = record.shards[shard];
     entry.owner = move.to;
+    entry.released = !move.to;
     entry.fence = fence_number{entry.fence.value + 1};
     changed = true;
   }
@@ -571,6 +608,33 @@
   publish_moves();
 }
 
+monotonic_time assigner::next_wake(monotonic_time now) const {
+  monotonic_time next = now + most_sleep;
+  const auto by = [&](monotonic_time when) { next = std::min(next, when); };
+  if (pending_) {
+    by(pending_->sent + (pending_->request == 0 ? config_.timing.attempt_timeout : store_patience));
+  }
+  if (read_in_flight_) by(read_sent_ + store_patience);
+  if (phase_ == assigner_phase::reading && !read_in_flight_) by(next_read_);
+  if (record_ && phase_ != assigner_phase::taking) {
+    for (const auto& [name, side] : standbys_) {
+      by(side.in_flight ? std::max(side.next_question, side.asked + config_.timing.attempt_timeout)
+                        : side.next_question);
+    }
+    for (const auto& [name, side] : upstreams_) {
+      by(side.in_flight ? side.in_flight->sent + config_.timing.attempt_timeout : side.next_order);
+    }
+    for (const auto& [shard, move] : moves_) {
+      const auto side = move.from ? upstreams_.find(*move.from) : upstreams_.end();
+      if (side != upstreams_.end() && !move.released) by(side->second.granted_until);
+    }
+    if (!read_in_flight_) by(std::max(next_read_, right_until_ - 2 * config_.timing.renew));
+    if (phase_ == assigner_phase::waiting) by(wait_until_);
+    if (phase_ == assigner_phase::active) by(next_plan_);
+  }
+  return std::max(next, now + least_sleep);
+}
+
 std::optional<handover_received> assigner::hand_over(monotonic_time now) {
   if (phase_ != assigner_phase::active || !has_right(now)) return std::nullopt;
   phase_ = assigner_phase::retired;
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -39,6 +39,7 @@
 struct cell_inputs {
   std::vector<upstream_row> upstreams;  // of this cell
   std::vector<shard_grant> home;        // the layout's shards of this cell, with their least fence
+  std::vector<shard_id> leaving;        // those of them that are to be released to another cell
   // Live instances besides self, best first: for `isolation` `stay` of the cell's failure domain,
   // for `move` of the others, each from another domain as far as possible.
   std::vector<instance_id> standby_candidates;
@@ -144,6 +145,8 @@
   const std::optional<cell_record>& record() const { return record_; }
   bool has_right(monotonic_time now) const { return now < right_until_; }
   std::size_t moves_under_way() const { return moves_.size(); }
+  // When the next tick is due if no other event comes before.
+  monotonic_time next_wake(monotonic_time now) const;
   // Upstreams that have not answered for the suspicion time.
   std::vector<upstream_id> suspected(monotonic_time now) const;
   std::optional<load_report> last_report(const upstream_id& upstream) const;
@@ -176,8 +179,8 @@
   struct pending_move {
     std::optional<upstream_id> from;
     fence_number fence;
-    upstream_id to;
-    bool forced = false;  // the old owner is silent, it was not told
+    std::optional<upstream_id> to;  // none: released to another cell
+    bool forced = false;            // the old owner is silent, it was not told
     bool released = false;
   };
   struct pending_write {
@@ -208,7 +211,8 @@
   void accept_answer(const upstream_id& name, upstream_side& side, const sent_order& sent,
                      const grant_answer& answer, monotonic_time now);
   void plan(monotonic_time now);
-  void start_move(shard_id shard, const upstream_id& to, monotonic_time now);
+  void start_move(shard_id shard, const std::optional<upstream_id>& to, monotonic_time now);
+  bool adopt_home(cell_record& record) const;
   void finish_moves(monotonic_time now);
   void renew_roles(monotonic_time now);
   void forget_left_upstreams(monotonic_time now);
@@ -237,6 +241,7 @@
   monotonic_time term_taken_;     // when the record of this term was seen in the store
   monotonic_time adopted_until_;  // by then all grants of earlier assigners have ended
   monotonic_time last_event_;
+  monotonic_time expected_event_;  // at the latest, as next_wake said
   monotonic_time next_plan_;
   std::map<upstream_id, upstream_side> upstreams_;
   std::map<instance_id, standby_side> standbys_;
--- a/src/ownership/cell_record.cc
+++ b/src/ownership/cell_record.cc
@@ -13,12 +13,16 @@
 
 constexpr std::size_t max_record_shards = 1 << 16;
 
-// Upstream names stand once in a list; a shard is [shard, index or -1, fence].
+constexpr std::int64_t no_owner = -1;
+constexpr std::int64_t released_shard = -2;
+
+// Upstream names stand once in a list; a shard is [shard, index, no_owner or released_shard,
+// fence].
 json::array shards_to_json(const cell_record& record, json::array& names) {
   std::map<upstream_id, std::int64_t> index;
   json::array shards;
   for (const auto& [shard, entry] : record.shards) {
-    std::int64_t owner = -1;
+    std::int64_t owner = entry.released ? released_shard : no_owner;
     if (entry.owner) {
       const auto [place, added] =
           index.emplace(*entry.owner, static_cast<std::int64_t>(index.size()));
@@ -35,7 +39,7 @@
   mark.nonce = reader.unsigned_integer("nonce");
 }
 
-// A list of whole numbers of at least least, or nothing if the value is not one of width members.
+// A list of whole numbers, or nothing if the value is not a list of width members.
 std::optional<std::vector<std::int64_t>> read_numbers(const json::value& value, std::size_t width) {
   const auto* items = value.if_array();
   if (items == nullptr || items->size() != width) return std::nullopt;
@@ -43,7 +47,7 @@
   for (const auto& item : *items) {
     boost::system::error_code code;
     const auto number = item.to_number<std::int64_t>(code);
-    if (code || number < -1) return std::nullopt;
+    if (code || number < released_shard) return std::nullopt;
     numbers.push_back(number);
   }
   return numbers;
@@ -65,6 +69,7 @@
     if ((*numbers)[1] >= 0) {
       entry.owner = upstream_id{names[static_cast<std::size_t>((*numbers)[1])]};
     }
+    entry.released = (*numbers)[1] == released_shard;
     entry.fence.value = static_cast<std::uint64_t>((*numbers)[2]);
     const shard_id shard{static_cast<std::uint32_t>((*numbers)[0])};
     if (!record.shards.emplace(shard, entry).second) {
@@ -134,14 +139,20 @@
   if (const auto* items = reader.array("shards", true)) {
     if (items->size() > max_record_shards) reader.fail("shards", "too many");
     for (const auto& item : *items) {
-      const auto numbers = read_numbers(item, 2);
-      if (!numbers || (*numbers)[0] < 0 || (*numbers)[1] < 0 ||
-          (*numbers)[0] >= static_cast<std::int64_t>(layout.cells.size())) {
-        reader.fail("shards", "an entry is not [cell, least fence]");
+      const bool moves = item.is_array() && item.get_array().size() == 3;
+      const auto numbers = read_numbers(item, moves ? 3 : 2);
+      const auto is_cell = [&](std::int64_t number) {
+        return number >= 0 && number < static_cast<std::int64_t>(layout.cells.size());
+      };
+      if (!numbers || !is_cell((*numbers)[0]) || (*numbers)[1] < 0 ||
+          (moves && !is_cell((*numbers)[2]))) {
+        reader.fail("shards", "an entry is not [cell, least fence] or [cell, least fence, next]");
         break;
       }
-      layout.shards.push_back({static_cast<std::uint32_t>((*numbers)[0]),
-                               fence_number{static_cast<std::uint64_t>((*numbers)[1])}});
+      layout_entry entry{static_cast<std::uint32_t>((*numbers)[0]),
+                         fence_number{static_cast<std::uint64_t>((*numbers)[1])}, std::nullopt};
+      if (moves) entry.next = static_cast<std::uint32_t>((*numbers)[2]);
+      layout.shards.push_back(entry);
     }
   }
   read_mark(reader, layout.mark);
@@ -155,7 +166,9 @@
   for (const auto& cell : layout.cells) cells.push_back(json::string(cell.value));
   json::array shards;
   for (const auto& entry : layout.shards) {
-    shards.push_back(json::array{entry.cell, entry.least_fence.value});
+    json::array item{entry.cell, entry.least_fence.value};
+    if (entry.next) item.push_back(*entry.next);
+    shards.push_back(std::move(item));
   }
   return json::serialize(json::object{{"service", layout.service.value},
                                       {"revision", layout.revision.value},
--- a/src/ownership/cell_record.h
+++ b/src/ownership/cell_record.h
@@ -25,6 +25,7 @@
 struct shard_owner {
   std::optional<upstream_id> owner;  // none: nobody has owned it since its last fence, or released
   fence_number fence;
+  bool released = false;  // to another cell: granted to nobody until the layout gives it back
   bool operator==(const shard_owner&) const = default;
 };
 
@@ -60,6 +61,7 @@
 struct layout_entry {
   std::uint32_t cell = 0;  // index into cells
   fence_number least_fence{1};
+  std::optional<std::uint32_t> next;  // the cell that takes it once this one has released it
   bool operator==(const layout_entry&) const = default;
 };
 
--- a/src/ownership/testing/model.cc
+++ b/src/ownership/testing/model.cc
@@ -78,6 +78,9 @@
       return upstream_name(step.who) + " is not in the table for " + length;
     case fault::partition:
       return "a partition for " + length + " of" + group_of(step.whom);
+    case fault::release:
+      return "the layout gives shard " + std::to_string(step.who % shard_count) +
+             " to another cell for " + length;
     case fault::confine:
       return one + " exchanges messages only with" + roles_of(step.whom) + " for " + length;
   }
--- a/src/ownership/testing/model.h
+++ b/src/ownership/testing/model.h
@@ -43,6 +43,7 @@
   drain,       // the table sets upstream who to drain, and back after length
   remove,      // the table lacks upstream who for length
   partition,  // the processes whose bits are set in whom and the others are cut off from each other
+  release,    // the layout moves shard who to another cell, and back after length
   confine,    // who exchanges messages only with the roles whose bits are set in whom
 };
 
--- a/src/ownership/testing/world.cc
+++ b/src/ownership/testing/world.cc
@@ -20,6 +20,7 @@
       instances_(instance_count),
       upstreams_(upstream_count),
       links_(process_count, std::vector<link>(process_count)),
+      layout_(shard_count),
       listed_until_(instance_count) {
   std::uniform_real_distribution<double> drift(-0.02, 0.02);
   for (int number = 0; number < process_count; ++number) {
@@ -203,6 +204,12 @@
         }
       }
       break;
+    case fault::release: {
+      auto& place = layout_[step.who % shard_count];
+      place.leaving = true;
+      place.back_at = until;
+      break;
+    }
     case fault::confine:
       confine(any, step.whom, until);
       break;
@@ -221,6 +228,7 @@
     number < instance_count ? start_instance(number) : start_upstream(number - instance_count);
   }
   store_down_until_ = store_mute_until_ = store_late_until_ = now_;
+  for (auto& place : layout_) place.back_at = std::min(place.back_at, now_);
   for (auto& u : upstreams_) u.removed_until = u.drained_until = now_;
 }
 
@@ -307,6 +315,7 @@
 // A request of any instance by the newest record that it knows.
 void world::send_request() {
   at(now_ + request_period, -1, [this] { send_request(); });
+  return_shards();
   const int from = static_cast<int>(random_() % instance_count);
   if (!processes_[from].alive || now_ < processes_[from].frozen_until) return;
   const auto& known = instances_[from].known;
@@ -336,8 +345,26 @@
   });
 }
 
+// The other cell gives a shard back once it was released and the time is over.
+void world::return_shards() {
+  for (std::uint32_t shard = 0; shard < shard_count; ++shard) {
+    auto& place = layout_[shard];
+    if (!place.leaving || now_ < place.back_at || !stored_) continue;
+    const auto entry = stored_->shards.find(shard_id{shard});
+    if (entry == stored_->shards.end() || !entry->second.released) continue;
+    place = {fence_number{entry->second.fence.value + 2}, false, {}};
+  }
+}
+
 void world::check() {
   std::vector<running_grants> all;
+  running_grants other_cell{upstream_id{"another cell"}, {}};
+  if (stored_) {
+    for (const auto& [shard, entry] : stored_->shards) {
+      if (entry.released) other_cell.grants.push_back({shard, entry.fence});
+    }
+  }
+  all.push_back(other_cell);
   for (int number = 0; number < upstream_count; ++number) {
     const int process_number = instance_count + number;
     if (!processes_[process_number].alive) continue;
--- a/src/ownership/testing/world.h
+++ b/src/ownership/testing/world.h
@@ -55,6 +55,7 @@
     std::map<std::string, instance_id> lives;
     std::set<std::string> listed;  // the platform's list, as last read
     monotonic_time restart_after{};
+    monotonic_time last_event{};  // of the acting assigner
     std::uint64_t assigners_made = 0;
   };
   struct upstream {
@@ -72,6 +73,12 @@
     true_time repeat_until{0};
     duration repeat{0};
   };
+  // What the layout says of a shard.
+  struct layout_place {
+    fence_number least_fence{1};
+    bool leaving = false;
+    true_time back_at{0};
+  };
   struct event {
     int process = 0;  // who carries it out; -1: the world itself
     std::uint64_t life = 0;
@@ -122,6 +129,7 @@
   void stop_lapsed_work(int number);
   void send_request();
   void check();
+  void return_shards();
 
   std::mt19937_64 random_;
   bool with_trace_;
@@ -139,6 +147,7 @@
   true_time store_mute_until_{0};
   true_time store_late_until_{0};
   duration store_delay_{0};
+  std::vector<layout_place> layout_;     // by shard
   std::vector<true_time> listed_until_;  // by instance: on the platform's list
   oracle judge_;
   std::vector<std::string> trace_;
--- a/src/ownership/testing/world_instances.cc
+++ b/src/ownership/testing/world_instances.cc
@@ -57,7 +57,9 @@
   }
   if (random_() % 10 == 0) read_platform(number);
   update_role(number);
-  feed(number, self.assigners_made, tick{});
+  if (self.acting && clock(number) >= self.acting->next_wake(self.last_event)) {
+    feed(number, self.assigners_made, tick{});
+  }
 }
 
 // Five times a second: a sign of life, the list of instances, and what a watch of the store brings.
@@ -106,7 +108,8 @@
     inputs.upstreams.push_back(row);
   }
   for (std::uint32_t shard = 0; shard < shard_count; ++shard) {
-    inputs.home.push_back({shard_id{shard}, fence_number{1}});
+    inputs.home.push_back({shard_id{shard}, layout_[shard].least_fence});
+    if (layout_[shard].leaving) inputs.leaving.push_back(shard_id{shard});
   }
   for (const auto& [name, id] : instances_[number].lives) {
     if (id != id_of(number) && instances_[number].listed.contains(name))
@@ -138,6 +141,7 @@
 void world::feed(int number, std::uint64_t made, const assigner_event& event) {
   auto& self = instances_[number];
   if (!self.acting || self.assigners_made != made) return;
+  self.last_event = clock(number);
   const auto before = self.acting->phase();
   for (const auto& action : self.acting->handle(event, clock(number))) {
     if (const auto* own = std::get_if<remember_term>(&action)) {
