--- a/src/bench/policy_bench.cc
+++ b/src/bench/policy_bench.cc
@@ -19,13 +19,14 @@
 
 std::string text(way w) { return std::string(way_name(w)); }
 
-void print_requests(const deployment& where) {
+void print_requests(const deployment& where, std::uint64_t seed) {
   std::printf("\n%s: share served in time and p99 in ms by class\n", where.name.c_str());
   std::printf("%-13s%-13s%-9s%8s%6s%7s%7s%16s%16s%16s%16s\n", "service", "scenario", "way",
               "goodput", "sent", "queued", "p99x", "counter", "order", "upload", "bulk");
   for (const auto& service : where.services) {
     per_class<double> calm_p99{};
-    for (const auto& scenario : all_scenarios(service)) {
+    for (auto scenario : all_scenarios(service)) {
+      scenario.seed = seed;
       for (const auto w : all_ways) {
         const auto f = run_requests(where, service, w, scenario, {});
         const double p99 = f.classes[0].p99_seconds;
@@ -60,23 +61,23 @@
           {"unavailable_s", f.unavailable_s}};
 }
 
-void run_all() {
+void run_all(std::uint64_t seed) {
   const auto places = {harrowgate(), raselinka()};
-  for (const auto& where : places) print_requests(where);
+  for (const auto& where : places) print_requests(where, seed);
   std::printf("\n%-12s%-22s%9s%9s%9s%9s%9s%9s%9s%9s\n", "placement", "way", "imb", "imb p99", "raw",
               "p99/mean", "churn/h", "x least", "unav s", "lost s");
   boost::json::object all;
   for (const auto& where : places) {
     boost::json::object ways;
     for (const auto w : all_ways) {
-      auto figures = print_placement(where, w, text(w).c_str(), {});
-      const auto f = run_overload(where, w, {});
+      auto figures = print_placement(where, w, text(w).c_str(), {.seed = seed});
+      const auto f = run_overload(where, w, {}, seed);
       figures["counter_p99_ratio"] = f.counter_p99_ratio;
       figures["goodput_ratio"] = f.goodput_ratio;
       figures["sent_per_asked"] = f.sent_per_asked;
       ways[text(w)] = std::move(figures);
     }
-    print_placement(where, way::ours, "ours, cells apart", {.between_cells = false});
+    print_placement(where, way::ours, "ours, cells apart", {.between_cells = false, .seed = seed});
     all[where.name] = std::move(ways);
   }
   std::cout << boost::json::serialize(all) << std::endl;
@@ -90,9 +91,11 @@
                         PLANTAINPADDLE_VERSION);
     TCLAP::ValueArg<std::string> sweep("", "sweep", "placement, admission or joins", false, "",
                                        "name", line);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "of the traces", false, default_seed, "number",
+                                        line);
     line.parse(argc, argv);
     if (!sweep.isSet()) {
-      run_all();
+      run_all(seed.getValue());
     } else if (!run_sweep(sweep.getValue())) {
       std::cerr << "unknown sweep: " << sweep.getValue() << "\n";
       return 2;
--- a/src/bench/policy_deployment.h
+++ b/src/bench/policy_deployment.h
@@ -11,6 +11,8 @@
 
 namespace plantainpaddle::bench {
 
+inline constexpr std::uint64_t default_seed = 20261204;
+
 enum class way { naive, previous, ours };
 inline constexpr way all_ways[] = {way::naive, way::previous, way::ours};
 std::string_view way_name(way w) noexcept;
--- a/src/bench/policy_placement.h
+++ b/src/bench/policy_placement.h
@@ -15,7 +15,7 @@
   duration load_window = seconds(60);
   duration move_wait = milliseconds(50);  // of a shard that moves within its cell
   duration between_cells_wait = milliseconds(100);
-  std::uint64_t seed = 20261204;
+  std::uint64_t seed = default_seed;
 };
 
 struct placement_figures {
@@ -38,6 +38,6 @@
   double imbalance_mean = 0;  // max/mean over the upstreams that have joined so far, over time
 };
 join_figures run_joins(std::uint32_t upstreams, std::uint32_t joins, std::uint32_t batch,
-                       std::uint32_t shards, std::uint64_t seed = 20261204);
+                       std::uint32_t shards, std::uint64_t seed = default_seed);
 
 }  // namespace plantainpaddle::bench
--- a/src/bench/policy_requests.h
+++ b/src/bench/policy_requests.h
@@ -25,7 +25,7 @@
   std::optional<upstream_fault> fault;
   duration length = seconds(60);
   duration warm_up = seconds(10);  // not counted
-  std::uint64_t seed = 20261204;
+  std::uint64_t seed = default_seed;
 };
 
 struct request_policy {
--- a/src/bench/policy_scenarios.cc
+++ b/src/bench/policy_scenarios.cc
@@ -42,14 +42,18 @@
           {"false report", normal, upstream_fault{faulty, seconds(20), seconds(50), 1, true}}};
 }
 
-overload_figures run_overload(const deployment& where, way w, const request_policy& policy) {
+overload_figures run_overload(const deployment& where, way w, const request_policy& policy,
+                              std::uint64_t seed) {
   overload_figures made;
   double upstreams = 0;
   double asked = 0;
   double sent = 0;
   for (const auto& service : where.services) {
-    const auto calm = run_requests(where, service, w, unloaded(service), policy);
-    const auto full = run_requests(where, service, w, overload(service), policy);
+    auto low = unloaded(service);
+    auto high = overload(service);
+    low.seed = high.seed = seed;
+    const auto calm = run_requests(where, service, w, low, policy);
+    const auto full = run_requests(where, service, w, high, policy);
     upstreams += service.upstreams;
     made.goodput_ratio += full.goodput_ratio * service.upstreams;
     asked += full.asked;
--- a/src/bench/policy_scenarios.h
+++ b/src/bench/policy_scenarios.h
@@ -20,6 +20,7 @@
   double counter_p99_ratio = 0;  // of the service where it is worst, to its unloaded value
   double sent_per_asked = 0;
 };
-overload_figures run_overload(const deployment& where, way w, const request_policy& policy);
+overload_figures run_overload(const deployment& where, way w, const request_policy& policy,
+                              std::uint64_t seed = default_seed);
 
 }  // namespace plantainpaddle::bench
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -35,7 +35,7 @@
 struct admission_config {
   std::uint32_t slots = 6;
   // Most waiting requests of each class, per slot; at least one.
-  per_class<double> queued_per_slot{1, 2, 1, 1};
+  per_class<double> queued_per_slot{1, 2, 1, 4};
   // Most more urgent admissions that may pass over a class whose next request could run.
   per_class<std::uint32_t> max_passes{0, 16, 32, 64};
   // Service times assumed until the first one of a class has been observed.
