--- a/src/bench/path_bench.cc
+++ b/src/bench/path_bench.cc
@@ -1,7 +1,7 @@
 // What the router costs on a small request: requests per second, added latency, processor time and
 // memory, against the same upstream asked directly, in one run.
 //
-//   path_bench [--seconds N] [--quick]
+//   path_bench [--seconds N] [--quick | --memory]
 //
 // Everything is one process: load threads, the router's traffic threads, upstream threads.
 // Processor time is that of the traffic threads alone. Saturated runs are closed loops; latency is
@@ -30,6 +30,7 @@
 #include "entry/proxy.h"
 #include "http/address.h"
 #include "upstream/stream.h"
+#include "upstream/wire_buffer.h"
 
 namespace plantainpaddle {
 namespace {
@@ -40,6 +41,10 @@
 constexpr std::size_t upstream_threads = 2;
 constexpr std::size_t load_threads = 3;
 constexpr std::size_t upstream_count = 4;
+constexpr std::size_t upload_count = 64;
+constexpr std::uint64_t upload_bytes = std::uint64_t{200} * 1000 * 1024;
+// What an upload may take: two buffers and the parsers in the router, two buffers of the bench.
+constexpr std::size_t upload_bound = 2 * wire_buffer::capacity + (32 << 10) + 2 * (64 << 10);
 constexpr std::string_view request_text =
     "GET /stock/4711 HTTP/1.1\r\nHost: shelf.example\r\nUser-Agent: bench\r\nAccept: */*\r\n"
     "Plantainpaddle-Tenant: dealer-17\r\n\r\n";
@@ -284,7 +289,8 @@
                                .path_prefix = "/stock",
                                .key_from = key_source::path_segment,
                                .key_name = "1",
-                               .timeout = seconds(30)});
+                               .timeout = seconds(30),
+                               .body_limit = upload_bytes});
     for (std::uint32_t i = 0; i < service_.service.shards; ++i) {
       service_.shards.push_back(
           {i % static_cast<std::uint32_t>(upstreams.size()), fence_number{7}});
@@ -373,8 +379,8 @@
 
 // Bytes of the process for each of many callers' connections, idle or with a request held.
 double bytes_per_connection(const std::string& address, std::size_t count, bool active) {
-  std::vector<std::unique_ptr<tcp::socket>> sockets;
   asio::io_context io;
+  std::vector<std::unique_ptr<tcp::socket>> sockets;
   const auto before = resident_bytes();
   for (std::size_t i = 0; i < count; ++i) {
     auto socket = std::make_unique<tcp::socket>(io);
@@ -403,7 +409,84 @@
   return {{"idle_bytes", std::round(idle)}, {"active_bytes", std::round(active)}};
 }
 
-int run(duration length, bool quick) {
+// Takes whole uploads of upload_bytes and answers each; reads slowly enough to show back-pressure.
+task<void> swallow(tcp_socket socket) {
+  std::vector<char> bytes(64 << 10);
+  std::uint64_t taken = 0;
+  while (taken < upload_bytes) {
+    auto [code, size] = co_await socket.async_read_some(asio::buffer(bytes), as_task);
+    if (code) co_return;
+    taken += size;
+  }
+  boost::system::error_code code;
+  socket.write_some(asio::buffer(answer_text), code);
+  co_await socket.async_wait(tcp_socket::wait_read, as_task);
+}
+
+task<void> upload(asio::io_context& io, const std::string& address,
+                  std::atomic<std::size_t>& whole) {
+  tcp_socket socket(io);
+  auto [connect_code] = co_await socket.async_connect(*parse_address(address), as_task);
+  if (connect_code) co_return;
+  const std::string head =
+      "PUT /stock/" + std::to_string(whole.load()) +
+      " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(upload_bytes) + "\r\n\r\n";
+  auto [head_code, head_size] = co_await asio::async_write(socket, asio::buffer(head), as_task);
+  if (head_code) co_return;
+  const std::vector<char> bytes(64 << 10, 'u');
+  for (std::uint64_t sent = 0; sent < upload_bytes; sent += bytes.size()) {
+    auto [code, size] = co_await asio::async_write(socket, asio::buffer(bytes), as_task);
+    if (code) co_return;
+  }
+  std::array<char, 1024> answer{};
+  auto [code, size] = co_await socket.async_read_some(asio::buffer(answer), as_task);
+  if (!code && std::string_view(answer.data(), size).starts_with("HTTP/1.1 200")) ++whole;
+}
+
+// 64 uploads of 200 MB at once: whether all come through, and how far the process grows. Its growth
+// holds the buffers of load and upstream too, 128 KiB for each upload.
+boost::json::object measure_uploads(thread_group& upstreams) {
+  asio::basic_socket_acceptor<tcp, io_executor> acceptor(
+      upstreams.at(0), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  std::function<void()> accept = [&] {
+    auto& io = upstreams.at(0);
+    acceptor.async_accept(io, [&](const auto& code, tcp_socket socket) {
+      if (code) return;
+      asio::co_spawn(io, swallow(std::move(socket)), asio::detached);
+      accept();
+    });
+  };
+  accept();
+  const bench_path path({format_address(acceptor.local_endpoint())}, 4, false);
+  const auto before = resident_bytes();
+  std::size_t most = before;
+  std::atomic<std::size_t> whole{0};
+  std::atomic<std::size_t> left{upload_count};
+  const auto start = monotonic_now();
+  {
+    thread_group threads(load_threads, "load");
+    for (std::size_t i = 0; i < upload_count; ++i) {
+      auto& io = threads.at(i);
+      asio::co_spawn(io, upload(io, path.address(), whole),
+                     [&](const std::exception_ptr&) { --left; });
+    }
+    while (left != 0) {
+      std::this_thread::sleep_for(milliseconds(20));
+      most = std::max(most, resident_bytes());
+    }
+  }
+  const double length = std::chrono::duration<double>(monotonic_now() - start).count();
+  const double growth = static_cast<double>(most - before) / (1 << 20);
+  std::cout << "uploads: " << whole << " of " << upload_count << " whole, " << length
+            << " s, the process grew by " << growth << " MiB\n";
+  return {{"uploads", upload_count},
+          {"whole", whole.load()},
+          {"seconds", length},
+          {"growth_mib", growth},
+          {"bound_mib", static_cast<double>(upload_count * upload_bound) / (1 << 20)}};
+}
+
+int run(duration length, bool quick, bool rates) {
   rlimit files{};
   ::getrlimit(RLIMIT_NOFILE, &files);
   files.rlim_cur = files.rlim_max;
@@ -423,8 +506,10 @@
   boost::json::array rows;
   double best = 0;
   double worst_added = 0;
-  const std::vector<std::size_t> connection_counts =
-      quick ? std::vector<std::size_t>{64} : std::vector<std::size_t>{16, 64, 256};
+  const std::vector<std::size_t> connection_counts = !rates ? std::vector<std::size_t>{}
+                                                     : quick
+                                                         ? std::vector<std::size_t>{64}
+                                                         : std::vector<std::size_t>{16, 64, 256};
   for (const std::size_t connections : connection_counts) {
     const auto direct = measure("direct", addresses[0], 0, connections, length);
     print(direct);
@@ -443,12 +528,14 @@
       }
     }
   }
+  const auto uploads = quick ? boost::json::object{} : measure_uploads(upstreams);
   const auto memory = quick ? boost::json::object{} : measure_memory(upstreams);
   std::cout << boost::json::serialize(boost::json::object{{"bench", "path"},
                                                           {"load_average", load[0]},
                                                           {"best_rate_4_threads", std::round(best)},
                                                           {"worst_added_p99_us", worst_added},
                                                           {"memory", memory},
+                                                          {"uploads", uploads},
                                                           {"rows", rows}})
             << std::endl;
   return 0;
@@ -463,8 +550,9 @@
     TCLAP::CmdLine command("Cost of the data path.", ' ', PLANTAINPADDLE_VERSION);
     TCLAP::ValueArg<unsigned> length("", "seconds", "length of a run", false, 2, "N", command);
     TCLAP::SwitchArg quick("", "quick", "64 connections and 4 threads only", command);
+    TCLAP::SwitchArg memory("", "memory", "uploads and memory only", command);
     command.parse(argc, argv);
-    return run(seconds(length.getValue()), quick.getValue());
+    return run(seconds(length.getValue()), quick.getValue(), !memory.getValue());
   } catch (const TCLAP::ArgException& e) {
     std::cerr << e.error() << " for argument " << e.argId() << '\n';
     return 2;
