--- a/src/apps/table_commands.cc
+++ b/src/apps/table_commands.cc
@@ -116,6 +116,10 @@
 // 0, or the exit code that refuses the changes: nothing is written if any of them can't be.
 int review(const std::vector<planned_change>& changes, const change_options& options,
            bool count_moves) {
+  if (options.author.getValue().empty()) {
+    std::cerr << "--author NAME or the variable USER is wanted\n";
+    return exit_usage;
+  }
   if (print_conflicts(changes)) {
     std::cerr << "nothing was written: read the table anew and repeat your edit\n";
     return exit_conflict;
@@ -142,7 +146,7 @@
                   const std::map<service_id, revision_number>& wanted, seconds limit) {
   const auto start = monotonic_now();
   while (true) {
-    const auto fleet = gather_fleet(address.instances, status_timeout);
+    const auto fleet = gather_fleet(address.fleet, status_timeout);
     bool everywhere = !fleet.instances.empty();
     for (const auto& [service, revision] : wanted) {
       everywhere = everywhere && instances_at(fleet, service, revision) == fleet.instances.size();
@@ -228,7 +232,7 @@
     return with_tables(where, [&](const table& tables, platform_access&, const auto& address) {
       const auto shown = keep_service(tables, service.getValue());
       if (!shown) return fail(shown.error());
-      const auto fleet = gather_fleet(address.instances, status_timeout);
+      const auto fleet = gather_fleet(address.fleet, status_timeout);
       std::cout << (as_json.getValue() ? show_tables_json(*shown, fleet)
                                        : show_tables(*shown, fleet));
       return int{exit_ok};
@@ -289,21 +293,19 @@
   });
 }
 
-result<row_value> with_cells(const service_id& service, row_value row,
-                             const std::vector<std::string>& cells) {
-  if (cells.empty() || cells.size() % 2 != 0) {
+result<row_value> set_columns(const service_id& service, const row_value& row,
+                              const std::vector<std::string>& words) {
+  if (words.empty() || words.size() % 2 != 0) {
     return refused("pairs of COLUMN VALUE are wanted after the row");
   }
-  for (std::size_t i = 0; i < cells.size(); i += 2) {
-    auto changed = with_cell(row, cells[i], cells[i + 1]);
-    if (!changed) {
-      error e = changed.error();
-      e.detail = service.value + "/" + e.detail;
-      return e;
-    }
-    row = std::move(*changed);
-  }
-  return row;
+  std::vector<cell_edit> cells;
+  cells.reserve(words.size() / 2);
+  for (std::size_t i = 0; i < words.size(); i += 2) cells.push_back({words[i], words[i + 1]});
+  auto changed = with_cells(row, cells);
+  if (changed) return changed;
+  error e = changed.error();
+  e.detail = service.value + "/" + e.detail;
+  return e;
 }
 
 // Merges the one edit into the table, however it has changed since it was read.
@@ -334,7 +336,7 @@
       if (!before) {
         return fail({errc::not_found, step::table, "", row.getValue() + ": no such row; see add"});
       }
-      const auto after = with_cells(path->service, *before, cells.getValue());
+      const auto after = set_columns(path->service, *before, cells.getValue());
       if (!after) return fail(after.error());
       return change_row(tables, platform, address, *path, *after, options);
     });
@@ -397,7 +399,7 @@
       }
       const auto after = cells.getValue().empty()
                              ? result<row_value>(empty_row(path->row))
-                             : with_cells(path->service, empty_row(path->row), cells.getValue());
+                             : set_columns(path->service, empty_row(path->row), cells.getValue());
       if (!after) return fail(after.error());
       return change_row(tables, platform, address, *path, *after, options);
     });
--- a/src/ownership/assigner.cc
+++ b/src/ownership/assigner.cc
@@ -96,6 +96,12 @@
   }
   if (event.unsure_write) {
     pending_ = pending_write{0, *event.unsure_write, version_, now};
+    // Shards that the write moves are on their way.
+    for (const auto& [shard, entry] : event.unsure_write->shards) {
+      const shard_owner& old = record_->shards.at(shard);
+      if (entry.fence == old.fence || !entry.owner) continue;
+      moves_[shard] = {old.owner, old.fence, *entry.owner, /*forced=*/false, /*released=*/true};
+    }
     resend_write(now);
   }
   next_plan_ = now;
@@ -356,12 +362,11 @@
   return place->second.load;
 }
 
-// What the upstream should hold now: the record's shards less those on their way out. A write that
-// was handed over with the term moves shards too.
+// What the upstream should hold now: the record's shards less those on their way out.
 std::vector<shard_grant> assigner::set_for(const upstream_id& name) const {
   std::vector<shard_grant> set;
   for (const auto& grant : grants_of(*record_, name)) {
-    if (moves_.contains(grant.shard) || is_being_written(grant.shard)) continue;
+    if (moves_.contains(grant.shard)) continue;
     set.push_back(grant);
   }
   return set;
@@ -440,18 +445,20 @@
   const auto stands_in = [](const std::vector<shard_grant>& set, const shard_grant& grant) {
     return std::find(set.begin(), set.end(), grant) != set.end();
   };
+  const bool holds_all = answer.held_digest == digest_of(sent.set);
+  const std::vector<shard_grant>& held = holds_all ? sent.set : answer.held;
   for (auto& [shard, move] : moves_) {
     if (move.from != name || move.released) continue;
     const shard_grant old{shard, move.fence};
     // The order that was accepted must itself have left the shard out.
-    move.released = !stands_in(sent.set, old) && !stands_in(answer.held, old) &&
-                    !stands_in(answer.draining, old);
+    move.released =
+        !stands_in(sent.set, old) && !stands_in(held, old) && !stands_in(answer.draining, old);
   }
   // A fence that was revoked before, by an assigner whose move was never recorded, is not taken
   // again.
   if (phase_ == assigner_phase::active) {
     for (const auto& grant : sent.set) {
-      if (stands_in(answer.held, grant) || moves_.contains(grant.shard)) continue;
+      if (stands_in(held, grant) || moves_.contains(grant.shard)) continue;
       if (stands_in(answer.draining, grant)) continue;
       start_move(grant.shard, name, now);
       moves_[grant.shard].released = true;
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -27,8 +27,11 @@
   bool operator==(const state_push&) const = default;
 };
 
-// What the sender has; the answer is a push of what is newer at the receiver.
+// What the sender has; the answer is a push of what is newer at the receiver. First the summary
+// alone is sent; if the receiver's differs, it does not acknowledge, and the entries follow.
 struct state_digest {
+  std::uint64_t summary = 0;  // of all keys and versions
+  bool has_entries = false;
   struct entry {
     std::string key;
     std::uint64_t version = 0;
@@ -71,7 +74,9 @@
 
 using peer_request = std::variant<term_question, state_push, state_digest, term_handover,
                                   dispatcher_order, limit_usage>;
-using peer_reply = std::variant<acknowledgement, term_answer, state_push, grant_answer>;
+// Of a limit_usage the answer is one too: what is asked for elsewhere.
+using peer_reply =
+    std::variant<acknowledgement, term_answer, state_push, grant_answer, limit_usage>;
 
 // Who a peer is. Cluster name, protocol version and region must match, or the connection is
 // refused.
