Tell unknown if an earlier attempt of a request may have run

Change: an exchange remembers that an attempt ended without a word on it. Test: a_refusal_after_an_attempt_that_may_have_run_is_unknown, red before.

--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -76,6 +76,7 @@
     }
     attempt_end end = co_await attempt(*to);
     judge(*to, end);
+    may_have_run_ |= end.known == run_state::unknown;
     if (end.answered) co_return end.known == run_state::complete&& may_keep();
     if (caller_.caller_gone()) {
       home_.counters().add("cancelled_total", {});
@@ -347,6 +348,8 @@
 }
 
 task<bool> exchange::answer(own_answer own) {
+  // The last attempt was refused, but an earlier one may have run.
+  if (own.outcome == run_outcome::not_run && may_have_run_) own.outcome = run_outcome::unknown;
   if (connection_) release_connection(false);
   leave_gate(false);
   const bool keep = may_keep();
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -104,6 +104,7 @@
   std::unique_ptr<wire_buffer> answer_buffer_;
   std::shared_ptr<upstream_traffic> gate_owner_;  // whose gate was entered
   admission_id gate_id_ = 0;
+  bool may_have_run_ = false;  // an attempt ended without a word on it
   std::uint32_t attempts_ = 0;
   bool fresh_connection_ = false;  // the last attempt's was silent
   bool continue_sent_ = false;
--- a/src/entry/testing/outcome_test.cc
+++ b/src/entry/testing/outcome_test.cc
@@ -67,6 +67,17 @@
   BOOST_TEST(caller.ask(post).status() == 502);  // the caller's connection goes on
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_after_an_attempt_that_may_have_run_is_unknown) {
+  scripted_upstream upstream([](upstream_side& side) {
+    if (side.read_request().empty() || side.number == 0) return;
+    side.send("HTTP/1.1 503 Busy\r\nPlantainpaddle-Outcome: not-run\r\nContent-Length: 0\r\n\r\n");
+  });
+  proxy_fixture proxy({upstream.address()});
+  const auto got = proxy.caller().get("/stock/1");
+  BOOST_TEST(got.status() >= 500);
+  BOOST_TEST(says(got, "unknown"));
+}
+
 BOOST_AUTO_TEST_CASE(a_look_up_that_failed_is_sent_again) {
   scripted_upstream upstream([](upstream_side& side) {
     if (side.read_request().empty() || side.number == 0) return;
