--- a/docs/measurements/policy.gp
+++ b/docs/measurements/policy.gp
@@ -15,10 +15,12 @@
 plot points(data, "harrowgate", "hysteresis") using 6:10 with linespoints title "Harrowgate", \
      points(data, "raselinka", "hysteresis") using 6:10 with linespoints title "Raselinka", \
      1.15 with lines dashtype 2 title "goal"
+set key bottom left
 set xlabel "churn weight"
 set ylabel "share of keys moved an hour"
 plot points(data, "harrowgate", "churn_weight") using 6:12 with linespoints title "Harrowgate", \
      points(data, "raselinka", "churn_weight") using 6:12 with linespoints title "Raselinka"
+set key top left
 set xlabel "moves per minute"
 set logscale x
 set ylabel "imbalance, worst 1 % of time"
