--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -205,7 +205,7 @@
     const auto* info = directory.find(name);
     if (info == nullptr) continue;
     const bool same_domain = info->domain == settings.domain;
-    network.call(info->peers, limit_tree.report(same_domain, now), limit_share_period,
+    network.call(info->peers, limit_tree.report(now), limit_share_period,
                  [this, same_domain](result<peer_answer> answer) {
                    if (!answer) return;
                    post([this, same_domain, answer = std::move(*answer)] {
@@ -269,7 +269,7 @@
     spreader.received(from.domain, *push);
     reply(acknowledgement{});
   } else if (const auto* digest = std::get_if<state_digest>(&request)) {
-    reply(spreader.missing(*digest));
+    reply(spreader.answer(*digest));
   } else if (const auto* handover = std::get_if<term_handover>(&request)) {
     reply(acknowledgement{cells.take_over(*handover, now)});
   } else if (const auto* usage = std::get_if<limit_usage>(&request)) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -80,6 +80,8 @@
   task<std::optional<own_answer>> plan_retry(const attempt_end& end);
 
   task<bool> answer(own_answer own);
+  void record(unsigned status, std::string_view outcome, std::uint64_t answer_bytes);
+  void log_answer(const own_answer& own) const;
   bool may_keep() const;
   bool repeatable() const;
   const service_snapshot& service() const { return *match_.service; }
@@ -102,6 +104,7 @@
   std::unique_ptr<wire_buffer> answer_buffer_;
   std::shared_ptr<upstream_traffic> gate_owner_;  // whose gate was entered
   admission_id gate_id_ = 0;
+  bool may_have_run_ = false;  // an attempt ended without a word on it
   std::uint32_t attempts_ = 0;
   bool fresh_connection_ = false;  // the last attempt's was silent
   bool continue_sent_ = false;
