--- a/src/bench/path_bench.cc
+++ b/src/bench/path_bench.cc
@@ -44,7 +44,10 @@
 constexpr std::size_t upload_count = 64;
 constexpr std::uint64_t upload_bytes = std::uint64_t{200} * 1000 * 1024;
 // What an upload may take: two buffers and the parsers in the router, two buffers of the bench.
-constexpr std::size_t upload_bound = 2 * wire_buffer::capacity + (32 << 10) + 2 * (64 << 10);
+constexpr std::size_t parser_bytes = 32 << 10;
+constexpr std::size_t bench_buffer_bytes = 64 << 10;
+constexpr std::size_t upload_bound =
+    2 * wire_buffer::capacity + parser_bytes + 2 * bench_buffer_bytes;
 constexpr std::string_view request_text =
     "GET /stock/4711 HTTP/1.1\r\nHost: shelf.example\r\nUser-Agent: bench\r\nAccept: */*\r\n"
     "Plantainpaddle-Tenant: dealer-17\r\n\r\n";
@@ -411,7 +414,7 @@
 
 // Takes whole uploads of upload_bytes and answers each; reads slowly enough to show back-pressure.
 task<void> swallow(tcp_socket socket) {
-  std::vector<char> bytes(64 << 10);
+  std::vector<char> bytes(bench_buffer_bytes);
   std::uint64_t taken = 0;
   while (taken < upload_bytes) {
     auto [code, size] = co_await socket.async_read_some(asio::buffer(bytes), as_task);
@@ -433,7 +436,7 @@
       " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(upload_bytes) + "\r\n\r\n";
   auto [head_code, head_size] = co_await asio::async_write(socket, asio::buffer(head), as_task);
   if (head_code) co_return;
-  const std::vector<char> bytes(64 << 10, 'u');
+  const std::vector<char> bytes(bench_buffer_bytes, 'u');
   for (std::uint64_t sent = 0; sent < upload_bytes; sent += bytes.size()) {
     auto [code, size] = co_await asio::async_write(socket, asio::buffer(bytes), as_task);
     if (code) co_return;
