Wait for what a dispatcher says of a queued request

The entry's limit of silence cut a request off that waited in its dispatcher's queue: the caller was told unknown, though it had not run. The entry now waits until the deadline and 50 ms for a dispatcher's answer, and counts the outcome that it told. The test fails without it.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -16,6 +16,14 @@
 
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_unavailable = 503;
+constexpr duration hop_margin = milliseconds(50);
+
+// What a dispatcher told, as one of the known names; an upstream's answer is complete.
+std::string_view told_outcome(bool hop, std::string_view told) {
+  if (hop && told == outcome_name(run_outcome::not_run)) return outcome_name(run_outcome::not_run);
+  if (hop && told == outcome_name(run_outcome::unknown)) return outcome_name(run_outcome::unknown);
+  return outcome_name(run_outcome::complete);
+}
 
 body_frame frame_of(const message_parser<true>& request) {
   if (const auto length = request.content_length()) return {body_framing::length, *length};
@@ -237,16 +245,19 @@
 task<std::optional<exchange::attempt_end>> exchange::read_answer_head(const destination& to) {
   const auto klass = static_cast<std::size_t>(match_.route->klass);
   const auto silent_at = monotonic_now() + home_.settings().limits.silence[klass];
-  const bool silence_first = silent_at < deadline_;
+  const bool silence_first = !to.hop && silent_at < deadline_;
+  // A dispatcher may hold a request in its queue until the deadline and then says that it didn't
+  // run: that answer is worth waiting for.
+  const auto latest = to.hop ? deadline_ + hop_margin : std::min(silent_at, deadline_);
   answer_buffer_ = home_.buffers().take();
   wire_buffer& buffer = *answer_buffer_;
   auto& socket = connection_->socket;
   messages_.answer.emplace();
   std::size_t searched = 0;
   if (messages_.request->is_done()) {
-    caller_.watch_until(std::min(silent_at, deadline_));
+    caller_.watch_until(latest);
   } else {
-    caller_.set_deadline(std::min(silent_at, deadline_));
+    caller_.set_deadline(latest);
   }
   bool more = true;  // bytes are wanted before there can be a head
   while (true) {
@@ -327,15 +338,12 @@
     co_return broken;
   }
   const body_frame frame = frame_of(answer);
-  const auto told = answer.find(outcome_header);
+  const auto outcome = told_outcome(to.hop, answer.find(outcome_header));
   const bool keep = may_keep();
   messages_.head.clear();
-  write_answer_head(
-      messages_.head, answer,
-      {.request_id = messages_.request_id,
-       .outcome = to.hop && !told.empty() ? told : outcome_name(run_outcome::complete),
-       .close = !keep},
-      frame);
+  write_answer_head(messages_.head, answer,
+                    {.request_id = messages_.request_id, .outcome = outcome, .close = !keep},
+                    frame);
   outgoing pieces;
   pieces.add(messages_.head);
   if (frame.kind == body_framing::chunked) {
@@ -362,7 +370,7 @@
   if (relayed == relay_end::whole) end.known = run_state::complete;
   if (relayed == relay_end::upstream_failed) end.judged = failure_kind::error;
   if (relayed == relay_end::upstream_slow) end.judged = failure_kind::silent;
-  record(answer.status(), relayed == relay_end::whole ? "complete" : "broken", answer.body_bytes());
+  record(answer.status(), relayed == relay_end::whole ? outcome : "broken", answer.body_bytes());
   co_return end;
 }
 
--- a/src/entry/testing/outcome_test.cc
+++ b/src/entry/testing/outcome_test.cc
@@ -329,6 +329,34 @@
   BOOST_TEST(upstream.connections() == 0U);
 }
 
+// The dispatcher's queue holds the third request beyond the entry's limit of silence.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_at_the_dispatcher_is_not_run) {
+  std::atomic<int> received{0};
+  scripted_upstream upstream([&](upstream_side& side) {
+    if (!side.read_request().empty()) ++received;
+    side.read_more();
+  });
+  proxy_fixture dispatcher({upstream.address()});
+  dispatcher.service.upstreams[0].slots = 2;
+  dispatcher.publish();
+  proxy_fixture entry({upstream.address()}, with_silence(milliseconds(50)));
+  entry.service.service.dispatch = dispatch_mode::dispatcher;
+  entry.service.dispatchers[0] = dispatcher.traffic->forward_address();
+  entry.service.routes[0].timeout = seconds(1);
+  entry.publish();
+  auto first = entry.caller();
+  auto second = entry.caller();
+  first.send(post);
+  second.send(post);
+  while (received < 2) std::this_thread::yield();
+  const auto third = entry.caller().ask(post);
+  BOOST_TEST(third.status() == 503);
+  BOOST_TEST(says(third, "not-run"));
+  BOOST_TEST(says(first.read_answer(), "unknown"));
+  BOOST_TEST(says(second.read_answer(), "unknown"));
+  BOOST_TEST(received == 2);
+}
+
 BOOST_AUTO_TEST_CASE(what_the_dispatcher_knows_reaches_the_caller) {
   scripted_upstream upstream([](upstream_side& side) { side.read_request(); });
   proxy_fixture dispatcher({upstream.address()});
