--- a/src/bench/control_bench.cc
+++ b/src/bench/control_bench.cc
@@ -18,16 +18,17 @@
 <<<<<<< HEAD
 #include "harness/cluster.h"
 #include "platform/store_client.h"
-    =======
+    == == ==
+    =
 #include "harness/process.h"
 #include "http/client.h"
 #include "platform/instance_list.h"
 #include "platform/store_client.h"
 #include "standin/upstream.h"
-    >>>>>>> standin
+        >>>>>>> standin
 #include "table/parse.h"
 
-    namespace plantainpaddle {
+        namespace plantainpaddle {
   namespace {
 
   namespace json = boost::json;
--- a/src/standin/testing/upstream_test.cc
+++ b/src/standin/testing/upstream_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 #include "http/client.h"
 #include "standin/answer_body.h"
@@ -115,6 +116,23 @@
   BOOST_TEST(call(work("b", 7, 0)).status == 421U);
 }
 
+// As after a stop and continue of the process: the caller has gone and the grant has ended by the
+// time that the run wakes.
+BOOST_FIXTURE_TEST_CASE(a_run_that_wakes_late_ends_with_its_grant, fixture) {
+  grant(seconds(10), {});
+  grant(milliseconds(200), {{{1}, {7}}});
+  answers got;
+  send(work("a", 7, long_busy_us), got, milliseconds(100));
+  while (io.run_one_for(milliseconds(50)) > 0) {
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  wait(got, 1);
+  const auto ran = runs();
+  BOOST_REQUIRE(ran.size() == 1U);
+  BOOST_TEST((ran[0].how != run_end::complete));
+  BOOST_TEST((*ran[0].end - ran[0].start <= milliseconds(200)));
+}
+
 BOOST_FIXTURE_TEST_CASE(more_than_slots_and_queue_is_refused_unrun, unchecked_fixture) {
   answers got;
   for (const auto* id : {"a", "b"}) send(work(id, 1, 100'000), got);
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -72,7 +72,8 @@
   stop_cause cause = stop_cause::none;
   bool watching = false;
   bool running = false;
-  std::uint64_t watch = 0;  // counts the watches for a closed connection
+  std::optional<monotonic_time> grant_ended;  // while the run was under way
+  std::uint64_t watch = 0;                    // counts the watches for a closed connection
 
   void stop(stop_cause why) {
     if (cause == stop_cause::none) cause = why;
@@ -119,7 +120,6 @@
   monotonic_time started;
   std::set<session*> open;
   bool lapsed = true;
-  monotonic_time lapsed_at{};
   std::uint64_t refused_connections = 0;
   std::uint64_t not_run = 0;
   std::uint64_t not_owner = 0;
@@ -129,10 +129,10 @@
   void lapse(monotonic_time now) {
     if (lapsed || now < holder.ends()) return;
     lapsed = true;
-    lapsed_at = holder.ends();
     if (!options.check_fence) return;
     for (auto* each : open) {
       if (!each->running) continue;
+      if (!each->grant_ended) each->grant_ended = holder.ends();
       each->stop(stop_cause::grant_ended);
       beast::error_code ignored;
       each->stream.socket().cancel(ignored);
@@ -395,18 +395,19 @@
                                  .fence = facts.fence.value_or(0),
                                  .fenced = facts.shard && facts.fence},
                                 now);
+    s.grant_ended.reset();
     s.running = true;
     const bool again = co_await run_admitted(s, parser, facts, small);
-    s.running = false;
     const monotonic_time end = monotonic_now();
     lapse(end);
-    // What was stopped by the grant's end did nothing after it, however late this line runs.
-    const bool ended = s.cause == stop_cause::grant_ended;
+    s.running = false;
+    // Nothing takes effect without a look at the grant's end, so that whatever ended the run, it
+    // did nothing after it, however late this line runs.
     book.end(run,
              s.cause == stop_cause::none          ? run_end::complete
              : s.cause == stop_cause::caller_gone ? run_end::cancelled
                                                   : run_end::stopped,
-             ended ? std::min(end, lapsed_at) : end);
+             std::min(end, s.grant_ended.value_or(end)));
     finish(facts);
     co_return again;
   }
@@ -484,6 +485,8 @@
       message.body().data = piece.data();
       message.body().size = piece.size();
       message.body().more = done < head.size;
+      lapse(monotonic_now());
+      if (s.cause != stop_cause::none) co_return false;
       s.stream.expires_after(idle_time);
       auto [code, size] = co_await http::async_write(s.stream, serializer, as_result);
       if (s.cause != stop_cause::none) co_return false;
