--- a/src/bench/demo_bench.cc
+++ b/src/bench/demo_bench.cc
@@ -3,12 +3,11 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <cstdlib>
-#include <filesystem>
 #include <future>
 #include <iostream>
 #include <thread>
 
+#include "harness/bench.h"
 #include "harness/cluster.h"
 #include "harness/store_view.h"
 #include "load/checker.h"
@@ -82,8 +81,6 @@
 }  // namespace plantainpaddle
 
 int main(int, char** argv) {
-  const auto bin = std::filesystem::absolute(argv[0]).parent_path().string();
-  std::string folder = (std::filesystem::temp_directory_path() / "plantainpaddle-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) return 1;
-  return plantainpaddle::run(bin, folder);
+  const std::string folder = plantainpaddle::make_log_folder();
+  return folder.empty() ? 1 : plantainpaddle::run(plantainpaddle::program_folder(argv[0]), folder);
 }
--- a/src/bench/failover_bench.cc
+++ b/src/bench/failover_bench.cc
@@ -12,14 +12,13 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
 #include <future>
 #include <iomanip>
 #include <iostream>
 #include <map>
 #include <thread>
 
+#include "harness/bench.h"
 #include "harness/cluster.h"
 #include "harness/revision_watch.h"
 #include "harness/store_view.h"
@@ -371,9 +370,9 @@
   TCLAP::ValueArg<int> rounds("r", "rounds", "rounds per fault", false, 10, "N", command);
   TCLAP::MultiArg<std::string> only("o", "only", "only this fault", false, "FAULT", command);
   command.parse(argc, argv);
-  const auto bin = std::filesystem::absolute(argv[0]).parent_path().string();
-  std::string folder = (std::filesystem::temp_directory_path() / "failover-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) return 1;
+  const std::string bin = program_folder(argv[0]);
+  const std::string folder = make_log_folder();
+  if (folder.empty()) return 1;
   std::cout << "logs in " << folder << ", " << rounds.getValue() << " rounds per fault\n";
   print_head();
   std::vector<duration> bounded;
@@ -420,11 +419,5 @@
 }  // namespace plantainpaddle
 
 int main(int argc, char** argv) {
-  using namespace plantainpaddle;
-  try {
-    return run(argc, argv);
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " for argument " << e.argId() << '\n';
-    return 2;
-  }
+  return plantainpaddle::run_bench(argc, argv, plantainpaddle::run);
 }
--- a/src/bench/overload_bench.cc
+++ b/src/bench/overload_bench.cc
@@ -15,12 +15,11 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
 #include <future>
 #include <iostream>
 #include <thread>
 
+#include "harness/bench.h"
 #include "harness/cluster.h"
 #include "harness/store_view.h"
 #include "harness/web.h"
@@ -224,9 +223,9 @@
   TCLAP::ValueArg<int> length("s", "seconds", "length of each part", false, 8, "N", command);
   TCLAP::SwitchArg dispatcher("d", "dispatcher", "requests pass through dispatchers", command);
   command.parse(argc, argv);
-  const auto bin = std::filesystem::absolute(argv[0]).parent_path().string();
-  std::string folder = (std::filesystem::temp_directory_path() / "overload-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) return 1;
+  const std::string bin = program_folder(argv[0]);
+  const std::string folder = make_log_folder();
+  if (folder.empty()) return 1;
   std::cout << "logs in " << folder << '\n';
   const duration span = seconds(length.getValue());
   cluster_layout layout = make_layout();
@@ -261,11 +260,5 @@
 }  // namespace plantainpaddle
 
 int main(int argc, char** argv) {
-  using namespace plantainpaddle;
-  try {
-    return run(argc, argv);
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " for argument " << e.argId() << '\n';
-    return 2;
-  }
+  return plantainpaddle::run_bench(argc, argv, plantainpaddle::run);
 }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,7 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <set>
 
-#include "http/address.h"
+#include "http/listen.h"
 
 namespace plantainpaddle {
 
@@ -129,18 +129,11 @@
 http_server::~http_server() { close(); }
 
 result<std::string> http_server::listen(const std::string& address, handler serve) {
-  const auto endpoint = parse_address(address);
-  if (!endpoint) return endpoint.error();
-  auto& acceptor = state_->acceptor;
-  beast::error_code code;
-  acceptor.open(endpoint->protocol(), code);
-  if (!code) acceptor.set_option(asio::socket_base::reuse_address(true), code);
-  if (!code) acceptor.bind(*endpoint, code);
-  if (!code) acceptor.listen(asio::socket_base::max_listen_connections, code);
-  if (code) return error{errc::unavailable, step::listen, address, code.message()};
+  auto used = open_acceptor(state_->acceptor, address);
+  if (!used) return used;
   state_->serve = std::move(serve);
   asio::co_spawn(state_->executor, state_->accept_loop(), asio::detached);
-  return format_address(acceptor.local_endpoint());
+  return used;
 }
 
 void http_server::close() {
--- a/src/standin/relay.cc
+++ b/src/standin/relay.cc
@@ -19,6 +19,7 @@
 
 #include "base/json.h"
 #include "http/address.h"
+#include "http/listen.h"
 
 namespace plantainpaddle {
 
@@ -167,23 +168,17 @@
 
 result<std::string> fault_relay::add(const std::string& name, const std::string& listen,
                                      const std::string& to) {
-  const auto from = parse_address(listen);
-  if (!from) return from.error();
   const auto target = parse_address(to);
   if (!target) return target.error();
   if (state_->routes.contains(name)) {
     return error{errc::conflict, step::listen, name, "there is such a route"};
   }
   auto made = std::make_shared<route>(state_->executor, *target);
-  boost::system::error_code code;
-  made->acceptor.open(from->protocol(), code);
-  if (!code) made->acceptor.set_option(asio::socket_base::reuse_address(true), code);
-  if (!code) made->acceptor.bind(*from, code);
-  if (!code) made->acceptor.listen(asio::socket_base::max_listen_connections, code);
-  if (code) return error{errc::unavailable, step::listen, listen, code.message()};
+  auto used = open_acceptor(made->acceptor, listen);
+  if (!used) return used;
   state_->routes[name] = made;
   asio::co_spawn(state_->executor, state_->accept_loop(made), asio::detached);
-  return format_address(made->acceptor.local_endpoint());
+  return used;
 }
 
 bool fault_relay::set(const std::string& name, const relay_fault& fault) {
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -21,7 +21,7 @@
 #include <charconv>
 #include <set>
 
-#include "http/address.h"
+#include "http/listen.h"
 #include "http/message.h"
 #include "ownership/cell_record.h"
 #include "ownership/grant_holder.h"
@@ -513,18 +513,11 @@
 }
 
 result<std::string> upstream_standin::listen(const std::string& address) {
-  const auto endpoint = parse_address(address);
-  if (!endpoint) return endpoint.error();
-  auto& acceptor = impl_->acceptor;
-  beast::error_code code;
-  acceptor.open(endpoint->protocol(), code);
-  if (!code) acceptor.set_option(asio::socket_base::reuse_address(true), code);
-  if (!code) acceptor.bind(*endpoint, code);
-  if (!code) acceptor.listen(asio::socket_base::max_listen_connections, code);
-  if (code) return error{errc::unavailable, step::listen, address, code.message()};
+  auto used = open_acceptor(impl_->acceptor, address);
+  if (!used) return used;
   asio::co_spawn(impl_->executor, impl_->accept_loop(), asio::detached);
   asio::co_spawn(impl_->executor, impl_->watch_grant(), asio::detached);
-  return format_address(acceptor.local_endpoint());
+  return used;
 }
 
 }  // namespace plantainpaddle
