Plan by measured load; move shards between cells; serve callers only once a table is known

Change: traffic threads count requests per shard, instances report them to the assigners every 2 s, and the planner gets rates smoothed over 60 s; one instance per service advances the layout; the callers' listener opens when a table is known, 10 s after the start at the latest. The operators' port has its own thread.

--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -3,7 +3,6 @@
 #include <tclap/CmdLine.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -19,9 +18,73 @@
 
 constexpr duration drain_time = seconds(20);
 constexpr duration leave_time = seconds(3);
+constexpr duration table_wait = seconds(10);  // then callers are served without a table
+constexpr duration table_poll = milliseconds(20);
+
+// Blocks SIGTERM and SIGINT in this thread and those that it starts; sigwait takes them.
+sigset_t block_signals() {
+  sigset_t set{};
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  return set;
+}
+
+// The operators' port, on a thread of its own.
+class operators_port {
+ public:
+  operators_port(control_plane& control, const metrics& counters)
+      : control_(control), counters_(counters) {}
+  ~operators_port() {
+    io_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+  operators_port(const operators_port&) = delete;
+  operators_port& operator=(const operators_port&) = delete;
+
+  result<std::string> start(const std::string& address) {
+    auto started =
+        server_.listen(address, [this](http_request request) { return serve(std::move(request)); });
+    if (started) thread_ = std::thread([this] { io_.run(); });
+    return started;
+  }
+
+ private:
+  boost::asio::awaitable<http_response> serve(http_request request) {
+    if (request.target == "/metrics") {
+      co_return http_response{
+          200, {{"Content-Type", "text/plain"}}, counters_.prometheus_text(), {}};
+    }
+    if (request.target == "/status") co_return json_response(200, control_.describe());
+    if (request.target == "/healthz") co_return json_response(200, "{}");
+    if (request.target == "/readyz") {
+      co_return json_response(control_.is_ready() ? 200 : 503, "{}");
+    }
+    co_return json_response(404, R"({"error":"no such page"})");
+  }
+
+  control_plane& control_;
+  const metrics& counters_;
+  boost::asio::io_context io_{1};
+  http_server server_{io_.get_executor()};
+  std::thread thread_;
+};
+
+int failed(const error& e) {
+  log_error(log_level::error, e);
+  return exit_unavailable;
+}
+
+// Without a table every caller would be told that there is no such route.
+void wait_for_table(control_plane& control) {
+  const monotonic_time latest = monotonic_now() + table_wait;
+  while (!control.is_ready() && monotonic_now() < latest) std::this_thread::sleep_for(table_poll);
+}
 
 int run(const entry_settings& settings) {
   start_log({settings.level, settings.name});
+  const sigset_t signals = block_signals();
   metrics counters;
   proxy traffic({.listen_callers = settings.listen_callers,
                  .listen_forward = settings.listen_forward,
@@ -36,41 +99,23 @@
                          [&] { return traffic.limit_usage(); },
                          [&](const instance_id& from, const std::vector<limit_use>& entries) {
                            traffic.on_limit_usage(from, entries);
-                         }});
-  boost::asio::io_context io;
-  http_server operators(io.get_executor());
-  const auto serve = [&](http_request request) -> boost::asio::awaitable<http_response> {
-    if (request.target == "/metrics") {
-      co_return http_response{
-          200, {{"Content-Type", "text/plain"}}, counters.prometheus_text(), {}};
-    }
-    if (request.target == "/status") co_return json_response(200, control.describe());
-    if (request.target == "/healthz") co_return json_response(200, "{}");
-    if (request.target == "/readyz") co_return json_response(control.is_ready() ? 200 : 503, "{}");
-    co_return json_response(404, R"({"error":"no such page"})");
-  };
-  for (const auto& started :
-       {traffic.start(), control.start(), operators.listen(settings.listen_operators, serve)}) {
-    if (!started) {
-      log_error(log_level::error, started.error());
-      return exit_unavailable;
-    }
+                         },
+                         [&] { return traffic.take_shard_requests(); }});
+  if (const auto started = control.start(); !started) return failed(started.error());
+  operators_port operators(control, counters);
+  if (const auto started = operators.start(settings.listen_operators); !started) {
+    return failed(started.error());
   }
+  wait_for_table(control);
+  if (const auto started = traffic.start(); !started) return failed(started.error());
   log_line(log_level::info, {.message = "serves callers at " + settings.listen_callers});
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const auto&, int) { io.stop(); });
-  io.run();
+  int number = 0;
+  sigwait(&signals, &number);
   // Requests in flight still need this instance's part of the ownership: first they, then the
   // cells.
   control.set_leaving();
-  std::thread operators_thread([&] {
-    io.restart();
-    io.run();
-  });
   const bool drained = traffic.drain(drain_time);
   control.leave(leave_time);
-  io.stop();
-  operators_thread.join();
   if (!drained) log_line(log_level::warning, {.message = "connections were left after the drain"});
   log_line(log_level::info, {.message = "stops"});
   return exit_ok;
--- a/src/entry/cell_runner.cc
+++ b/src/entry/cell_runner.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr duration restart_pause = seconds(1);  // after this instance lost a cell
+constexpr duration rates_period = seconds(5);
 constexpr duration probe_period = seconds(1);
 constexpr duration probe_timeout = milliseconds(500);
 constexpr duration handover_timeout = milliseconds(500);
@@ -55,6 +56,7 @@
   const auto acting = running_.find(cell);
   if (acting != running_.end()) {
     probe_candidates(order, now);
+    update_rates(acting->second, now);
     return update_inputs(acting->second, declared, layout, cell, order);
   }
   if (leaving_ || now < not_before_[cell] || !should_start(cell, order, now)) return;
@@ -80,7 +82,7 @@
                              .at = step::ownership,
                              .service = declared.service.name.value});
   assigner_config config{cell, self_, timing_of(declared.service), random_()};
-  running role{++last_number_, assigner(std::move(config), now), {}, false};
+  running role{.number = ++last_number_, .decisions = assigner(std::move(config), now)};
   return running_.insert_or_assign(cell, std::move(role)).first->second;
 }
 
@@ -88,6 +90,8 @@
                                 const service_layout& layout, const cell_id& cell,
                                 const std::vector<std::string>& order) {
   cell_inputs wanted = inputs_of(declared, layout, cell, order);
+  wanted.load = role.rates;
+  wanted.load_window = load_window;
   if (role.has_inputs && role.inputs == wanted) return;
   role.inputs = wanted;
   role.has_inputs = true;
@@ -102,6 +106,7 @@
     if (cell_of(declared, row) == cell) made.upstreams.push_back(row);
   }
   made.home = home_shards(layout, cell);
+  made.leaving = leaving_shards(layout, cell);
   for (const auto& name : order) {
     const auto* life = used_.directory.life_of(name);
     if (life == nullptr || *life == self_ || used_.directory.is_unreachable(name)) continue;
@@ -114,6 +119,23 @@
   return made;
 }
 
+void cell_runner::update_rates(running& role, monotonic_time now) {
+  if (now < role.next_rates) return;
+  role.next_rates = now + rates_period;
+  role.rates = role.load.rates(now);
+}
+
+void cell_runner::add_load(const shard_requests& requests, monotonic_time now) {
+  const auto role = running_.find(requests.cell);
+  if (role == running_.end()) return;
+  for (const auto& entry : requests.entries) {
+    // Only known shards: the memory is bounded by the record.
+    const auto& record = role->second.decisions.record();
+    if (!record || !record->shards.contains(entry.shard)) continue;
+    role->second.load.add(entry.shard, entry.requests, now);
+  }
+}
+
 // Asks the best candidates who they are, as long as that isn't known or they don't answer.
 void cell_runner::probe_candidates(const std::vector<std::string>& order, monotonic_time now) {
   std::size_t considered = 0;
--- a/src/entry/cell_runner.h
+++ b/src/entry/cell_runner.h
@@ -13,6 +13,7 @@
 #include "entry/state_cache.h"
 #include "http/client.h"
 #include "ownership/assigner.h"
+#include "ownership/shard_load.h"
 #include "ownership/standby.h"
 #include "peer/network.h"
 #include "platform/store_client.h"
@@ -33,6 +34,8 @@
     std::function<void(const instance_id&)> on_heard;        // an instance answered in this life
   };
 
+  static constexpr duration load_window = seconds(60);
+
   cell_runner(instance_id self, services used, std::uint64_t seed);
 
   void tick(monotonic_time now);
@@ -42,6 +45,8 @@
 
   // Starts and takes over no cell any more.
   void set_leaving() { leaving_ = true; }
+  // Requests of shards that one instance has seen. Nothing happens if the cell isn't assigned here.
+  void add_load(const shard_requests& requests, monotonic_time now);
   // Hands over all cells, starts none any more. True once none is left.
   bool leave(monotonic_time now);
 
@@ -61,6 +66,9 @@
     assigner decisions;
     cell_inputs inputs;
     bool has_inputs = false;
+    shard_load load{load_window};
+    std::map<shard_id, double> rates;  // as last given to the planner
+    monotonic_time next_rates{};
   };
   struct cell_ref {
     cell_id cell;
@@ -75,6 +83,7 @@
                      const cell_id& cell, const std::vector<std::string>& order);
   cell_inputs inputs_of(const service_table& declared, const service_layout& layout,
                         const cell_id& cell, const std::vector<std::string>& order) const;
+  void update_rates(running& role, monotonic_time now);
   void probe_candidates(const std::vector<std::string>& order, monotonic_time now);
   void feed(const cell_ref& to, const assigner_event& event);
   void feed_later(const cell_ref& to, assigner_event event);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -1,5 +1,6 @@
 #include "entry/control.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -26,6 +27,8 @@
 constexpr duration tick_period = milliseconds(20);
 constexpr duration list_period = seconds(1);
 constexpr duration list_timeout = milliseconds(800);
+constexpr duration load_report_period = seconds(2);
+constexpr std::size_t max_layout_moves = 16;  // shards between two cells at once
 constexpr duration limit_share_period = milliseconds(500);
 constexpr duration layout_retry = seconds(1);
 
@@ -84,6 +87,8 @@
   monotonic_time next_list{};
   monotonic_time next_layout{};
   monotonic_time next_share{};
+  monotonic_time next_load{};
+  monotonic_time next_advance{};
   usage_tree limit_tree;
   bool state_changed = true;
   bool leaving = false;
@@ -95,9 +100,12 @@
   void run_tick();
   void fetch_list(monotonic_time now);
   void share_limits(monotonic_time now);
+  void report_load(monotonic_time now);
+  void advance_layouts(monotonic_time now);
+  bool is_layout_writer(const service_id& service) const;
   void publish_snapshot();
   void create_layouts(monotonic_time now);
-  void write_layout(const service_table& declared);
+  void write_layout(service_layout layout, std::uint64_t expected_version);
   void serve(const peer_identity& from, const peer_request& request, const peer_replier& reply);
 };
 
@@ -170,7 +178,9 @@
   fetch_list(now);
   spreader.tick(now);
   create_layouts(now);
+  advance_layouts(now);
   share_limits(now);
+  report_load(now);
   cells.tick(now);
   if (state_changed) {
     state_changed = false;
@@ -237,26 +247,70 @@
   next_layout = now + layout_retry / 4;
   for (const auto& [name, declared] : cache.tables()) {
     if (!declared.service.keyed || cache.layouts().contains(name)) continue;
-    std::vector<std::string> names;
-    for (const auto& info : directory.list()) names.push_back(info.name);
-    const auto order = rendezvous_order(name.value, std::move(names));
-    if (order.empty() || order.front() != settings.name) continue;
-    write_layout(declared);
+    if (!is_layout_writer(name)) continue;
+    write_layout(make_layout(declared), 0);
     next_layout = now + layout_retry;
   }
 }
 
-void control_plane::impl::write_layout(const service_table& declared) {
-  service_layout layout = make_layout(declared);
+bool control_plane::impl::is_layout_writer(const service_id& service) const {
+  std::vector<std::string> names;
+  for (const auto& info : directory.list()) names.push_back(info.name);
+  const auto order = rendezvous_order(service.value, std::move(names));
+  return !order.empty() && order.front() == settings.name;
+}
+
+// Shards follow upstreams that were added or left to other cells. Each step is one write.
+void control_plane::impl::advance_layouts(monotonic_time now) {
+  if (now < next_advance) return;
+  next_advance = now + layout_retry;
+  std::map<cell_id, cell_record> records;
+  for (const auto& [cell, known] : cache.cells()) records.emplace(cell, known.record);
+  for (const auto& [name, layout] : cache.layouts()) {
+    const auto declared = cache.tables().find(name);
+    if (declared == cache.tables().end() || !is_layout_writer(name)) continue;
+    auto next = advance_layout(layout, declared->second, records, {}, max_layout_moves);
+    if (next) write_layout(std::move(*next), cache.version_of(cache.keys().layout(name)));
+  }
+}
+
+// What this instance's callers ask of each cell, to the instance that assigns it.
+void control_plane::impl::report_load(monotonic_time now) {
+  if (now < next_load) return;
+  next_load = now + load_report_period;
+  const auto seen = hooks.take_shard_requests();
+  for (const auto& [cell, known] : cache.cells()) {
+    const auto service = seen.find(known.record.service);
+    if (service == seen.end()) continue;
+    shard_requests report{cell, {}};
+    for (const auto& entry : service->second) {
+      if (known.record.shards.contains(entry.shard)) report.entries.push_back(entry);
+    }
+    if (report.entries.empty()) continue;
+    std::sort(report.entries.begin(), report.entries.end(),
+              [](const auto& a, const auto& b) { return a.requests > b.requests; });
+    if (report.entries.size() > max_shard_entries) report.entries.resize(max_shard_entries);
+    const std::string assigner = instance_name(known.record.assigner);
+    if (assigner == settings.name) {
+      cells.add_load(report, now);
+    } else if (const auto* info = directory.find(assigner)) {
+      network.call(info->peers, std::move(report), load_report_period,
+                   [](const result<peer_answer>&) {});
+    }
+  }
+}
+
+void control_plane::impl::write_layout(service_layout layout, std::uint64_t expected_version) {
   layout.mark = {self, random()};
-  const std::string key = cache.keys().layout(declared.service.name);
+  const std::string key = cache.keys().layout(layout.service);
   const std::string value = format_service_layout(layout);
-  store.compare_and_swap(key, 0, value, [this, key, value](result<swap_answer> answer) {
-    if (!answer) return log_error(log_level::warning, answer.error());
-    const bool found = !answer->written && answer->value;
-    if (!answer->written && !found) return;
-    spreader.written({key, answer->version, found ? *answer->value : value});
-  });
+  store.compare_and_swap(key, expected_version, value,
+                         [this, key, value](result<swap_answer> answer) {
+                           if (!answer) return log_error(log_level::warning, answer.error());
+                           const bool found = !answer->written && answer->value;
+                           if (!answer->written && !found) return;
+                           spreader.written({key, answer->version, found ? *answer->value : value});
+                         });
 }
 
 void control_plane::impl::serve(const peer_identity& from, const peer_request& request,
@@ -272,6 +326,9 @@
     reply(spreader.answer(*digest));
   } else if (const auto* handover = std::get_if<term_handover>(&request)) {
     reply(acknowledgement{cells.take_over(*handover, now)});
+  } else if (const auto* load = std::get_if<shard_requests>(&request)) {
+    cells.add_load(*load, now);
+    reply(acknowledgement{});
   } else if (const auto* usage = std::get_if<limit_usage>(&request)) {
     reply(limit_tree.on_report(from.instance, from.domain == settings.domain, *usage, now));
   } else {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -15,6 +16,7 @@
 #include "base/time.h"
 #include "entry/settings.h"
 #include "metrics/metrics.h"
+#include "peer/messages.h"
 #include "routing/limiter.h"
 #include "routing/snapshot.h"
 
@@ -25,6 +27,7 @@
   std::function<void(std::shared_ptr<const routing_snapshot>)> on_snapshot;
   std::function<std::vector<limit_use>()> limit_usage;
   std::function<void(const instance_id& from, const std::vector<limit_use>&)> on_limit_usage;
+  std::function<std::map<service_id, std::vector<shard_requests::entry>>()> take_shard_requests;
 };
 
 class control_plane {
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -143,6 +143,7 @@
   if (!service().service.keyed) return std::nullopt;
   if (!key_) return not_run(400, errc::bad_input, step::route, "the request has no key");
   shard_ = shard_of(service().service.name, *key_, service().service.shards);
+  traffic().counts->add(shard_);
   return std::nullopt;
 }
 
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -116,6 +116,16 @@
   impl_->shared.on_limit_usage(from, entries, monotonic_now());
 }
 
+std::map<service_id, std::vector<shard_requests::entry>> proxy::take_shard_requests() {
+  std::map<service_id, std::vector<shard_requests::entry>> taken;
+  const auto view = impl_->shared.view();
+  if (!view) return taken;
+  for (std::size_t i = 0; i < view->services.size(); ++i) {
+    taken[view->snapshot->services[i].service.name] = view->services[i].counts->take();
+  }
+  return taken;
+}
+
 void proxy::on_load_report(const service_id& service, const upstream_id& upstream,
                            const load_report& report) {
   impl_->shared.on_load_report(service, upstream, report, monotonic_now());
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -11,6 +11,7 @@
 // All members may be called on any thread but the traffic threads.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "base/error.h"
 #include "entry/proxy_settings.h"
 #include "metrics/metrics.h"
+#include "peer/messages.h"
 #include "routing/limiter.h"
 #include "routing/snapshot.h"
 
@@ -47,6 +49,8 @@
   // What the control thread exchanges with other instances.
   std::vector<limit_use> limit_usage();
   void on_limit_usage(const instance_id& from, const std::vector<limit_use>& entries);
+  // Requests of each shard since the last call.
+  std::map<service_id, std::vector<shard_requests::entry>> take_shard_requests();
   void on_load_report(const service_id& service, const upstream_id& upstream,
                       const load_report& report);
 
--- a/src/entry/state_cache.cc
+++ b/src/entry/state_cache.cc
@@ -41,6 +41,11 @@
   return true;
 }
 
+std::uint64_t state_cache::version_of(const std::string& key) const {
+  const auto known = items_.find(key);
+  return known == items_.end() ? 0 : known->second.version;
+}
+
 state_digest state_cache::digest() const {
   state_digest digest{summary_, true, {}};
   for (const auto& [key, item] : items_) digest.entries.push_back({key, item.version});
--- a/src/entry/state_cache.h
+++ b/src/entry/state_cache.h
@@ -37,6 +37,8 @@
 
   // Of all keys and versions, in any order of arrival.
   std::uint64_t summary() const { return summary_; }
+  // Of a store key; 0 if it isn't known.
+  std::uint64_t version_of(const std::string& key) const;
   state_digest digest() const;
   // What is newer here than in the digest, at most max_bytes of it.
   state_push newer_than(const state_digest& theirs, std::size_t max_bytes) const;
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -119,6 +119,10 @@
                     ? previous->health
                     : std::make_shared<service_health>(
                           health_config{.set_aside = service.service.set_aside}, made.names.size());
+  const std::uint32_t shards = service.service.keyed ? service.service.shards : 0;
+  made.counts = previous != nullptr && previous->counts->size() == shards
+                    ? previous->counts
+                    : std::make_shared<shard_counts>(shards);
   made.retries = previous != nullptr ? previous->retries : std::make_shared<service_retries>();
   return made;
 }
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -16,6 +16,7 @@
 
 #include "entry/gate.h"
 #include "entry/proxy_settings.h"
+#include "entry/shard_counts.h"
 #include "routing/balance.h"
 #include "routing/health.h"
 #include "routing/limiter.h"
@@ -71,6 +72,7 @@
   std::vector<std::shared_ptr<upstream_traffic>> upstreams;
   std::shared_ptr<service_health> health;
   std::shared_ptr<service_retries> retries;
+  std::shared_ptr<shard_counts> counts;  // of a service that is divided by key
 };
 
 struct traffic_view {
--- a/src/ownership/assigner.h
+++ b/src/ownership/assigner.h
@@ -43,9 +43,10 @@
   // Live instances besides self, best first: for `isolation` `stay` of the cell's failure domain,
   // for `move` of the others, each from another domain as far as possible.
   std::vector<instance_id> standby_candidates;
-  std::vector<instance_id> lost;    // that an operator's row declares lost for good
-  std::map<shard_id, double> load;  // requests per second
-  std::uint32_t move_budget = 0;    // per planning round
+  std::vector<instance_id> lost;       // that an operator's row declares lost for good
+  std::map<shard_id, double> load;     // requests per second
+  duration load_window = seconds(60);  // over which the load was smoothed
+  std::uint32_t move_budget = 0;       // per planning round
   double imbalance_weight = 1;
   double churn_weight = 1;
   double unavailable_weight = 1;
--- a/src/ownership/assigner_shards.cc
+++ b/src/ownership/assigner_shards.cc
@@ -171,6 +171,7 @@
     if (input.shards.erase(shard) > 0) start_move(shard, std::nullopt, now);
   }
   input.load = inputs_.load;
+  input.load_window = inputs_.load_window;
   input.move_budget = moves_.empty() ? inputs_.move_budget : 0;
   input.imbalance_weight = inputs_.imbalance_weight;
   input.churn_weight = inputs_.churn_weight;
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -168,6 +168,15 @@
   void operator()(const limit_usage& usage) {
     write_usage(usage, to.initLimitUsage(static_cast<unsigned>(usage.entries.size())));
   }
+  void operator()(const shard_requests& requests) {
+    auto out = to.initShardRequests();
+    out.setCell(requests.cell.value);
+    auto entries = out.initEntries(static_cast<unsigned>(requests.entries.size()));
+    for (unsigned i = 0; i < entries.size(); ++i) {
+      entries[i].setShard(requests.entries[i].shard.value);
+      entries[i].setRequests(requests.entries[i].requests);
+    }
+  }
 };
 
 struct reply_writer {
@@ -239,6 +248,14 @@
     }
     case wire::Request::LIMIT_USAGE:
       return peer_request(read_usage(from.getLimitUsage()));
+    case wire::Request::SHARD_REQUESTS: {
+      const auto in = from.getShardRequests();
+      shard_requests requests{cell_id{to_text(in.getCell())}, {}};
+      for (const auto entry : in.getEntries()) {
+        requests.entries.push_back({shard_id{entry.getShard()}, entry.getRequests()});
+      }
+      return peer_request(std::move(requests));
+    }
   }
   return bad_message("unknown request");
 }
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -67,13 +67,27 @@
   bool operator==(const limit_usage&) const = default;
 };
 
+// Requests of a cell's shards that the sender has seen since its last message, to the cell's
+// assigner. At most max_shard_entries, those with the most requests.
+inline constexpr std::size_t max_shard_entries = 256;
+struct shard_requests {
+  struct entry {
+    shard_id shard;
+    std::uint32_t requests = 0;
+    bool operator==(const entry&) const = default;
+  };
+  cell_id cell;
+  std::vector<entry> entries;
+  bool operator==(const shard_requests&) const = default;
+};
+
 struct acknowledgement {
   bool accepted = true;
   bool operator==(const acknowledgement&) const = default;
 };
 
 using peer_request = std::variant<term_question, state_push, state_digest, term_handover,
-                                  dispatcher_order, limit_usage>;
+                                  dispatcher_order, limit_usage, shard_requests>;
 // Of a limit_usage the answer is one too: what is asked for elsewhere.
 using peer_reply =
     std::variant<acknowledgement, term_answer, state_push, grant_answer, limit_usage>;
--- a/src/peer/wire.capnp
+++ b/src/peer/wire.capnp
@@ -89,6 +89,16 @@
   used @2 :Float64;
 }
 
+struct ShardCount {
+  shard @0 :UInt32;
+  requests @1 :UInt32;
+}
+
+struct ShardRequests {
+  cell @0 :Text;
+  entries @1 :List(ShardCount);
+}
+
 struct Request {
   union {
     termQuestion @0 :TermQuestion;
@@ -97,6 +107,7 @@
     termHandover @3 :TermHandover;
     dispatcherOrder @4 :DispatcherOrder;
     limitUsage @5 :List(UsageEntry);
+    shardRequests @6 :ShardRequests;
   }
 }
 
--- a/src/peer/wire.capnp.h
+++ b/src/peer/wire.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_SCHEMA(c296dbd5a7969607);
 CAPNP_DECLARE_SCHEMA(8c61da3ce8903faf);
 CAPNP_DECLARE_SCHEMA(a5ecdf71d72c4551);
+CAPNP_DECLARE_SCHEMA(cdc2941b6943b408);
+CAPNP_DECLARE_SCHEMA(d17b60eb66a41fd6);
 CAPNP_DECLARE_SCHEMA(f0e92d0dcbf3701e);
 CAPNP_DECLARE_SCHEMA(9b3a0b6a5523d133);
 CAPNP_DECLARE_SCHEMA(f1830c12058ffd8f);
@@ -226,6 +228,36 @@
   };
 };
 
+struct ShardCount {
+  ShardCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cdc2941b6943b408, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ShardRequests {
+  ShardRequests() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d17b60eb66a41fd6, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Request {
   Request() = delete;
 
@@ -239,6 +271,7 @@
     TERM_HANDOVER,
     DISPATCHER_ORDER,
     LIMIT_USAGE,
+    SHARD_REQUESTS,
   };
 
   struct _capnpPrivate {
@@ -1576,6 +1609,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class ShardCount::Reader {
+public:
+  typedef ShardCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getShard() const;
+
+  inline  ::uint32_t getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ShardCount::Builder {
+public:
+  typedef ShardCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ShardCount::Pipeline {
+public:
+  typedef ShardCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ShardRequests::Reader {
+public:
+  typedef ShardRequests Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ShardRequests::Builder {
+public:
+  typedef ShardRequests Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ShardRequests::Pipeline {
+public:
+  typedef ShardRequests Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Request::Reader {
 public:
   typedef Request Reads;
@@ -1618,6 +1823,10 @@
   inline bool hasLimitUsage() const;
   inline  ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader getLimitUsage() const;
 
+  inline bool isShardRequests() const;
+  inline bool hasShardRequests() const;
+  inline  ::plantainpaddle::wire::ShardRequests::Reader getShardRequests() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1695,6 +1904,14 @@
   inline void adoptLimitUsage(::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::UsageEntry,  ::capnp::Kind::STRUCT>> disownLimitUsage();
 
+  inline bool isShardRequests();
+  inline bool hasShardRequests();
+  inline  ::plantainpaddle::wire::ShardRequests::Builder getShardRequests();
+  inline void setShardRequests( ::plantainpaddle::wire::ShardRequests::Reader value);
+  inline  ::plantainpaddle::wire::ShardRequests::Builder initShardRequests();
+  inline void adoptShardRequests(::capnp::Orphan< ::plantainpaddle::wire::ShardRequests>&& value);
+  inline ::capnp::Orphan< ::plantainpaddle::wire::ShardRequests> disownShardRequests();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3422,6 +3639,102 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ShardCount::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ShardCount::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ShardCount::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ShardCount::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ShardCount::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ShardCount::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ShardRequests::Reader::hasCell() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ShardRequests::Builder::hasCell() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ShardRequests::Reader::getCell() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ShardRequests::Builder::getCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ShardRequests::Builder::setCell( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ShardRequests::Builder::initCell(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ShardRequests::Builder::adoptCell(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ShardRequests::Builder::disownCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ShardRequests::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ShardRequests::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Reader ShardRequests::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Builder ShardRequests::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ShardRequests::Builder::setEntries( ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>::Builder ShardRequests::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ShardRequests::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>> ShardRequests::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantainpaddle::wire::ShardCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::plantainpaddle::wire::Request::Which Request::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3755,6 +4068,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Request::Reader::isShardRequests() const {
+  return which() == Request::SHARD_REQUESTS;
+}
+inline bool Request::Builder::isShardRequests() {
+  return which() == Request::SHARD_REQUESTS;
+}
+inline bool Request::Reader::hasShardRequests() const {
+  if (which() != Request::SHARD_REQUESTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasShardRequests() {
+  if (which() != Request::SHARD_REQUESTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::plantainpaddle::wire::ShardRequests::Reader Request::Reader::getShardRequests() const {
+  KJ_IREQUIRE((which() == Request::SHARD_REQUESTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::ShardRequests>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::plantainpaddle::wire::ShardRequests::Builder Request::Builder::getShardRequests() {
+  KJ_IREQUIRE((which() == Request::SHARD_REQUESTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::ShardRequests>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setShardRequests( ::plantainpaddle::wire::ShardRequests::Reader value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::SHARD_REQUESTS);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::ShardRequests>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::plantainpaddle::wire::ShardRequests::Builder Request::Builder::initShardRequests() {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::SHARD_REQUESTS);
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::ShardRequests>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptShardRequests(
+    ::capnp::Orphan< ::plantainpaddle::wire::ShardRequests>&& value) {
+  _builder.setDataField<Request::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Request::SHARD_REQUESTS);
+  ::capnp::_::PointerHelpers< ::plantainpaddle::wire::ShardRequests>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::plantainpaddle::wire::ShardRequests> Request::Builder::disownShardRequests() {
+  KJ_IREQUIRE((which() == Request::SHARD_REQUESTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::plantainpaddle::wire::ShardRequests>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::plantainpaddle::wire::Reply::Which Reply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
