--- a/src/ownership/assigner_shards.cc
+++ b/src/ownership/assigner_shards.cc
@@ -157,6 +157,12 @@
 
 void assigner::plan(monotonic_time now) {
   next_plan_ = now + plan_period;
+  // An upstream that may yet answer its first order is neither good nor lost: just after a
+  // hand-over, the first one to answer must not get the shards of the others.
+  const bool unheard = std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& item) {
+    return item.second.listed && item.second.nonce == 0 && !is_suspected(item.second, now);
+  });
+  if (unheard) return;
   plan_input input;
   for (const auto& row : inputs_.upstreams) {
     const auto& side = upstreams_.at(row.name);
--- a/src/ownership/testing/assigner_test.cc
+++ b/src/ownership/testing/assigner_test.cc
@@ -30,6 +30,25 @@
   }
 }
 
+// Neither a pause of the assigner, short or long, nor its planned leave, nor an upstream that
+// answers again before its lapse moves a shard.
+BOOST_AUTO_TEST_CASE(harmless_faults_move_nothing) {
+  const auto fault_of = [](fault kind, std::uint32_t who, int length_ms) {
+    return fault_step{kind, who, role_first_standby, milliseconds(300), milliseconds(length_ms)};
+  };
+  const std::vector<fault_step> harmless = {
+      fault_of(fault::freeze, role_assigner, 400), fault_of(fault::freeze, role_assigner, 3000),
+      fault_of(fault::crash, role_assigner, 3000), fault_of(fault::leave, 0, 1000),
+      fault_of(fault::store_down, 0, 5000),        fault_of(fault::isolate, role_owner, 650)};
+  for (const auto& step : harmless) {
+    for (std::uint64_t seed = 0; seed < seeds_per_scenario; ++seed) {
+      const verdict v = run({seed, {step}});
+      BOOST_REQUIRE_MESSAGE(!v.violation, *v.violation << "\n" << to_string({seed, {step}}));
+      BOOST_REQUIRE_MESSAGE(v.moves == 0, v.moves << " moves\n" << to_string({seed, {step}}));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(random_scenarios) {
   std::uint64_t events = 0;
   const bool passed = rc::check("a cell keeps its promises", [&] {
--- a/src/ownership/testing/model.cc
+++ b/src/ownership/testing/model.cc
@@ -101,6 +101,7 @@
 verdict run(const scenario& s, bool with_trace) {
   world w(s.seed, with_trace);
   w.run_until(settle_time);
+  const std::uint64_t moves_before = w.judge().moves();
   for (const auto& step : s.steps) {
     w.run_until(w.now() + step.wait);
     if (w.judge().violation()) break;
@@ -119,6 +120,7 @@
     const std::string unserved = w.describe_unserved();
     if (!unserved.empty()) result.violation = unserved;
   }
+  result.moves = w.judge().moves() - moves_before;
   result.events = w.events();
   result.trace = w.take_trace();
   return result;
--- a/src/ownership/testing/model.h
+++ b/src/ownership/testing/model.h
@@ -79,6 +79,7 @@
 struct verdict {
   std::optional<std::string> violation;
   std::uint64_t events = 0;  // that were carried out
+  std::uint64_t moves = 0;   // of shards, from the first fault on
   std::vector<std::string> trace;
 };
 
--- a/src/ownership/testing/oracle.cc
+++ b/src/ownership/testing/oracle.cc
@@ -25,6 +25,7 @@
       const auto place = record.shards.find(shard);
       if (place == record.shards.end()) continue;  // released to another cell
       if (place->second.fence < entry.fence) object("a stored fence went back");
+      if (place->second.fence > entry.fence) ++moves_;
     }
   }
   records_[record.revision] = record;
--- a/src/ownership/testing/oracle.h
+++ b/src/ownership/testing/oracle.h
@@ -33,10 +33,13 @@
   void running(const std::vector<running_grants>& now);
   void object(const std::string& what);
 
+  // Shards that were recorded at a new fence.
+  std::uint64_t moves() const { return moves_; }
   const std::optional<std::string>& violation() const { return violation_; }
 
  private:
   std::optional<std::string> violation_;
+  std::uint64_t moves_ = 0;
   std::map<revision_number, cell_record> records_;
   std::map<shard_grant, std::optional<upstream_id>> owners_;  // of each fence ever recorded
   std::map<shard_id, fence_number> highest_granted_;
