--- a/src/bench/failover_bench.cc
+++ b/src/bench/failover_bench.cc
@@ -380,6 +380,7 @@
   std::uint64_t owners = 0;
   std::uint64_t ran = 0;
   std::uint64_t reverted = 0;
+  std::uint64_t pages = 0;
   json::object rows;
   const std::vector<std::string>& wanted = only.getValue();
   for (const auto& what : all_faults()) {
@@ -398,6 +399,7 @@
     owners += row->checked.two_owners;
     ran += row->checked.not_run_but_ran;
     reverted += row->revisions.reverted;
+    pages += row->revisions.pages;
     rows[what.name] = json::object{{"p50_s", to_s(quantile(row->gaps, 0.5))},
                                    {"p99_s", to_s(quantile(row->gaps, 0.99))},
                                    {"max_s", to_s(quantile(row->gaps, 1))},
@@ -410,6 +412,7 @@
                                             {"two_owners", owners},
                                             {"not_run_but_ran", ran},
                                             {"reverted", reverted},
+                                            {"status_pages", pages},
                                             {"faults", std::move(rows)}})
             << std::endl;
   return 0;
