Answer 503 in place of 404 while an instance knows no table

Change: without any table the answer is 503, not run. Test: an_instance_without_a_table_denies_no_route. Left: a starting entry still takes callers' connections before it is ready.

--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -135,6 +135,9 @@
   const auto& request = *messages_.request;
   const auto path = request.target().substr(0, request.target().find('?'));
   match_ = match_route(*view_->snapshot, request.find(http::field::host), path);
+  if (view_->snapshot->services.empty()) {
+    return not_run(503, errc::unavailable, step::route, "no table is known yet");
+  }
   if (match_.route == nullptr) {
     return not_run(404, errc::not_found, step::route, "no route matches the target");
   }
--- a/src/entry/testing/outcome_test.cc
+++ b/src/entry/testing/outcome_test.cc
@@ -78,6 +78,14 @@
   BOOST_TEST(says(got, "unknown"));
 }
 
+BOOST_AUTO_TEST_CASE(an_instance_without_a_table_denies_no_route) {
+  proxy_fixture proxy({});
+  proxy.traffic->set_snapshot(std::make_shared<routing_snapshot>());
+  const auto got = proxy.caller().get("/stock/1");
+  BOOST_TEST(got.status() == 503);
+  BOOST_TEST(says(got, "not-run"));
+}
+
 BOOST_AUTO_TEST_CASE(a_look_up_that_failed_is_sent_again) {
   scripted_upstream upstream([](upstream_side& side) {
     if (side.read_request().empty() || side.number == 0) return;
