Lease upstreams that check no fences through a dispatcher

Cause: a service with checks_fence false got grant orders that its upstreams ignore, and nothing kept two entry instances from sending a key to two of them. Ways weighed: a lease beside the grants with rules of its own; or the dispatcher as owner. Change: the dispatcher holds the grant (grant_holder), sends only under it, cuts each request's deadline to it, and counts a request of unknown outcome as running until the deadline that it was sent with. Busy-until of single shards is left.

--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -100,7 +100,10 @@
                          [&](const instance_id& from, const std::vector<limit_use>& entries) {
                            traffic.on_limit_usage(from, entries);
                          },
-                         [&] { return traffic.take_shard_requests(); }});
+                         [&] { return traffic.take_shard_requests(); },
+                         [&](const upstream_id& owner, const grant_order& order) {
+                           return traffic.handle_order(owner, order);
+                         }});
   if (const auto started = control.start(); !started) return failed(started.error());
   operators_port operators(control, counters);
   if (const auto started = operators.start(settings.listen_operators); !started) {
@@ -114,6 +117,7 @@
   // Requests in flight still need this instance's part of the ownership: first they, then the
   // cells.
   control.set_leaving();
+  traffic.set_leaving();
   const bool drained = traffic.drain(drain_time);
   control.leave(leave_time);
   if (!drained) log_line(log_level::warning, {.message = "connections were left after the drain"});
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -62,6 +62,7 @@
   state.outstanding.fetch_sub(1, std::memory_order_relaxed);
   caller_.set_active(nullptr);
   if (connection_) release_connection(false);
+  leave_lease(to, end);
   leave_gate(false);
   home_.buffers().give(std::move(answer_buffer_));
   co_return end;
@@ -70,6 +71,7 @@
 task<exchange::attempt_end> exchange::attempt_admitted(const destination& to) {
   if (!to.hop) {
     if (auto end = co_await enter_gate(to)) co_return *end;
+    if (auto end = enter_lease(to)) co_return *end;
   }
   if (auto end = co_await connect(to)) co_return *end;
   if (auto end = co_await send_request(to)) co_return *end;
@@ -111,6 +113,37 @@
   co_return end;
 }
 
+// Before anything is sent to an upstream that checks no fences. The request's deadline is cut to
+// the lease, so that the upstream has stopped before another dispatcher may send.
+std::optional<exchange::attempt_end> exchange::enter_lease(const destination& to) {
+  if (!service().service.keyed || service().service.checks_fence) return std::nullopt;
+  const auto latest =
+      home_.shared().leases.admit(to.owner.dispatched, shard_, to.owner.fence, monotonic_now());
+  if (!latest) {
+    auto end = failed(to, step::ownership, run_state::not_run,
+                      "this instance holds no lease of the shard", std::nullopt);
+    end.wait_for_owner = true;
+    return end;
+  }
+  leased_ = true;
+  route_deadline_ = deadline_;
+  deadline_ = std::min(deadline_, *latest);
+  return std::nullopt;
+}
+
+void exchange::leave_lease(const destination& to, const attempt_end& end) {
+  if (!leased_) return;
+  leased_ = false;
+  auto& leases = home_.shared().leases;
+  const bool done = end.answered || end.known == run_state::not_run;
+  if (done) {
+    leases.finish(to.owner.dispatched, shard_, to.owner.fence);
+  } else {
+    leases.finish_at(to.owner.dispatched, shard_, to.owner.fence, deadline_);
+  }
+  deadline_ = route_deadline_;
+}
+
 void exchange::leave_gate(bool observe) {
   if (!gate_owner_) return;
   gate_owner_->gate.leave(gate_id_, monotonic_now(), observe);
--- a/src/entry/cell_runner.cc
+++ b/src/entry/cell_runner.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "ownership/layout.h"
+#include "ownership/rendezvous.h"
 #include "upstream/grant_codec.h"
 
 namespace plantainpaddle {
@@ -103,7 +104,16 @@
                                    const std::vector<std::string>& order) const {
   cell_inputs made;
   for (const auto& row : declared.upstreams) {
-    if (cell_of(declared, row) == cell) made.upstreams.push_back(row);
+    if (cell_of(declared, row) != cell) continue;
+    made.upstreams.push_back(row);
+    if (declared.service.checks_fence) continue;
+    // Such an upstream is owner only together with a dispatcher; without one it gets no shards.
+    const auto dispatcher = choose_dispatcher(row);
+    if (dispatcher) {
+      made.upstreams.back().name = make_dispatched_owner(row.name, *dispatcher);
+    } else {
+      made.upstreams.pop_back();
+    }
   }
   made.home = home_shards(layout, cell);
   made.leaving = leaving_shards(layout, cell);
@@ -178,7 +188,45 @@
   return nullptr;
 }
 
+// The first instance of the upstream's failure domain that answers.
+std::optional<instance_id> cell_runner::choose_dispatcher(const upstream_row& row) const {
+  for (const auto& name : rendezvous_order(row.name.value, used_.directory.live_in(row.domain))) {
+    const auto* life = used_.directory.life_of(name);
+    if (life != nullptr && !used_.directory.is_unreachable(name)) return *life;
+  }
+  return std::nullopt;
+}
+
+void cell_runner::send_to_dispatcher(const cell_ref& from, const send_order& action,
+                                     const instance_id& dispatcher) {
+  if (dispatcher == self_) {
+    return feed_later(from,
+                      grant_replied{action.request, used_.handle_order(action.to, action.order)});
+  }
+  const auto* info = used_.directory.find(instance_name(dispatcher));
+  if (info == nullptr) {
+    return feed_later(from,
+                      grant_replied{action.request, no_answer(step::grant, dispatcher.value)});
+  }
+  used_.network.call(
+      info->peers, dispatcher_order{action.to, action.order}, ownership_timing{}.attempt_timeout,
+      [this, from, number = action.request, dispatcher](result<peer_answer> answer) {
+        grant_replied event{number, no_answer(step::grant, dispatcher.value)};
+        // Another life of the instance is another dispatcher.
+        if (answer && answer->from.instance == dispatcher) {
+          if (const auto* reply = std::get_if<grant_answer>(&answer->reply)) event.answer = *reply;
+        }
+        used_.post([this, from, event = std::move(event), dispatcher, heard = answer.has_value()] {
+          if (!heard) used_.on_unreachable(instance_name(dispatcher));
+          feed(from, event);
+        });
+      });
+}
+
 void cell_runner::carry_out(const cell_ref& from, const send_order& action) {
+  if (const auto dispatcher = dispatcher_of(action.to)) {
+    return send_to_dispatcher(from, action, *dispatcher);
+  }
   const auto* row = find_upstream(from.cell, action.to);
   if (row == nullptr) {
     return feed_later(from, grant_replied{action.request, no_answer(step::grant, action.to.value)});
--- a/src/entry/cell_runner.h
+++ b/src/entry/cell_runner.h
@@ -32,6 +32,7 @@
     std::function<void(const state_item&)> on_written;  // a value now stands in the store
     std::function<void(const std::string&)> on_unreachable;  // an instance, by name
     std::function<void(const instance_id&)> on_heard;        // an instance answered in this life
+    std::function<grant_answer(const upstream_id&, const grant_order&)> handle_order;
   };
 
   static constexpr duration load_window = seconds(60);
@@ -83,6 +84,9 @@
                      const cell_id& cell, const std::vector<std::string>& order);
   cell_inputs inputs_of(const service_table& declared, const service_layout& layout,
                         const cell_id& cell, const std::vector<std::string>& order) const;
+  std::optional<instance_id> choose_dispatcher(const upstream_row& row) const;
+  void send_to_dispatcher(const cell_ref& from, const send_order& action,
+                          const instance_id& dispatcher);
   void update_rates(running& role, monotonic_time now);
   void probe_candidates(const std::vector<std::string>& order, monotonic_time now);
   void feed(const cell_ref& to, const assigner_event& event);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -65,7 +65,10 @@
                [this](std::function<void()> item) { post(std::move(item)); },
                [this](const state_item& item) { spreader.written(item); },
                [this](const std::string& name) { directory.mark_unreachable(name); },
-               [this](const instance_id& id) { directory.learn(id); }},
+               [this](const instance_id& id) { directory.learn(id); },
+               [this](const upstream_id& owner, const grant_order& order) {
+                 return hooks.handle_order(owner, order);
+               }},
               random()) {}
 
   entry_settings settings;
@@ -104,6 +107,7 @@
   void advance_layouts(monotonic_time now);
   bool is_layout_writer(const service_id& service) const;
   void publish_snapshot();
+  void set_dispatchers(service_snapshot& service) const;
   void create_layouts(monotonic_time now);
   void write_layout(service_layout layout, std::uint64_t expected_version);
   void serve(const peer_identity& from, const peer_request& request, const peer_replier& reply);
@@ -237,10 +241,31 @@
       if (known.record.service == name) records.push_back(known.record);
     }
     made->services.push_back(make_service_snapshot(declared, records));
+    set_dispatchers(made->services.back());
   }
   hooks.on_snapshot(std::move(made));
 }
 
+// Where an upstream's requests pass through one instance: for upstreams that check no fences the
+// one that the record names, otherwise the first of the upstream's failure domain.
+void control_plane::impl::set_dispatchers(service_snapshot& service) const {
+  const auto forward_of = [&](const std::string& name) {
+    const auto* info = directory.find(name);
+    return info == nullptr || name == settings.name ? std::string() : info->forward;
+  };
+  for (const auto& target : service.shards) {
+    const auto dispatcher = dispatcher_of(target.dispatched);
+    if (dispatcher) service.dispatchers[target.upstream] = forward_of(instance_name(*dispatcher));
+  }
+  if (!service.service.checks_fence || service.service.dispatch != dispatch_mode::dispatcher)
+    return;
+  for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
+    const auto& row = service.upstreams[i];
+    const auto order = rendezvous_order(row.name.value, directory.live_in(row.domain));
+    if (!order.empty()) service.dispatchers[i] = forward_of(order.front());
+  }
+}
+
 // Each service's first layout is written by one instance, if the store has none yet.
 void control_plane::impl::create_layouts(monotonic_time now) {
   if (now < next_layout) return;
@@ -326,6 +351,8 @@
     reply(spreader.answer(*digest));
   } else if (const auto* handover = std::get_if<term_handover>(&request)) {
     reply(acknowledgement{cells.take_over(*handover, now)});
+  } else if (const auto* order = std::get_if<dispatcher_order>(&request)) {
+    reply(hooks.handle_order(order->upstream, order->order));
   } else if (const auto* load = std::get_if<shard_requests>(&request)) {
     cells.add_load(*load, now);
     reply(acknowledgement{});
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -28,6 +28,8 @@
   std::function<std::vector<limit_use>()> limit_usage;
   std::function<void(const instance_id& from, const std::vector<limit_use>&)> on_limit_usage;
   std::function<std::map<service_id, std::vector<shard_requests::entry>>()> take_shard_requests;
+  // An order for an upstream that checks no fences and whose dispatcher this instance is.
+  std::function<grant_answer(const upstream_id& owner, const grant_order&)> handle_order;
 };
 
 class control_plane {
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -241,7 +241,9 @@
     to.upstream = *chosen;
   }
   const auto& dispatcher = service().dispatchers[to.upstream];
-  to.hop = service().service.dispatch == dispatch_mode::dispatcher && !dispatcher.empty();
+  const bool dispatched =
+      service().service.dispatch == dispatch_mode::dispatcher || !to.owner.dispatched.value.empty();
+  to.hop = dispatched && !dispatcher.empty();
   if (to.hop && caller_.internal()) return std::nullopt;  // never a second hop
   to.address = to.hop ? dispatcher : service().upstreams[to.upstream].address;
   return to;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -73,6 +73,8 @@
   task<attempt_end> relay_answer(const destination& to);
   void release_connection(bool reusable);
   void leave_gate(bool observe);
+  std::optional<attempt_end> enter_lease(const destination& to);
+  void leave_lease(const destination& to, const attempt_end& end);
   attempt_end failed(const destination& to, step at, run_state known, const std::string& detail,
                      std::optional<failure_kind> judged) const;
   attempt_end relay_failed(const destination& to, relay_end end) const;
@@ -99,7 +101,9 @@
   monotonic_time started_{};
   monotonic_time sent_{};
   monotonic_time deadline_{};
-  duration pause_{0};  // last wait for an owner
+  monotonic_time route_deadline_{};  // deadline_ before a lease has cut it
+  bool leased_ = false;              // the attempt holds a dispatcher's lease
+  duration pause_{0};                // last wait for an owner
   std::unique_ptr<upstream_connection> connection_;
   std::unique_ptr<wire_buffer> answer_buffer_;
   std::shared_ptr<upstream_traffic> gate_owner_;  // whose gate was entered
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -116,6 +116,12 @@
   impl_->shared.on_limit_usage(from, entries, monotonic_now());
 }
 
+grant_answer proxy::handle_order(const upstream_id& owner, const grant_order& order) {
+  return impl_->shared.leases.handle(owner, order, monotonic_now());
+}
+
+void proxy::set_leaving() { impl_->shared.leases.set_leaving(); }
+
 std::map<service_id, std::vector<shard_requests::entry>> proxy::take_shard_requests() {
   std::map<service_id, std::vector<shard_requests::entry>> taken;
   const auto view = impl_->shared.view();
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -49,6 +49,9 @@
   // What the control thread exchanges with other instances.
   std::vector<limit_use> limit_usage();
   void on_limit_usage(const instance_id& from, const std::vector<limit_use>& entries);
+  // As dispatcher of an upstream that checks no fences.
+  grant_answer handle_order(const upstream_id& owner, const grant_order& order);
+  void set_leaving();
   // Requests of each shard since the last call.
   std::map<service_id, std::vector<shard_requests::entry>> take_shard_requests();
   void on_load_report(const service_id& service, const upstream_id& upstream,
--- /dev/null
+++ b/src/entry/testing/dispatcher_leases_test.cc
@@ -0,0 +1,68 @@
+#include "entry/dispatcher_leases.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantainpaddle;
+
+namespace {
+
+const upstream_id desk{"desk~a@1"};
+const shard_grant first{{1}, {5}};
+
+monotonic_time at(int ms) { return monotonic_time(milliseconds(ms)); }
+
+// Takes two exchanges: the first one brings the nonce.
+grant_answer give(dispatcher_leases& leases, const std::vector<shard_grant>& set, int ms) {
+  grant_order order{.cell = {"s/d/0"}, .term = {1}, .assigner = {"a@1"}};
+  const auto asked = leases.handle(desk, order, at(ms));
+  order.life = asked.life;
+  order.nonce = asked.nonce;
+  order.length = milliseconds(1000);
+  order.digest = digest_of(set);
+  order.set = set;
+  return leases.handle(desk, order, at(ms));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(leases)
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_without_a_lease) {
+  dispatcher_leases leases(1, 2);
+  BOOST_TEST(!leases.admit(desk, first.shard, first.fence, at(0)).has_value());
+  BOOST_TEST((give(leases, {first}, 0).status == grant_status::accepted));
+  BOOST_TEST(!leases.admit(desk, first.shard, {4}, at(1)).has_value());
+  BOOST_TEST(!leases.admit(desk, {2}, first.fence, at(1)).has_value());
+  BOOST_TEST(!leases.admit({"other~a@1"}, first.shard, first.fence, at(1)).has_value());
+  BOOST_TEST(!leases.admit(desk, first.shard, first.fence, at(1000)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_deadline_ends_within_the_lease) {
+  dispatcher_leases leases(1, 2);
+  give(leases, {first}, 0);
+  const auto latest = leases.admit(desk, first.shard, first.fence, at(10));
+  BOOST_REQUIRE(latest.has_value());
+  BOOST_TEST((*latest < at(1000)));
+}
+
+// A request whose answer never came keeps its shard until the deadline that the upstream was told.
+BOOST_AUTO_TEST_CASE(an_unknown_outcome_keeps_the_shard_busy) {
+  dispatcher_leases leases(1, 2);
+  give(leases, {first}, 0);
+  BOOST_REQUIRE(leases.admit(desk, first.shard, first.fence, at(10)).has_value());
+  leases.finish_at(desk, first.shard, first.fence, at(700));
+  BOOST_TEST((give(leases, {}, 300).draining == std::vector<shard_grant>{first}));
+  BOOST_TEST(give(leases, {}, 700).draining.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_finished_request_lets_the_shard_go) {
+  dispatcher_leases leases(1, 2);
+  give(leases, {first}, 0);
+  BOOST_REQUIRE(leases.admit(desk, first.shard, first.fence, at(10)).has_value());
+  leases.finish(desk, first.shard, first.fence);
+  BOOST_TEST(give(leases, {}, 20).draining.empty());
+  leases.set_leaving();
+  BOOST_TEST(give(leases, {}, 30).load.draining);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/dispatcher_leases.h"
 #include "entry/gate.h"
 #include "entry/proxy_settings.h"
 #include "entry/shard_counts.h"
@@ -98,6 +99,9 @@
   void on_load_report(const service_id& service, const upstream_id& upstream,
                       const load_report& report, monotonic_time now);
 
+  // Of the services whose upstreams check no fences. Thread-safe by itself.
+  dispatcher_leases leases{random_number(), random_number()};
+
   std::atomic<std::size_t> connections{0};  // callers', open now
 
  private:
--- a/src/ownership/cell_record.cc
+++ b/src/ownership/cell_record.cc
@@ -178,6 +178,20 @@
                                       {"nonce", layout.mark.nonce}});
 }
 
+upstream_id make_dispatched_owner(const upstream_id& upstream, const instance_id& dispatcher) {
+  return upstream_id{upstream.value + "~" + dispatcher.value};
+}
+
+upstream_id upstream_of(const upstream_id& owner) {
+  return upstream_id{owner.value.substr(0, owner.value.find('~'))};
+}
+
+std::optional<instance_id> dispatcher_of(const upstream_id& owner) {
+  const auto place = owner.value.find('~');
+  if (place == std::string::npos) return std::nullopt;
+  return instance_id{owner.value.substr(place + 1)};
+}
+
 cell_id make_cell_id(const service_id& service, const domain_id& domain, std::uint32_t number) {
   return cell_id{service.value + "/" + domain.value + "/" + std::to_string(number)};
 }
--- a/src/ownership/cell_record.h
+++ b/src/ownership/cell_record.h
@@ -78,6 +78,13 @@
 result<service_layout> parse_service_layout(std::string_view text);
 std::string format_service_layout(const service_layout& layout);
 
+// An owner is an upstream, or, for an upstream that checks no fences, "upstream~instance": the
+// upstream through that instance as its dispatcher.
+upstream_id make_dispatched_owner(const upstream_id& upstream, const instance_id& dispatcher);
+upstream_id upstream_of(const upstream_id& owner);
+// Nothing if the owner is the upstream itself.
+std::optional<instance_id> dispatcher_of(const upstream_id& owner);
+
 cell_id make_cell_id(const service_id& service, const domain_id& domain, std::uint32_t number);
 domain_id domain_of(const cell_id& cell);
 service_id service_of(const cell_id& cell);
--- a/src/routing/snapshot.cc
+++ b/src/routing/snapshot.cc
@@ -104,13 +104,14 @@
   for (const auto& cell : cells) {
     for (const auto& [shard, entry] : cell.shards) {
       if (shard.value >= made.shards.size() || !entry.owner) continue;
-      const auto place = index.find(*entry.owner);
+      const auto place = index.find(upstream_of(*entry.owner));
       if (place == index.end()) continue;
       auto& target = made.shards[shard.value];
       // A shard that changed cells may stand in two records for a moment: the higher fence is
       // newer.
       if (target.upstream == shard_target::no_upstream || entry.fence > target.fence) {
-        target = {place->second, entry.fence};
+        const bool dispatched = dispatcher_of(*entry.owner).has_value();
+        target = {place->second, entry.fence, dispatched ? *entry.owner : upstream_id{}};
       }
     }
   }
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -21,6 +21,8 @@
 struct shard_target {
   std::uint32_t upstream = no_upstream;  // index into service_snapshot::upstreams
   fence_number fence;
+  // For upstreams that check no fences, the owner's whole name: "upstream~instance".
+  upstream_id dispatched;
   static constexpr std::uint32_t no_upstream = ~std::uint32_t{0};
   bool operator==(const shard_target&) const = default;
 };
