--- a/src/ownership/testing/ownership_fuzz_main.cc
+++ b/src/ownership/testing/ownership_fuzz_main.cc
@@ -31,6 +31,25 @@
   for (std::size_t i = first; i < v.trace.size(); ++i) std::printf("%s\n", v.trace[i].c_str());
 }
 
+// The known scenarios as they are, with many drifts and delays. Some guards cover so short a time
+// that random scenarios seldom need them.
+void run_known(totals& sum) {
+  constexpr std::uint64_t seeds = 500;
+  for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+    for (const auto& known : known_scenarios()) {
+      const scenario s{seed, known.steps};
+      const verdict v = run(s);
+      ++sum.scenarios;
+      sum.events += v.events;
+      if (!v.violation) continue;
+      sum.failed = s;
+      sum.events_until_violation = sum.events;
+      sum.first_violation = *v.violation;
+      return;
+    }
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -41,7 +60,8 @@
   }
   const bool expect_violation = argc > 1 && std::strcmp(argv[1], "--expect-violation") == 0;
   totals sum;
-  const bool passed = rc::check("a cell keeps its promises", [&] {
+  if (expect_violation) run_known(sum);
+  const bool passed = !sum.failed && rc::check("a cell keeps its promises", [&] {
     const scenario s = *gen_scenario();
     // A mutant need not be shrunk.
     if (expect_violation && sum.failed) RC_FAIL("not tried further");
--- a/src/ownership/testing/scenarios.cc
+++ b/src/ownership/testing/scenarios.cc
@@ -7,7 +7,9 @@
 constexpr std::uint32_t i0 = 0;
 constexpr std::uint32_t i1 = 1;
 constexpr std::uint32_t i2 = 2;
+constexpr std::uint32_t i3 = 3;
 constexpr std::uint32_t u0 = instance_count;
+constexpr std::uint32_t u1 = instance_count + 1;
 constexpr std::uint32_t the_store = instance_count + upstream_count;
 
 constexpr std::uint32_t bit(std::uint32_t number) { return 1U << number; }
@@ -39,12 +41,11 @@
       {"a repeated hand-over starts no second assigner",
        {after(0, fault::repeat, i0, i1, 3000), after(10, fault::leave, 0, i1, 0),
         after(500, fault::leave, 0, i2, 4000)}},
-      // A standby that misses the questions takes over while the assigner has just been confirmed
-      // by the other one, and an upstream hears of the old one only.
+      // The assigner is confirmed and renews just before the partition that its successor is on the
+      // other side of; one upstream hears of the old one only.
       {"a successor waits out the last grants on the slowest clock",
-       {after(0, fault::cut, i0, i1, 3000), after(0, fault::cut, i1, u0, 3000),
-        after(0, fault::cut, i2, u0, 3000), after(700, fault::crash, u0, 0, 0),
-        after(20, fault::drain, 2, 0, 2500)}},
+       {after(0, fault::freeze, i0, 0, 448), after(0, fault::store_late, 0, 0, 63),
+        after(563, fault::partition, 0, bit(i0) | bit(i3) | bit(u1), 1715)}},
   };
   return all;
 }
