Note a term in the own standby memory before it is written

A standby whose write of term 2 took effect without its knowledge went on confirming term 1, while the successor at term 3 needn't tell it, as record 2 names it as assigner.

--- a/src/ownership/assigner.cc
+++ b/src/ownership/assigner.cc
@@ -183,6 +183,11 @@
 
 void assigner::write(cell_record record, std::uint64_t expected_version, monotonic_time now) {
   record.mark = next_mark();
+  // Before the write: once the term is in the store, others needn't tell this instance of a later
+  // one.
+  if (phase_ == assigner_phase::taking) {
+    actions_.emplace_back(remember_term{{config_.cell, record.term, config_.self}});
+  }
   pending_ = pending_write{0, std::move(record), expected_version, now};
   resend_write(now);
 }
@@ -219,7 +224,6 @@
     phase_ = first ? assigner_phase::active : assigner_phase::telling;
     term_taken_ = now;
     for (auto& [name, side] : upstreams_) side.last_heard = now;
-    actions_.emplace_back(remember_term{{config_.cell, record_->term, config_.self}});
   }
   for (auto& [name, side] : upstreams_) side.next_order = now;
   next_plan_ = now;
--- a/src/ownership/testing/assigner_test.cc
+++ b/src/ownership/testing/assigner_test.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint64_t seeds_per_scenario = 200;
+constexpr std::uint64_t seeds_per_scenario = 500;
 
 }  // namespace
 
--- a/src/ownership/testing/scenarios.cc
+++ b/src/ownership/testing/scenarios.cc
@@ -41,9 +41,9 @@
       {"a repeated hand-over starts no second assigner",
        {after(0, fault::repeat, i0, i1, 3000), after(10, fault::leave, 0, i1, 0),
         after(500, fault::leave, 0, i2, 4000)}},
-      // The assigner is confirmed and renews just before the partition that its successor is on the
-      // other side of; one upstream hears of the old one only.
-      {"a successor waits out the last grants on the slowest clock",
+      // A standby takes a term, doesn't learn of it, and goes on confirming the assigner; the next
+      // successor needn't tell it, as the record names it as assigner.
+      {"a standby that tries to take over is no witness any more",
        {after(0, fault::freeze, i0, 0, 448), after(0, fault::store_late, 0, 0, 63),
         after(563, fault::partition, 0, bit(i0) | bit(i3) | bit(u1), 1715)}},
   };
