Move shards away from an unchecked upstream that its dispatcher finds dead

Cause: with the upstream killed its dispatcher went on answering for it, and its keys were refused for good (by hand: 4 of 16 requests, each after its whole deadline). Change: the dispatcher's own observations of the upstream go into its answers, and the assigner moves the shards with consent.

--- a/src/entry/dispatcher_leases.cc
+++ b/src/entry/dispatcher_leases.cc
@@ -18,13 +18,13 @@
 }
 
 grant_answer dispatcher_leases::handle(const upstream_id& upstream, const grant_order& order,
-                                       monotonic_time now) {
+                                       bool usable, monotonic_time now) {
   const std::lock_guard lock(mutex_);
   auto [place, added] = leases_.try_emplace(
       upstream, lease{grant_holder(life_, seed_ ^ std::hash<upstream_id>{}(upstream)), {}});
   settle(place->second, now);
   grant_answer answer = place->second.holder.handle(order, now);
-  answer.load.draining = leaving_;
+  answer.load.draining = leaving_ || !usable;
   return answer;
 }
 
--- a/src/entry/dispatcher_leases.h
+++ b/src/entry/dispatcher_leases.h
@@ -27,7 +27,10 @@
  public:
   dispatcher_leases(std::uint64_t life, std::uint64_t seed) : life_(life), seed_(seed) {}
 
-  grant_answer handle(const upstream_id& upstream, const grant_order& order, monotonic_time now);
+  // usable: as this instance sees the upstream. If it isn't, the answer asks for its shards to be
+  // moved.
+  grant_answer handle(const upstream_id& upstream, const grant_order& order, bool usable,
+                      monotonic_time now);
 
   // The latest deadline that the request may have; nothing if the shard isn't held at that fence.
   std::optional<monotonic_time> admit(const upstream_id& upstream, shard_id shard,
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -117,7 +117,9 @@
 }
 
 grant_answer proxy::handle_order(const upstream_id& owner, const grant_order& order) {
-  return impl_->shared.leases.handle(owner, order, monotonic_now());
+  const auto now = monotonic_now();
+  const bool usable = impl_->shared.sees_usable(service_of(order.cell), upstream_of(owner), now);
+  return impl_->shared.leases.handle(owner, order, usable, now);
 }
 
 void proxy::set_leaving() { impl_->shared.leases.set_leaving(); }
--- a/src/entry/testing/dispatcher_leases_test.cc
+++ b/src/entry/testing/dispatcher_leases_test.cc
@@ -12,15 +12,16 @@
 monotonic_time at(int ms) { return monotonic_time(milliseconds(ms)); }
 
 // Takes two exchanges: the first one brings the nonce.
-grant_answer give(dispatcher_leases& leases, const std::vector<shard_grant>& set, int ms) {
+grant_answer give(dispatcher_leases& leases, const std::vector<shard_grant>& set, int ms,
+                  bool usable = true) {
   grant_order order{.cell = {"s/d/0"}, .term = {1}, .assigner = {"a@1"}};
-  const auto asked = leases.handle(desk, order, at(ms));
+  const auto asked = leases.handle(desk, order, usable, at(ms));
   order.life = asked.life;
   order.nonce = asked.nonce;
   order.length = milliseconds(1000);
   order.digest = digest_of(set);
   order.set = set;
-  return leases.handle(desk, order, at(ms));
+  return leases.handle(desk, order, usable, at(ms));
 }
 
 }  // namespace
@@ -61,6 +62,8 @@
   BOOST_REQUIRE(leases.admit(desk, first.shard, first.fence, at(10)).has_value());
   leases.finish(desk, first.shard, first.fence);
   BOOST_TEST(give(leases, {}, 20).draining.empty());
+  BOOST_TEST(!give(leases, {}, 20).load.draining);
+  BOOST_TEST(give(leases, {}, 20, /*usable=*/false).load.draining);
   leases.set_leaving();
   BOOST_TEST(give(leases, {}, 30).load.draining);
 }
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -144,6 +144,21 @@
   limiter_.on_usage(from, entries, now);
 }
 
+bool traffic_state::sees_usable(const service_id& service, const upstream_id& upstream,
+                                monotonic_time now) const {
+  const auto current = view();
+  if (!current) return true;
+  for (std::size_t i = 0; i < current->services.size(); ++i) {
+    const auto& snapshot = current->snapshot->services[i];
+    if (snapshot.service.name != service) continue;
+    for (std::size_t u = 0; u < snapshot.upstreams.size(); ++u) {
+      if (snapshot.upstreams[u].name == upstream)
+        return current->services[i].health->usable(u, now);
+    }
+  }
+  return true;
+}
+
 void traffic_state::on_load_report(const service_id& service, const upstream_id& upstream,
                                    const load_report& report, monotonic_time now) {
   const auto current = view();
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -99,6 +99,9 @@
   void on_load_report(const service_id& service, const upstream_id& upstream,
                       const load_report& report, monotonic_time now);
 
+  // False if this instance's own observations have set the upstream aside.
+  bool sees_usable(const service_id& service, const upstream_id& upstream,
+                   monotonic_time now) const;
   // Of the services whose upstreams check no fences. Thread-safe by itself.
   dispatcher_leases leases{random_number(), random_number()};
 
