--- a/src/apps/capacity_main.cc
+++ b/src/apps/capacity_main.cc
@@ -1,14 +1,12 @@
 // plantainpaddle-capacity: prints the tables of docs/CAPACITY.md from measured slopes, or renews
 // the page.
 
-#include <tclap/CmdLine.h>
-
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include "apps/capacity.h"
-#include "apps/exit_codes.h"
+#include "apps/command_line.h"
 
 namespace {
 
@@ -23,14 +21,13 @@
 
 int main(int argc, char** argv) {
   using namespace plantainpaddle;
-  try {
-    TCLAP::CmdLine command("Capacity at the size to design for.", ' ', PLANTAINPADDLE_VERSION);
-    TCLAP::ValueArg<std::string> folder("m", "measurements",
-                                        "folder of control.json, path.json and failover.json",
-                                        false, "docs/measurements", "FOLDER", command);
-    TCLAP::ValueArg<std::string> page("w", "write", "renew the tables of this page", false, "",
-                                      "PAGE", command);
-    command.parse(argc, argv);
+  TCLAP::CmdLine command("Capacity at the size to design for.", ' ', PLANTAINPADDLE_VERSION);
+  TCLAP::ValueArg<std::string> folder("m", "measurements",
+                                      "folder of control.json, path.json and failover.json", false,
+                                      "docs/measurements", "FOLDER", command);
+  TCLAP::ValueArg<std::string> page("w", "write", "renew the tables of this page", false, "",
+                                    "PAGE", command);
+  return run_command(command, {argv, argv + argc}, [&]() -> int {
     const std::string& from = folder.getValue();
     const auto slopes =
         parse_slopes(read_file(from + "/control.json"), read_file(from + "/path.json"),
@@ -51,8 +48,5 @@
     }
     std::ofstream(page.getValue()) << *made;
     return exit_ok;
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " for argument " << e.argId() << '\n';
-    return exit_usage;
-  }
+  });
 }
--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -1,13 +1,11 @@
 // plantainpaddle-entry: one entry instance.
 
-#include <tclap/CmdLine.h>
-
 #include <boost/asio/io_context.hpp>
 #include <csignal>
 #include <iostream>
 #include <thread>
 
-#include "apps/exit_codes.h"
+#include "apps/command_line.h"
 #include "base/log.h"
 #include "entry/control.h"
 #include "entry/proxy.h"
@@ -92,18 +90,19 @@
                  .instance = settings.name,
                  .domain = settings.domain},
                 counters);
-  control_plane control(settings, counters,
-                        {[&](std::shared_ptr<const routing_snapshot> snapshot) {
-                           traffic.set_snapshot(std::move(snapshot));
-                         },
-                         [&] { return traffic.limit_usage(); },
-                         [&](const instance_id& from, const std::vector<limit_use>& entries) {
-                           traffic.on_limit_usage(from, entries);
-                         },
-                         [&] { return traffic.take_shard_requests(); },
-                         [&](const upstream_id& owner, const grant_order& order) {
-                           return traffic.handle_order(owner, order);
-                         }});
+  control_plane control(
+      settings, counters,
+      {[&](std::shared_ptr<const routing_snapshot> snapshot) {
+         traffic.set_snapshot(std::move(snapshot));
+       },
+       [&] { return traffic.limit_usage(); },
+       [&](const instance_id& from, const std::vector<limit_use>& entries) {
+         traffic.on_limit_usage(from, entries);
+       },
+       [&] { return traffic.take_shard_requests(); }, [&] { return traffic.queues(); },
+       [&](const upstream_id& owner, const grant_order& order) {
+         return traffic.handle_order(owner, order);
+       }});
   if (const auto started = control.start(); !started) return failed(started.error());
   operators_port operators(control, counters);
   if (const auto started = operators.start(settings.listen_operators); !started) {
@@ -130,20 +129,16 @@
 
 int main(int argc, char** argv) {
   using namespace plantainpaddle;
-  try {
-    TCLAP::CmdLine command("An entry instance of plantainpaddle.", ' ', PLANTAINPADDLE_VERSION);
-    TCLAP::ValueArg<std::string> file("s", "settings", "JSON settings file", true, "", "FILE",
-                                      command);
-    TCLAP::SwitchArg check("", "check", "check the settings and exit", command);
-    command.parse(argc, argv);
+  TCLAP::CmdLine command("An entry instance of plantainpaddle.", ' ', PLANTAINPADDLE_VERSION);
+  TCLAP::ValueArg<std::string> file("s", "settings", "JSON settings file", true, "", "FILE",
+                                    command);
+  TCLAP::SwitchArg check("", "check", "check the settings and exit", command);
+  return run_command(command, {argv, argv + argc}, [&]() -> int {
     const auto settings = read_entry_settings(file.getValue());
     if (!settings) {
       std::cerr << to_string(settings.error()) << '\n';
       return exit_bad_input;
     }
     return check.getValue() ? exit_ok : run(*settings);
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " for argument " << e.argId() << '\n';
-    return exit_usage;
-  }
+  });
 }
--- a/src/apps/standin_main.cc
+++ b/src/apps/standin_main.cc
@@ -1,14 +1,12 @@
 // plantainpaddle-standin: stand-ins of the platform, of upstreams and of a faulty network, for
 // tests and demonstrations.
 
-#include <tclap/CmdLine.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 
-#include "apps/exit_codes.h"
+#include "apps/command_line.h"
 #include "http/server.h"
 #include "standin/platform.h"
 #include "standin/relay.h"
@@ -71,35 +69,27 @@
                                        "further address of the platform's control paths", false, "",
                                        "IP:port", command);
   TCLAP::SwitchArg no_fence_check("", "no-fence-check", "the upstream checks no fences", command);
-  command.parse(argc, argv);
-
-  boost::asio::io_context io(1);
-  if (kind.getValue() == "platform") {
-    return serve_platform(io, listen.getValue(), control.getValue());
-  }
-  if (kind.getValue() == "relay") return serve_relay(io, listen.getValue());
-  upstream_options options{.name = name.getValue(),
-                           .service = service.getValue(),
-                           .journal_file = journal.getValue(),
-                           .cold_start = milliseconds(cold.getValue()),
-                           .check_fence = !no_fence_check.getValue()};
-  if (const auto bad = apply_settings(options, settings.getValue())) {
-    std::cerr << to_string(*bad) << '\n';
-    return exit_bad_input;
-  }
-  upstream_standin upstream(io.get_executor(), options);
-  return serve(io, upstream.listen(listen.getValue()));
+  return run_command(command, {argv, argv + argc}, [&]() -> int {
+    boost::asio::io_context io(1);
+    if (kind.getValue() == "platform") {
+      return serve_platform(io, listen.getValue(), control.getValue());
+    }
+    if (kind.getValue() == "relay") return serve_relay(io, listen.getValue());
+    upstream_options options{.name = name.getValue(),
+                             .service = service.getValue(),
+                             .journal_file = journal.getValue(),
+                             .cold_start = milliseconds(cold.getValue()),
+                             .check_fence = !no_fence_check.getValue()};
+    if (const auto bad = apply_settings(options, settings.getValue())) {
+      std::cerr << to_string(*bad) << '\n';
+      return exit_bad_input;
+    }
+    upstream_standin upstream(io.get_executor(), options);
+    return serve(io, upstream.listen(listen.getValue()));
+  });
 }
 
 }  // namespace
 }  // namespace plantainpaddle
 
-int main(int argc, char** argv) {
-  using namespace plantainpaddle;
-  try {
-    return run(argc, argv);
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " for argument " << e.argId() << '\n';
-    return exit_usage;
-  }
-}
+int main(int argc, char** argv) { return plantainpaddle::run(argc, argv); }
--- a/src/entry/cell_runner.cc
+++ b/src/entry/cell_runner.cc
@@ -52,8 +52,7 @@
 
 void cell_runner::update_role(const service_table& declared, const service_layout& layout,
                               const cell_id& cell, monotonic_time now) {
-  const auto order =
-      used_.directory.assigner_order(cell.value, domain_of(cell), declared.service.isolation);
+  const auto& order = order_of(declared, cell);
   const auto acting = running_.find(cell);
   if (acting != running_.end()) {
     probe_candidates(order, now);
@@ -64,6 +63,19 @@
   update_inputs(start(declared, cell, now), declared, layout, cell, order);
 }
 
+// Sorted anew only with a new list: each tick looks at every cell.
+const std::vector<std::string>& cell_runner::order_of(const service_table& declared,
+                                                      const cell_id& cell) {
+  auto& kept = orders_[cell];
+  const auto isolation = declared.service.isolation;
+  const auto generation = used_.directory.list_generation();
+  if (kept.generation != generation || kept.isolation != isolation) {
+    kept = {generation, isolation,
+            used_.directory.assigner_order(cell.value, domain_of(cell), isolation)};
+  }
+  return kept.names;
+}
+
 bool cell_runner::should_start(const cell_id& cell, const std::vector<std::string>& order,
                                monotonic_time now) {
   const auto known = used_.cache.cells().find(cell);
@@ -90,6 +102,9 @@
 void cell_runner::update_inputs(running& role, const service_table& declared,
                                 const service_layout& layout, const cell_id& cell,
                                 const std::vector<std::string>& order) {
+  const inputs_source source{used_.cache.summary(), used_.directory.generation(), role.next_rates};
+  if (role.has_inputs && role.made_from == source) return;
+  role.made_from = source;
   cell_inputs wanted = inputs_of(declared, layout, cell, order);
   wanted.load = role.rates;
   wanted.load_window = load_window;
@@ -389,8 +404,7 @@
   const cell_id cell = event.record.cell;
   if (!standbys_.accept(cell, event.record.term, now)) return false;
   auto& role = start(declared->second, cell, now);
-  const auto order = used_.directory.assigner_order(cell.value, domain_of(cell),
-                                                    declared->second.service.isolation);
+  const auto& order = order_of(declared->second, cell);
   // The first event decides between a read of the store and the hand-over.
   feed({cell, role.number}, std::move(event));
   update_inputs(role, declared->second, layout->second, cell, order);
--- a/src/entry/cell_runner.h
+++ b/src/entry/cell_runner.h
@@ -60,6 +60,14 @@
   std::map<cell_id, cell_state> describe(monotonic_time now) const;
 
  private:
+  // What a cell's inputs were made from: as long as it is the same, so are they.
+  struct inputs_source {
+    std::uint64_t state = 0;      // state_cache::summary
+    std::uint64_t directory = 0;  // instance_directory::generation
+    monotonic_time rates;         // when they were last read
+    bool operator==(const inputs_source&) const = default;
+  };
+
   // A new assigner of the same cell has another number, so that it takes no answers meant for an
   // old one.
   struct running {
@@ -67,6 +75,7 @@
     assigner decisions;
     cell_inputs inputs;
     bool has_inputs = false;
+    inputs_source made_from;
     shard_load load{load_window};
     std::map<shard_id, double> rates;  // as last given to the planner
     monotonic_time next_rates{};
@@ -78,6 +87,7 @@
 
   void update_role(const service_table& declared, const service_layout& layout, const cell_id& cell,
                    monotonic_time now);
+  const std::vector<std::string>& order_of(const service_table& declared, const cell_id& cell);
   bool should_start(const cell_id& cell, const std::vector<std::string>& order, monotonic_time now);
   running& start(const service_table& declared, const cell_id& cell, monotonic_time now);
   void update_inputs(running& role, const service_table& declared, const service_layout& layout,
@@ -107,6 +117,12 @@
   std::mt19937_64 random_;
   standby_memory standbys_;
   std::map<cell_id, running> running_;
+  struct kept_order {
+    std::uint64_t generation = ~std::uint64_t{0};  // of the directory's list
+    isolation_mode isolation = isolation_mode::stay;
+    std::vector<std::string> names;
+  };
+  std::map<cell_id, kept_order> orders_;
   std::map<cell_id, monotonic_time> not_before_;      // no new start of a cell before
   std::map<std::string, monotonic_time> next_probe_;  // by instance name
   std::size_t handovers_under_way_ = 0;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -154,9 +154,14 @@
     const monotonic_time now = monotonic_now();
     const auto traffic = impl_->http.traffic() + impl_->store.traffic() + impl_->network.traffic();
     const duration cpu_time = thread_cpu_time(impl_->thread) + impl_->network.cpu_time();
-    promise.set_value(
-        format_status({impl_->self, impl_->settings.domain, impl_->leaving, traffic, cpu_time},
-                      impl_->cache, impl_->cells.describe(now)));
+    const status_head head{impl_->self,
+                           impl_->settings.domain,
+                           impl_->leaving,
+                           traffic,
+                           cpu_time,
+                           impl_->spreader.store_reachable(),
+                           impl_->hooks.queues()};
+    promise.set_value(format_status(head, impl_->cache, impl_->cells.describe(now)));
   });
   return text.get();
 }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -15,6 +15,7 @@
 #include "base/error.h"
 #include "base/time.h"
 #include "entry/settings.h"
+#include "entry/status.h"
 #include "metrics/metrics.h"
 #include "peer/messages.h"
 #include "routing/limiter.h"
@@ -28,6 +29,7 @@
   std::function<std::vector<limit_use>()> limit_usage;
   std::function<void(const instance_id& from, const std::vector<limit_use>&)> on_limit_usage;
   std::function<std::map<service_id, std::vector<shard_requests::entry>>()> take_shard_requests;
+  std::function<std::vector<queue_status>()> queues;
   // An order for an upstream that checks no fences and whose dispatcher this instance is.
   std::function<grant_answer(const upstream_id& owner, const grant_order&)> handle_order;
 };
--- a/src/entry/gate.cc
+++ b/src/entry/gate.cc
@@ -80,4 +80,9 @@
   return admission_.queued();
 }
 
+std::size_t upstream_gate::queue_limit() const {
+  const std::lock_guard lock(mutex_);
+  return admission_.queue_limit();
+}
+
 }  // namespace plantainpaddle
--- a/src/entry/gate.h
+++ b/src/entry/gate.h
@@ -36,6 +36,7 @@
 
   std::size_t running() const;
   std::size_t queued() const;
+  std::size_t queue_limit() const;
 
  private:
   using decisions = std::vector<std::pair<decision_handler, bool>>;
--- a/src/entry/instance_directory.cc
+++ b/src/entry/instance_directory.cc
@@ -20,10 +20,23 @@
 
 }  // namespace
 
+void instance_directory::set_list(std::vector<instance_info> list) {
+  list_ = std::move(list);
+  ++generation_;
+  ++list_generation_;
+}
+
 void instance_directory::learn(const instance_id& id) {
   const std::string name = instance_name(id);
+  const bool reachable_again = unreachable_.erase(name) != 0;
+  const auto known = lives_.find(name);
+  if (known != lives_.end() && known->second == id && !reachable_again) return;
   lives_[name] = id;
-  unreachable_.erase(name);
+  ++generation_;
+}
+
+void instance_directory::mark_unreachable(const std::string& name) {
+  if (unreachable_.insert(name).second) ++generation_;
 }
 
 const instance_info* instance_directory::find(const std::string& name) const {
--- a/src/entry/instance_directory.h
+++ b/src/entry/instance_directory.h
@@ -2,6 +2,7 @@
 // each as the instances themselves told it.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -18,7 +19,11 @@
     learn(self);
   }
 
-  void set_list(std::vector<instance_info> list) { list_ = std::move(list); }
+  void set_list(std::vector<instance_info> list);
+  // Grows with each change of what is known.
+  std::uint64_t generation() const { return generation_; }
+  // Grows with each new list.
+  std::uint64_t list_generation() const { return list_generation_; }
   // The instance was heard of in this life.
   void learn(const instance_id& id);
 
@@ -40,7 +45,7 @@
   bool is_watcher() const;
 
   // An instance did not answer this one. It counts as unreachable until it is heard of again.
-  void mark_unreachable(const std::string& name) { unreachable_.insert(name); }
+  void mark_unreachable(const std::string& name);
   bool is_unreachable(const std::string& name) const { return unreachable_.contains(name); }
 
   // The current life of an instance; nullptr if it has not told.
@@ -55,6 +60,8 @@
   std::vector<instance_info> list_;
   std::map<std::string, instance_id> lives_;
   std::set<std::string> unreachable_;
+  std::uint64_t generation_ = 0;
+  std::uint64_t list_generation_ = 0;
 };
 
 }  // namespace plantainpaddle
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -122,6 +122,23 @@
   return impl_->shared.leases.handle(owner, order, usable, now);
 }
 
+std::vector<queue_status> proxy::queues() const {
+  std::vector<queue_status> found;
+  const auto view = impl_->shared.view();
+  if (!view) return found;
+  for (std::size_t i = 0; i < view->services.size(); ++i) {
+    const auto& service = view->snapshot->services[i];
+    for (std::size_t j = 0; j < service.upstreams.size(); ++j) {
+      const auto& gate = view->services[i].upstreams[j]->gate;
+      const std::size_t waiting = gate.queued();
+      if (waiting == 0) continue;
+      found.push_back(
+          {service.service.name, service.upstreams[j].name, waiting, gate.queue_limit()});
+    }
+  }
+  return found;
+}
+
 void proxy::set_leaving() { impl_->shared.leases.set_leaving(); }
 
 std::map<service_id, std::vector<shard_requests::entry>> proxy::take_shard_requests() {
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -18,6 +18,7 @@
 
 #include "base/error.h"
 #include "entry/proxy_settings.h"
+#include "entry/status.h"
 #include "metrics/metrics.h"
 #include "peer/messages.h"
 #include "routing/limiter.h"
@@ -52,6 +53,7 @@
   // As dispatcher of an upstream that checks no fences.
   grant_answer handle_order(const upstream_id& owner, const grant_order& order);
   void set_leaving();
+  std::vector<queue_status> queues() const;
   // Requests of each shard since the last call.
   std::map<service_id, std::vector<shard_requests::entry>> take_shard_requests();
   void on_load_report(const service_id& service, const upstream_id& upstream,
--- a/src/entry/state_spreader.cc
+++ b/src/entry/state_spreader.cc
@@ -37,6 +37,7 @@
 void state_spreader::follow_store(monotonic_time now) {
   if (!directory_.is_watcher()) {
     watch_.reset();
+    store_reachable_.reset();
     return;
   }
   if (watch_ || reading_ || now < next_read_) return;
@@ -44,6 +45,7 @@
   next_read_ = now + resync_period;
   store_.range(cache_.keys().prefix, [this](result<range_answer> answer) {
     reading_ = false;
+    store_reachable_ = answer.has_value();
     if (!answer) return log_error(log_level::warning, answer.error());
     std::vector<state_item> items;
     for (auto& value : answer->values) {
@@ -59,6 +61,7 @@
       cache_.keys().prefix, after_revision, [this](result<std::vector<watch_event>> events) {
         if (!events) {
           log_error(log_level::warning, events.error());
+          store_reachable_ = false;
           post_([this] { watch_.reset(); });  // not from within its own call
           return;
         }
--- a/src/entry/state_spreader.h
+++ b/src/entry/state_spreader.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "base/time.h"
@@ -28,6 +29,8 @@
                  std::function<void(const peer_identity&)> on_peer);
 
   void tick(monotonic_time now);
+  // Whether the store answered last; nothing if this instance isn't a watcher.
+  std::optional<bool> store_reachable() const { return store_reachable_; }
 
   // A value that this instance has just written to the store.
   void written(const state_item& item);
@@ -57,6 +60,7 @@
   std::function<void(const peer_identity&)> on_peer_;
   std::shared_ptr<void> watch_;
   bool reading_ = false;
+  std::optional<bool> store_reachable_;
   monotonic_time next_read_{};
   monotonic_time next_digest_{};
 };
--- a/src/entry/status.cc
+++ b/src/entry/status.cc
@@ -19,7 +19,7 @@
 json::object to_json(const cell_record& record) {
   std::map<std::string, int> counts;
   for (const auto& [shard, entry] : record.shards) {
-    ++counts[entry.owner ? entry.owner->value : std::string("nobody")];
+    ++counts[entry.owner ? upstream_of(*entry.owner).value : std::string("nobody")];
   }
   json::object shards;
   for (const auto& [owner, count] : counts) shards[owner] = count;
@@ -56,12 +56,20 @@
     }
     cells.push_back(std::move(line));
   }
-  return json::serialize(json::object{{"instance", head.instance.value},
-                                      {"domain", head.domain.value},
-                                      {"leaving", head.leaving},
-                                      {"control", to_json(head.traffic, head.cpu_time)},
-                                      {"tables", std::move(tables)},
-                                      {"cells", std::move(cells)}});
+  json::array queues;
+  for (const auto& queue : head.queues) {
+    queues.push_back(json::object{{"service", queue.service.value},
+                                  {"name", queue.upstream.value},
+                                  {"waiting", queue.waiting},
+                                  {"limit", queue.limit}});
+  }
+  json::object out{
+      {"instance", head.instance.value}, {"domain", head.domain.value},
+      {"leaving", head.leaving},         {"control", to_json(head.traffic, head.cpu_time)},
+      {"tables", std::move(tables)},     {"queues", std::move(queues)},
+      {"cells", std::move(cells)}};
+  if (head.store_reachable) out["store_reachable"] = *head.store_reachable;
+  return json::serialize(out);
 }
 
 }  // namespace plantainpaddle
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace plantainpaddle {
 namespace {
@@ -273,4 +274,8 @@
   return by_latest_start_.begin()->first;
 }
 
+std::size_t admission::queue_limit() const {
+  return std::accumulate(max_queued_.begin(), max_queued_.end(), std::size_t{0});
+}
+
 }  // namespace plantainpaddle
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -112,6 +112,8 @@
   std::size_t running() const { return running_.size(); }
   std::size_t running(request_class klass) const;
   std::size_t queued() const { return waiting_.size(); }
+  // Most requests that wait at once, over all classes.
+  std::size_t queue_limit() const;
   std::size_t queued(request_class klass) const;
   duration mean_service(request_class klass) const;
 
