Hold a watch while there is one

Ruled out: lists of shards in renewals, reads for rights. Change: the token points to its stream; a test asks it, which failed before.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -198,7 +198,8 @@
   };
   asio::co_spawn(state_->executor, work(state_, shared, address, std::move(request), idle),
                  asio::detached);
-  return {nullptr, [shared](void*) {
+  // Not a null pointer: the owner asks the token whether it has a stream.
+  return {static_cast<void*>(shared.get()), [shared](void*) {
             shared->stopped = true;
             beast::error_code ignored;
             shared->used->stream.socket().close(ignored);
--- a/src/platform/testing/store_client_test.cc
+++ b/src/platform/testing/store_client_test.cc
@@ -230,6 +230,17 @@
   BOOST_TEST(server.last.body == format_watch_request("a", 6));
 }
 
+// The watcher of a failure domain starts a new watch as long as it holds no token: one that looked
+// empty made it read the whole state and watch anew each second.
+BOOST_AUTO_TEST_CASE(the_token_of_a_watch_is_not_empty) {
+  asio::io_context io;
+  scripted_store server(io);
+  server.response.stream = lines({created});
+  store_client store(io.get_executor(), {.addresses = {server.address}});
+  const std::shared_ptr<void> token = store.watch("a", 6, [](const auto&) {});
+  BOOST_TEST(static_cast<bool>(token));
+}
+
 BOOST_AUTO_TEST_CASE(a_watch_ends_at_a_line_without_sense) {
   asio::io_context io;
   scripted_store server(io);
