End the peer network's thread before what it calls into; name the runner's context

Cause: the network was destroyed after the cells and the spreader that its callbacks point at. Change: it is the last member, so the first to go.

--- a/src/entry/cell_runner.cc
+++ b/src/entry/cell_runner.cc
@@ -30,17 +30,17 @@
 
 }  // namespace
 
-cell_runner::cell_runner(instance_id self, services used, std::uint64_t seed)
-    : self_(std::move(self)), used_(std::move(used)), random_(seed) {}
+cell_runner::cell_runner(instance_id self, context given, std::uint64_t seed)
+    : self_(std::move(self)), context_(std::move(given)), random_(seed) {}
 
 term_answer cell_runner::answer(const term_question& question, monotonic_time now) {
   return standbys_.handle(question, now);
 }
 
 void cell_runner::tick(monotonic_time now) {
-  for (const auto& [name, layout] : used_.cache.layouts()) {
-    const auto declared = used_.cache.tables().find(name);
-    if (declared == used_.cache.tables().end()) continue;
+  for (const auto& [name, layout] : context_.cache.layouts()) {
+    const auto declared = context_.cache.tables().find(name);
+    if (declared == context_.cache.tables().end()) continue;
     for (const auto& cell : layout.cells) update_role(declared->second, layout, cell, now);
   }
   std::vector<cell_ref> cells;
@@ -68,23 +68,23 @@
                                                       const cell_id& cell) {
   auto& kept = orders_[cell];
   const auto isolation = declared.service.isolation;
-  const auto generation = used_.directory.list_generation();
+  const auto generation = context_.directory.list_generation();
   if (kept.generation != generation || kept.isolation != isolation) {
     kept = {generation, isolation,
-            used_.directory.assigner_order(cell.value, domain_of(cell), isolation)};
+            context_.directory.assigner_order(cell.value, domain_of(cell), isolation)};
   }
   return kept.names;
 }
 
 bool cell_runner::should_start(const cell_id& cell, const std::vector<std::string>& order,
                                monotonic_time now) {
-  const auto known = used_.cache.cells().find(cell);
+  const auto known = context_.cache.cells().find(cell);
   const bool is_first = !order.empty() && order.front() == instance_name(self_);
-  if (known == used_.cache.cells().end()) return is_first;
+  if (known == context_.cache.cells().end()) return is_first;
   const cell_record& record = known->second.record;
   if (standbys_.should_take_over(record, self_, {}, now)) return true;
   // Nobody named in the record lives any more: the first that may assign the cell takes over.
-  const auto is_gone = [&](const instance_id& id) { return used_.directory.is_gone(id); };
+  const auto is_gone = [&](const instance_id& id) { return context_.directory.is_gone(id); };
   return is_first && is_gone(record.assigner) &&
          std::all_of(record.standbys.begin(), record.standbys.end(), is_gone);
 }
@@ -102,7 +102,8 @@
 void cell_runner::update_inputs(running& role, const service_table& declared,
                                 const service_layout& layout, const cell_id& cell,
                                 const std::vector<std::string>& order) {
-  const inputs_source source{used_.cache.summary(), used_.directory.generation(), role.next_rates};
+  const inputs_source source{context_.cache.summary(), context_.directory.generation(),
+                             role.next_rates};
   if (role.has_inputs && role.made_from == source) return;
   role.made_from = source;
   cell_inputs wanted = inputs_of(declared, layout, cell, order);
@@ -133,8 +134,8 @@
   made.home = home_shards(layout, cell);
   made.leaving = leaving_shards(layout, cell);
   for (const auto& name : order) {
-    const auto* life = used_.directory.life_of(name);
-    if (life == nullptr || *life == self_ || used_.directory.is_unreachable(name)) continue;
+    const auto* life = context_.directory.life_of(name);
+    if (life == nullptr || *life == self_ || context_.directory.is_unreachable(name)) continue;
     if (made.standby_candidates.size() < max_standbys) made.standby_candidates.push_back(*life);
   }
   made.move_budget = std::max<std::uint32_t>(1, declared.service.moves_per_minute / 60);
@@ -167,16 +168,16 @@
   for (const auto& name : order) {
     if (name == instance_name(self_)) continue;
     if (++considered > max_standbys) return;
-    const bool known = used_.directory.life_of(name) != nullptr;
-    if ((known && !used_.directory.is_unreachable(name)) || now < next_probe_[name]) continue;
-    const auto* info = used_.directory.find(name);
+    const bool known = context_.directory.life_of(name) != nullptr;
+    if ((known && !context_.directory.is_unreachable(name)) || now < next_probe_[name]) continue;
+    const auto* info = context_.directory.find(name);
     if (info == nullptr) continue;
     next_probe_[name] = now + probe_period;
-    used_.network.call(info->peers, state_push{}, probe_timeout,
-                       [this](const result<peer_answer>& answer) {
-                         if (!answer) return;
-                         used_.post([this, id = answer->from.instance] { used_.on_heard(id); });
-                       });
+    context_.network.call(
+        info->peers, state_push{}, probe_timeout, [this](const result<peer_answer>& answer) {
+          if (!answer) return;
+          context_.post([this, id = answer->from.instance] { context_.on_heard(id); });
+        });
   }
 }
 
@@ -191,12 +192,12 @@
 }
 
 void cell_runner::feed_later(const cell_ref& to, assigner_event event) {
-  used_.post([this, to, event = std::move(event)] { feed(to, event); });
+  context_.post([this, to, event = std::move(event)] { feed(to, event); });
 }
 
 const upstream_row* cell_runner::find_upstream(const cell_id& cell, const upstream_id& name) const {
-  const auto declared = used_.cache.tables().find(service_of(cell));
-  if (declared == used_.cache.tables().end()) return nullptr;
+  const auto declared = context_.cache.tables().find(service_of(cell));
+  if (declared == context_.cache.tables().end()) return nullptr;
   for (const auto& row : declared->second.upstreams) {
     if (row.name == name) return &row;
   }
@@ -205,9 +206,10 @@
 
 // The first instance of the upstream's failure domain that answers.
 std::optional<instance_id> cell_runner::choose_dispatcher(const upstream_row& row) const {
-  for (const auto& name : rendezvous_order(row.name.value, used_.directory.live_in(row.domain))) {
-    const auto* life = used_.directory.life_of(name);
-    if (life != nullptr && !used_.directory.is_unreachable(name)) return *life;
+  for (const auto& name :
+       rendezvous_order(row.name.value, context_.directory.live_in(row.domain))) {
+    const auto* life = context_.directory.life_of(name);
+    if (life != nullptr && !context_.directory.is_unreachable(name)) return *life;
   }
   return std::nullopt;
 }
@@ -215,15 +217,15 @@
 void cell_runner::send_to_dispatcher(const cell_ref& from, const send_order& action,
                                      const instance_id& dispatcher) {
   if (dispatcher == self_) {
-    return feed_later(from,
-                      grant_replied{action.request, used_.handle_order(action.to, action.order)});
+    return feed_later(
+        from, grant_replied{action.request, context_.handle_order(action.to, action.order)});
   }
-  const auto* info = used_.directory.find(instance_name(dispatcher));
+  const auto* info = context_.directory.find(instance_name(dispatcher));
   if (info == nullptr) {
     return feed_later(from,
                       grant_replied{action.request, no_answer(step::grant, dispatcher.value)});
   }
-  used_.network.call(
+  context_.network.call(
       info->peers, dispatcher_order{action.to, action.order}, ownership_timing{}.attempt_timeout,
       [this, from, number = action.request, dispatcher](result<peer_answer> answer) {
         grant_replied event{number, no_answer(step::grant, dispatcher.value)};
@@ -231,10 +233,11 @@
         if (answer && answer->from.instance == dispatcher) {
           if (const auto* reply = std::get_if<grant_answer>(&answer->reply)) event.answer = *reply;
         }
-        used_.post([this, from, event = std::move(event), dispatcher, heard = answer.has_value()] {
-          if (!heard) used_.on_unreachable(instance_name(dispatcher));
-          feed(from, event);
-        });
+        context_.post(
+            [this, from, event = std::move(event), dispatcher, heard = answer.has_value()] {
+              if (!heard) context_.on_unreachable(instance_name(dispatcher));
+              feed(from, event);
+            });
       });
 }
 
@@ -247,13 +250,13 @@
     return feed_later(from, grant_replied{action.request, no_answer(step::grant, action.to.value)});
   }
   http_request request{"POST", std::string(grant_target), {}, format_grant_order(action.order)};
-  used_.http.send(
+  context_.http.send(
       row->address, std::move(request), ownership_timing{}.attempt_timeout,
       [this, from, address = row->address, number = action.request](result<http_response> answer) {
         grant_replied event{number, no_answer(step::grant, address)};
         if (!answer) {
           // The next order goes over a new connection: a silent one says nothing of the upstream.
-          used_.http.forget(address);
+          context_.http.forget(address);
           event.answer = answer.error();
         } else if (answer->status == 200) {
           event.answer = parse_grant_answer(answer->body);
@@ -263,12 +266,12 @@
 }
 
 void cell_runner::carry_out(const cell_ref& from, const ask_standby& action) {
-  const auto* info = used_.directory.find(instance_name(action.to));
+  const auto* info = context_.directory.find(instance_name(action.to));
   if (info == nullptr) {
     return feed_later(from,
                       question_replied{action.request, no_answer(step::peer, action.to.value)});
   }
-  used_.network.call(
+  context_.network.call(
       info->peers, action.question, ownership_timing{}.attempt_timeout,
       [this, from, action](result<peer_answer> answer) {
         question_replied event{action.request, no_answer(step::peer, action.to.value)};
@@ -277,17 +280,17 @@
           if (const auto* reply = std::get_if<term_answer>(&answer->reply)) event.answer = *reply;
         }
         event.ended = answer && answer->from.instance != action.to;
-        used_.post([this, from, event = std::move(event), name = instance_name(action.to),
-                    heard = answer ? std::optional(answer->from.instance) : std::nullopt] {
-          heard ? used_.on_heard(*heard) : used_.on_unreachable(name);
+        context_.post([this, from, event = std::move(event), name = instance_name(action.to),
+                       heard = answer ? std::optional(answer->from.instance) : std::nullopt] {
+          heard ? context_.on_heard(*heard) : context_.on_unreachable(name);
           feed(from, event);
         });
       });
 }
 
 void cell_runner::carry_out(const cell_ref& from, const read_record& action) {
-  used_.store.get(
-      used_.cache.keys().cell(from.cell),
+  context_.store.get(
+      context_.cache.keys().cell(from.cell),
       [this, from, number = action.request](result<std::optional<stored_value>> answer) {
         if (!answer) return feed(from, store_replied{number, answer.error()});
         stored_record found;
@@ -302,9 +305,9 @@
 }
 
 void cell_runner::carry_out(const cell_ref& from, const write_record& action) {
-  const std::string key = used_.cache.keys().cell(from.cell);
+  const std::string key = context_.cache.keys().cell(from.cell);
   const std::string value = format_cell_record(action.record);
-  used_.store.compare_and_swap(
+  context_.store.compare_and_swap(
       key, action.expected_version, value,
       [this, from, action, key, value](result<swap_answer> answer) {
         if (!answer) return feed(from, store_replied{action.request, answer.error()});
@@ -313,7 +316,7 @@
         found.version = answer->version;
         if (answer->written) {
           found.record = action.record;
-          used_.on_written({key, answer->version, value});
+          context_.on_written({key, answer->version, value});
         } else if (answer->value) {
           auto record = parse_cell_record(*answer->value);
           if (!record) return feed(from, store_replied{action.request, record.error()});
@@ -340,7 +343,7 @@
             .service = service_of(from.cell).value});
   not_before_[from.cell] = monotonic_now() + restart_pause;
   // The assigner is in a call: remove it afterwards.
-  used_.post([this, from] {
+  context_.post([this, from] {
     const auto place = running_.find(from.cell);
     if (place != running_.end() && place->second.number == from.number) running_.erase(place);
   });
@@ -366,21 +369,21 @@
 void cell_runner::send_handover(const cell_id& cell, const handover_received& handover) {
   const instance_info* chosen = nullptr;
   for (const auto& standby : handover.record.standbys) {
-    if (used_.directory.is_gone(standby)) continue;
-    chosen = used_.directory.find(instance_name(standby));
+    if (context_.directory.is_gone(standby)) continue;
+    chosen = context_.directory.find(instance_name(standby));
     if (chosen != nullptr && chosen->state == instance_state::live) break;
   }
   if (chosen == nullptr) return;
   ++handovers_under_way_;
   term_handover message{
-      {used_.cache.keys().cell(cell), handover.version, format_cell_record(handover.record)},
+      {context_.cache.keys().cell(cell), handover.version, format_cell_record(handover.record)},
       std::nullopt};
   if (handover.unsure_write) message.unsure_write = format_cell_record(*handover.unsure_write);
-  used_.network.call(
+  context_.network.call(
       chosen->peers, std::move(message), handover_timeout,
       [this, cell](const result<peer_answer>& answer) {
         const bool taken = answer.has_value();
-        used_.post([this, cell, taken] {
+        context_.post([this, cell, taken] {
           --handovers_under_way_;
           log_line(taken ? log_level::info : log_level::warning,
                    {.message = (taken ? "handed over " : "hand-over not confirmed: ") + cell.value,
@@ -398,9 +401,10 @@
     if (!unsure) return false;
     event.unsure_write = std::move(*unsure);
   }
-  const auto declared = used_.cache.tables().find(event.record.service);
-  const auto layout = used_.cache.layouts().find(event.record.service);
-  if (declared == used_.cache.tables().end() || layout == used_.cache.layouts().end()) return false;
+  const auto declared = context_.cache.tables().find(event.record.service);
+  const auto layout = context_.cache.layouts().find(event.record.service);
+  if (declared == context_.cache.tables().end() || layout == context_.cache.layouts().end())
+    return false;
   const cell_id cell = event.record.cell;
   if (!standbys_.accept(cell, event.record.term, now)) return false;
   auto& role = start(declared->second, cell, now);
--- a/src/entry/cell_runner.h
+++ b/src/entry/cell_runner.h
@@ -22,7 +22,7 @@
 
 class cell_runner {
  public:
-  struct services {
+  struct context {
     const state_cache& cache;
     const instance_directory& directory;
     store_client& store;
@@ -37,7 +37,7 @@
 
   static constexpr duration load_window = seconds(60);
 
-  cell_runner(instance_id self, services used, std::uint64_t seed);
+  cell_runner(instance_id self, context given, std::uint64_t seed);
 
   void tick(monotonic_time now);
   term_answer answer(const term_question& question, monotonic_time now);
@@ -113,7 +113,7 @@
   const upstream_row* find_upstream(const cell_id& cell, const upstream_id& name) const;
 
   instance_id self_;
-  services used_;
+  context context_;
   std::mt19937_64 random_;
   standby_memory standbys_;
   std::map<cell_id, running> running_;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -48,13 +48,6 @@
         random(random_number()),
         directory(self, settings.domain),
         cache(settings.cluster),
-        network(
-            {settings.listen_peers, {settings.cluster, 1, settings.region, self, settings.domain}},
-            [this](const peer_identity& from, peer_request request, peer_replier reply) {
-              post([this, from, request = std::move(request), reply = std::move(reply)] {
-                serve(from, request, reply);
-              });
-            }),
         spreader(
             cache, directory, store, network, settings.domain, random(),
             [this](std::function<void()> item) { post(std::move(item)); },
@@ -69,7 +62,14 @@
                [this](const upstream_id& owner, const grant_order& order) {
                  return hooks.handle_order(owner, order);
                }},
-              random()) {}
+              random()),
+        network(
+            {settings.listen_peers, {settings.cluster, 1, settings.region, self, settings.domain}},
+            [this](const peer_identity& from, peer_request request, peer_replier reply) {
+              post([this, from, request = std::move(request), reply = std::move(reply)] {
+                serve(from, request, reply);
+              });
+            }) {}
 
   entry_settings settings;
   metrics& counters;
@@ -83,7 +83,6 @@
   std::mt19937_64 random;
   instance_directory directory;
   state_cache cache;
-  peer_network network;
   state_spreader spreader;
   cell_runner cells;
   std::thread thread;
@@ -97,6 +96,7 @@
   bool leaving = false;
   bool handing_over = false;
   std::promise<void> left;
+  peer_network network;  // last: its thread ends before what it calls into goes
 
   void post(std::function<void()> item) { asio::post(io, std::move(item)); }
   void schedule();
