--- a/src/bench/control_bench.cc
+++ b/src/bench/control_bench.cc
@@ -15,6 +15,7 @@
 
 #include "base/json.h"
 #include "entry/state_cache.h"
+#include "harness/bench.h"
 #include "harness/cluster.h"
 #include "platform/store_client.h"
 #include "table/parse.h"
@@ -148,8 +149,8 @@
 }
 
 std::optional<point> run_shape(const shape& at, const std::string& programs, duration span) {
-  std::string folder = (std::filesystem::temp_directory_path() / "control-bench-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) return std::nullopt;
+  const std::string folder = make_log_folder();
+  if (folder.empty()) return std::nullopt;
   std::optional<point> made;
   if (auto system = cluster::start(layout_of(at), programs, folder)) {
     made = measure(**system, at, span);
@@ -272,19 +273,17 @@
   return complete ? 0 : 1;
 }
 
+int run_from(int argc, char** argv) {
+  TCLAP::CmdLine command("Slopes of the control part.", ' ', PLANTAINPADDLE_VERSION);
+  TCLAP::ValueArg<int> span("", "seconds", "measured time of each point", false, 6, "N", command);
+  TCLAP::SwitchArg quick("", "quick", "two sizes of each series", command);
+  command.parse(argc, argv);
+  return run(program_folder(argv[0]), span.getValue(), quick.getValue() ? 2 : 4);
+}
+
 }  // namespace
 }  // namespace plantainpaddle
 
 int main(int argc, char** argv) {
-  try {
-    TCLAP::CmdLine command("Slopes of the control part.", ' ', PLANTAINPADDLE_VERSION);
-    TCLAP::ValueArg<int> span("", "seconds", "measured time of each point", false, 6, "N", command);
-    TCLAP::SwitchArg quick("", "quick", "two sizes of each series", command);
-    command.parse(argc, argv);
-    const auto programs = std::filesystem::path(argv[0]).parent_path().string();
-    return plantainpaddle::run(programs, span.getValue(), quick.getValue() ? 2 : 4);
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " for argument " << e.argId() << '\n';
-    return 2;
-  }
+  return plantainpaddle::run_bench(argc, argv, plantainpaddle::run_from);
 }
--- a/src/bench/failover_bench.cc
+++ b/src/bench/failover_bench.cc
@@ -415,7 +415,7 @@
                                             {"status_pages", pages},
                                             {"faults", std::move(rows)}})
             << std::endl;
-  return 0;
+  return twice == 0 && owners == 0 && ran == 0 && reverted == 0 ? 0 : 1;
 }
 
 }  // namespace
