Count a broken answer's request as running until its deadline

Cause: a dispatcher's lease let a shard go as soon as an answer had begun, so that an upstream that checks no fences could still work on it under the next owner. Found by reading. Change: only a whole answer, or a request known not to have run, lets the shard go; the rest waits for the deadline it was sent with.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -135,7 +135,9 @@
   if (!leased_) return;
   leased_ = false;
   auto& leases = home_.shared().leases;
-  const bool done = end.answered || end.known == run_state::not_run;
+  // A broken or abandoned answer leaves open whether the upstream still works on the request.
+  const bool whole = end.answered && messages_.answer->is_done();
+  const bool done = whole || end.known != run_state::unknown;
   if (done) {
     leases.finish(to.owner.dispatched, shard_, to.owner.fence);
   } else {
