Read the answer of an upstream that closed under an upload

Cause: entry's test of an early answer failed once in 20 runs at the same time, and once in a whole ctest: the upstream answers 413 and closes, the sending breaks, and the router said unknown although the answer was there. Change: a broken sending goes on to read what the upstream said; without an answer it is unknown as before. Seen once in 40 at the same time and left: nobody_there_is_not_run, where another run had taken the port that it expects free.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -233,12 +233,14 @@
     co_return failed(to, step::send_request, run_state::not_run, "the connection broke",
                      std::nullopt);
   }
+  // An upstream that has answered and closed breaks the sending: its answer can still be read.
+  if (sent == relay_end::upstream_failed) co_return std::nullopt;
   if (sent != relay_end::whole) co_return relay_failed(to, sent);
   if (whole) co_return std::nullopt;
   streamed_ = true;
   const auto end = co_await relay_request_body(caller_, request, connection_->socket, head_size_,
                                                match_.route->body_limit, deadline_);
-  if (end == relay_end::answered_early) co_return std::nullopt;
+  if (end == relay_end::answered_early || end == relay_end::upstream_failed) co_return std::nullopt;
   if (end != relay_end::whole) co_return relay_failed(to, end);
   pipelined_ = !caller_.buffer().unread().empty();
   co_return std::nullopt;
--- a/src/entry/testing/leased_proxy_test.cc
+++ b/src/entry/testing/leased_proxy_test.cc
@@ -1,6 +1,7 @@
 // Requests to upstreams that check no fences pass only under the dispatcher's lease.
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 #include "entry/testing/proxy_fixture.h"
 
@@ -9,6 +10,7 @@
 namespace {
 
 const upstream_id owner{"u0~e1@1"};
+constexpr int max_polls = 1000;
 
 void make_unchecked(proxy_fixture& proxy) {
   proxy.service.service.checks_fence = false;
@@ -58,7 +60,13 @@
   BOOST_TEST((grant(proxy, all_shards(proxy)).status == grant_status::accepted));
   BOOST_TEST(proxy.caller().get("/stock/1").status() == 200);
   BOOST_TEST(received == 1);
-  BOOST_TEST(grant(proxy, {}).draining.empty());
+  // The caller may have the whole answer a moment before the traffic thread lets the shard go.
+  bool released = false;
+  for (int i = 0; i < max_polls && !released; ++i) {
+    released = grant(proxy, {}).draining.empty();
+    std::this_thread::sleep_for(milliseconds(released ? 0 : 10));
+  }
+  BOOST_TEST(released);
 }
 
 // An answer that breaks off says nothing on whether the upstream still works: the shard stays busy.
