--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -55,13 +55,13 @@
 void range_runner::tick() {
   const auto now = monotonic_now();
   step_candidacy();
-  load_.age(now);
   if (!assigner_) return;
   if (assigner_->mostly_cut_off(now)) return resign();
   if (assigner_->wants_read()) read_record();
   keep_links();
   if (now >= next_rebalance_) {
     next_rebalance_ = now + rebalance_period;
+    load_.age(now);
     assigner_->rebalance(load_, now);
   }
   act();
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -11,6 +11,17 @@
 
 target_link_libraries(ownership_test PRIVATE ownership_model)
 
+# The same for the assigners of ranges.
+add_library(range_model OBJECT ${testing}/range_world.cc)
+target_link_libraries(range_model PUBLIC warnings ownership)
+add_library(range_fuzz_main OBJECT ${testing}/range_fuzz_main.cc)
+target_link_libraries(range_fuzz_main PUBLIC warnings ownership)
+add_executable(range_fuzz)
+target_link_libraries(range_fuzz PRIVATE range_fuzz_main range_model ownership rapidcheck)
+add_test(NAME range_fuzz COMMAND range_fuzz)
+set_tests_properties(range_fuzz PROPERTIES TIMEOUT 300
+  ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1500")
+
 # Mutants: each is the fuzzer with one guard of the protocol removed. The test of each passes if the
 # oracle objects. scripts/mutants prints after how many steps.
 file(GLOB mutants CONFIGURE_DEPENDS ${testing}/mutants/*.txt)
@@ -29,8 +40,12 @@
     RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/mutants)
   # A guard that is gone leaves names unused.
   target_compile_options(ownership_mutant_${name} PRIVATE -w)
-  target_link_libraries(ownership_mutant_${name} PRIVATE ownership_fuzz_main ownership_model ownership
-    rapidcheck)
+  if(source_name MATCHES "^range_")
+    set(model range_fuzz_main range_model)
+  else()
+    set(model ownership_fuzz_main ownership_model)
+  endif()
+  target_link_libraries(ownership_mutant_${name} PRIVATE ${model} ownership rapidcheck)
   add_test(NAME ownership_mutant_${name} COMMAND ownership_mutant_${name} --expect-violation)
   set_tests_properties(ownership_mutant_${name} PROPERTIES TIMEOUT 300
     ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=5000")
