--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -11,6 +11,9 @@
 //    accepted a grant under a newer fence, the earlier assigner is shut out and only own grants count.
 // 4. An upstream that restarts forgets its fences. So a fence is granted over one link only: the
 //    link's end is the earliest sign of a restart, and a new link gets new fences through the record.
+//    The first grant over a link also waits for a proof of leadership that was asked for after the
+//    link was there: until then no successor can have given the upstream's present life a fence that
+//    its next life would have forgotten.
 // 5. Every proof of leadership ends after `right`, counted from the question. A process that was
 //    paused finds its right ended before it sends.
 //
@@ -62,12 +65,14 @@
       if (record_.ranges[i].owner == upstream) states_[i].under_way = false;
     }
   }
+  if (link != 0) state.linked_since = now;
   state.link = link;
   state.busy = false;
 }
 
 void range_assigner::confirm(monotonic_time sent) {
-  renew_until_ = std::max(renew_until_, sent + timing_.right);
+  confirmed_ = std::max(confirmed_, sent);
+  renew_until_ = confirmed_ + timing_.right;
 }
 
 std::optional<std::size_t> range_assigner::find(std::uint32_t first, std::uint32_t last,
@@ -350,6 +355,7 @@
     if (place == upstreams_.end() || place->second.link == 0 || place->second.busy) continue;
     const auto link = place->second.link;
     if (state.link && *state.link != link) continue;  // waits for a new fence
+    if (!state.link && confirmed_ <= place->second.linked_since) continue;
     if (!all_resolved(state, now)) continue;
     state.link = link;
     state.last_sent = now;
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -157,6 +157,7 @@
     // A grant is under way over the link: the next one is sent when it is answered, so that the time
     // of its sending is known.
     bool busy = false;
+    monotonic_time linked_since{};
     monotonic_time unlinked_since{};
   };
 
@@ -186,6 +187,7 @@
   std::vector<range_move> planned_;
   std::map<upstream_id, upstream_state> upstreams_;
   monotonic_time renew_until_{};
+  monotonic_time confirmed_{};  // when the last question was sent that proved the right
   monotonic_time inherited_until_{};  // earlier assigners may have sent grants until then
   bool conceded_ = false;
 };
