Push records between instances in place of a watch each; end lapsed entries on time

Ruled out: lost events (the full read showed the entry missing). Entries now end within a tick. Polls time out after 450 ms, doubled while they fail. Each record written cost a call on every instance; the assigner pushes it to the registered instances instead, in a shorter form.

--- a/src/entry/load_report.cc
+++ b/src/entry/load_report.cc
@@ -23,6 +23,29 @@
   return json::serialize(json::object{{"service", report.service.value}, {"keys", std::move(keys)}});
 }
 
+std::string format_pushed_record(const pushed_record& pushed) {
+  return json::serialize(json::object{{"service", pushed.service.value},
+                                      {"version", pushed.version},
+                                      {"record", format_range_record(pushed.record)}});
+}
+
+result<pushed_record> parse_pushed_record(std::string_view text) {
+  const auto value = parse_json(text, step::peer, max_report_bytes);
+  if (!value) return value.error();
+  error_list errors;
+  object_reader reader(*value, "$", step::peer, errors);
+  pushed_record pushed;
+  pushed.service.value = reader.text("service");
+  pushed.version = reader.unsigned_integer("version");
+  const std::string record = reader.text("record");
+  reader.finish();
+  if (!errors.empty()) return join_errors(errors);
+  auto read = parse_range_record(record);
+  if (!read) return read.error();
+  pushed.record = std::move(*read);
+  return pushed;
+}
+
 result<load_report_message> parse_load_report(std::string_view text) {
   const auto value = parse_json(text, step::peer, max_report_bytes);
   if (!value) return value.error();
--- a/src/entry/load_report.h
+++ b/src/entry/load_report.h
@@ -1,6 +1,8 @@
-// What an instance tells the assigner of a service: the requests that it got, by key.
+// What instances tell each other: to the assigner of a service the requests by key, and from it the
+// record that it has written.
 //
 //   {"service": "desk", "keys": [[17, 3], [18, 1]]}
+//   {"service": "desk", "version": 812, "record": "..."}
 #pragma once
 
 #include <cstdint>
@@ -11,6 +13,7 @@
 
 #include "base/error.h"
 #include "base/ids.h"
+#include "ownership/range_record.h"
 
 namespace plantainpaddle {
 
@@ -20,6 +23,16 @@
   bool operator==(const load_report_message&) const = default;
 };
 
+struct pushed_record {
+  service_id service;
+  std::uint64_t version = 0;
+  range_record record;
+  bool operator==(const pushed_record&) const = default;
+};
+
+std::string format_pushed_record(const pushed_record& pushed);
+result<pushed_record> parse_pushed_record(std::string_view text);
+
 std::string format_load_report(const load_report_message& report);
 result<load_report_message> parse_load_report(std::string_view text);
 
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -40,6 +40,8 @@
 constexpr std::size_t descriptors_for_upstreams = 1000;  // besides callers' connections
 constexpr std::size_t held_share = 4;                    // a quarter of the memory holds requests
 constexpr std::string_view report_target = "/load";
+constexpr std::string_view record_target = "/record";
+constexpr duration push_timeout = milliseconds(300);  // the next poll finds what was missed
 
 proxy_settings traffic_settings(const entry_settings& settings) {
   proxy_settings traffic{.listen_callers = settings.listen_callers,
@@ -110,6 +112,8 @@
   void write_instance();
   void report_load(monotonic_time now);
   void take_report(std::string_view body);
+  void push_record(const service_id& service, const range_record& record, std::uint64_t version);
+  void take_record(std::string_view body);
   void leave();
   void stop();
   void await_reload();
@@ -196,6 +200,7 @@
 
 void range_instance::impl::tick() {
   const auto now = monotonic_now();
+  view.expire();
   for (auto& [service, runner] : runners) runner->tick();
   if (now >= next_publish) publish(now);
   register_instance(now);
@@ -225,7 +230,9 @@
     if (!service.keyed || runners.contains(service.name)) continue;
     runners[service.name] = std::make_unique<range_runner>(
         service.name,
-        range_runner_context{io, store, view, orders, self, settings.listen_peers},
+        range_runner_context{io, store, view, orders, self, settings.listen_peers,
+                             [this](const service_id& name, const range_record& record,
+                                    std::uint64_t version) { push_record(name, record, version); }},
         range_timing_for(settings), candidacy_for(settings), spread);
   }
 }
@@ -340,11 +347,35 @@
   for (const auto& [key, count] : report->keys) runner->second->count(key, count);
 }
 
+void range_instance::impl::push_record(const service_id& service, const range_record& record,
+                                       std::uint64_t version) {
+  const std::string body = format_pushed_record({service, version, record});
+  for (const auto& [key, address] : view.instance_addresses()) {
+    if (address == settings.listen_peers) continue;
+    orders.send(address, {"POST", std::string(record_target), {}, body}, push_timeout,
+                [](const result<http_response>& answer) {
+                  if (!answer) log_error(log_level::debug, answer.error());
+                });
+  }
+}
+
+void range_instance::impl::take_record(std::string_view body) {
+  const auto pushed = parse_pushed_record(body);
+  if (!pushed) return log_error(log_level::warning, pushed.error());
+  if (runners.contains(pushed->service)) {
+    view.learn(pushed->service, pushed->record, pushed->version);
+  }
+}
+
 asio::awaitable<http_response> range_instance::impl::serve_peers(http_request request) {
-  if (request.method != "POST" || request.target != report_target) {
+  const bool post = request.method == "POST";
+  if (post && request.target == report_target) {
+    take_report(request.body);
+  } else if (post && request.target == record_target) {
+    take_record(request.body);
+  } else {
     co_return json_response(404, R"({"error":"no such page"})");
   }
-  take_report(request.body);
   co_return json_response(200, "{}");
 }
 
--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -130,6 +130,7 @@
     become_assigner(record, answer->version, inherited);
     assigner_->confirm(sent);
     context_.view.learn(service_, record, answer->version);
+    context_.push(service_, record, answer->version);
   });
 }
 
@@ -204,6 +205,7 @@
     assigner_->confirm(sent);
     assigner_->on_written(answer->version, now);
     context_.view.learn(service_, record, answer->version);
+    context_.push(service_, record, answer->version);
     act();
   });
 }
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -30,6 +30,8 @@
   http_client& orders;  // releases, which may go over any connection
   instance_id self;
   std::string address;  // of this instance, for the others
+  // Tells the other instances of a record that was written.
+  std::function<void(const service_id&, const range_record&, std::uint64_t version)> push;
 };
 
 class range_runner {
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -30,7 +30,8 @@
       on_change_(std::move(on_change)),
       timing_(timing),
       poll_timer_(io),
-      watch_timer_(io) {}
+      watch_timer_(io),
+      poll_timeout_(timing_.poll_timeout) {}
 
 void store_view::start() { poll(); }
 
@@ -67,6 +68,10 @@
   }
 }
 
+void store_view::expire() {
+  if (upstreams_.expire(monotonic_now())) tell({.upstreams = true});
+}
+
 void store_view::schedule(duration after) {
   if (stopped_) return;
   poll_timer_.expires_after(after);
@@ -80,11 +85,13 @@
   last_contact_ = now;
   if (lost_) log_event(log_level::info, "store reached", {{"revision", revision_}});
   lost_ = false;
+  poll_timeout_ = timing_.poll_timeout;
   upstreams_.on_contact(now);
 }
 
 void store_view::on_failure(const error& e) {
   const auto now = monotonic_now();
+  poll_timeout_ = std::min(timing_.longest_poll_timeout, poll_timeout_ * 2);
   if (!lost_ && now - last_contact_ >= timing_.lost_after) {
     lost_ = true;
     upstreams_.on_lost_contact();
@@ -112,12 +119,10 @@
       return poll();
     }
     revision_ = std::max(revision_, answer->revision);
-    auto changed = apply(answer->events);
-    changed.upstreams = upstreams_.expire(monotonic_now()) || changed.upstreams;
-    tell(changed);
+    tell(apply(answer->events));
     const bool again = std::exchange(poll_again_, false);
     schedule(again ? duration::zero() : timing_.poll_period);
-  });
+  }, poll_timeout_);
 }
 
 void store_view::read_all() {
@@ -156,7 +161,7 @@
 void store_view::watch() {
   if (stopped_) return;
   watching_ = true;
-  store_.poll(std::string(own_key_prefix), watched_, timing_.watch_wait,
+  store_.poll(std::string(assigner_prefix), watched_, timing_.watch_wait,
               [this](const result<poll_answer>& answer) {
                 if (stopped_) return;
                 if (answer && !answer->compacted) {
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -5,8 +5,9 @@
 //   view.start();
 //
 // Everything is polled together every poll_period, so that nothing hangs on a watch that has gone
-// silent; what instances write themselves is watched besides, so that moves are seen at once. Values
-// never go back: an older version is passed over. Runs on io's thread.
+// silent. Whether a service has an assigner is watched besides, so that a lost one is replaced at
+// once; records are pushed by the assigner (learn). Values never go back: an older version is passed
+// over. Runs on io's thread.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -44,8 +45,11 @@
 
 struct store_view_timing {
   // A leaving upstream's notice must have been acted on within two seconds: two looks fit in.
-  duration poll_period = milliseconds(850);
-  duration poll_retry = milliseconds(250);   // after a failure
+  duration poll_period = milliseconds(950);
+  duration poll_retry = milliseconds(100);   // after a failure
+  // Of a poll's answer; doubled after each failure in a row, so that a slow store is read too.
+  duration poll_timeout = milliseconds(450);
+  duration longest_poll_timeout = milliseconds(1800);
   duration watch_wait = seconds(15);         // a watch that waits costs a call each time
   duration lost_after = milliseconds(1800);  // without an answer, entries may lapse unseen
 };
@@ -61,6 +65,8 @@
   void stop();
   // Looks at once; the change is told as any other.
   void refresh();
+  // To be called some times a second: entries that were given time to come back end on time.
+  void expire();
 
   const std::optional<desired_state>& desired() const { return desired_; }
   const upstream_list& upstreams() const { return upstreams_; }
@@ -70,7 +76,9 @@
   std::size_t instances() const { return instances_.size(); }
   bool in_contact() const { return !lost_; }
   monotonic_time last_contact() const { return last_contact_; }
-  // A record that this instance has written or read itself.
+  // Where the other instances take pushed records and reports, by their keys.
+  const std::map<std::string, std::string>& instance_addresses() const { return instances_; }
+  // A record that stands in the store, from whomever it was learnt.
   void learn(const service_id& service, const range_record& record, std::uint64_t version);
 
  private:
@@ -102,6 +110,7 @@
   std::uint64_t watched_ = 0;
   monotonic_time last_contact_{};
   bool lost_ = true;
+  duration poll_timeout_;
   bool polling_ = false;
   bool poll_again_ = false;
   bool watching_ = false;
--- a/src/ownership/range_record.cc
+++ b/src/ownership/range_record.cc
@@ -4,6 +4,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <set>
 
 #include "base/json.h"
@@ -31,30 +32,56 @@
   record.ranges.insert(place + 1, std::move(rest));
 }
 
-result<range_entry> parse_entry(const json::value& value, const std::string& path) {
-  error_list errors;
-  object_reader reader(value, path, step::ownership, errors);
-  range_entry entry;
-  entry.first = static_cast<std::uint32_t>(reader.integer("first", 0, last_numbered_key));
-  entry.last = static_cast<std::uint32_t>(reader.integer("last", 0, last_numbered_key));
-  if (const auto owner = reader.text("owner", ""); !owner.empty()) entry.owner = upstream_id{owner};
-  entry.fence.value = reader.unsigned_integer("fence", 0);
-  for (auto& name : reader.texts("former", false)) entry.former.push_back({std::move(name)});
-  reader.finish();
-  if (!errors.empty()) return join_errors(errors);
-  return entry;
+// Upstreams' names stand once, ranges refer to them by their place.
+class name_table {
+ public:
+  std::int64_t index_of(const upstream_id& name) {
+    const auto [place, added] = indices_.try_emplace(name, static_cast<std::int64_t>(names_.size()));
+    if (added) names_.emplace_back(name.value);
+    return place->second;
+  }
+  json::array take() { return std::move(names_); }
+
+ private:
+  std::map<upstream_id, std::int64_t> indices_;
+  json::array names_;
+};
+
+constexpr std::int64_t nobody = -1;
+
+// [first key, owner, fence, former owners ...]
+json::array format_entry(const range_entry& entry, name_table& names) {
+  json::array out{entry.first, entry.owner ? names.index_of(*entry.owner) : nobody,
+                  entry.fence.value};
+  for (const auto& name : entry.former) out.emplace_back(names.index_of(name));
+  return out;
 }
 
-json::object format_entry(const range_entry& entry) {
-  json::object out{{"first", entry.first}, {"last", entry.last}};
-  if (entry.owner) out["owner"] = entry.owner->value;
-  if (entry.fence.value != 0) out["fence"] = entry.fence.value;
-  if (!entry.former.empty()) {
-    json::array former;
-    for (const auto& name : entry.former) former.emplace_back(name.value);
-    out["former"] = std::move(former);
+result<range_entry> parse_entry(const json::value& value, const std::vector<std::string>& names) {
+  constexpr std::size_t fixed_members = 3;
+  const auto* members = value.if_array();
+  if (members == nullptr || members->size() < fixed_members) return bad_record("an entry is short");
+  std::vector<std::int64_t> numbers;
+  for (const auto& member : *members) {
+    boost::system::error_code code;
+    numbers.push_back(member.to_number<std::int64_t>(code));
+    if (code) return bad_record("a member of an entry is no whole number");
   }
-  return out;
+  const auto is_name = [&](std::int64_t index) {
+    return index >= 0 && index < static_cast<std::int64_t>(names.size());
+  };
+  range_entry entry;
+  if (numbers[0] < 0 || numbers[0] > last_numbered_key) return bad_record("a key is out of range");
+  entry.first = static_cast<std::uint32_t>(numbers[0]);
+  if (numbers[1] != nobody && !is_name(numbers[1])) return bad_record("an owner has no name");
+  if (numbers[1] != nobody) entry.owner = upstream_id{names[static_cast<std::size_t>(numbers[1])]};
+  if (numbers[2] < 0) return bad_record("a fence is below zero");
+  entry.fence.value = static_cast<std::uint64_t>(numbers[2]);
+  for (std::size_t i = fixed_members; i < numbers.size(); ++i) {
+    if (!is_name(numbers[i])) return bad_record("a former owner has no name");
+    entry.former.push_back({names[static_cast<std::size_t>(numbers[i])]});
+  }
+  return entry;
 }
 
 }  // namespace
@@ -66,13 +93,15 @@
 }
 
 std::string format_range_record(const range_record& record) {
+  name_table names;
   json::array ranges;
-  for (const auto& entry : record.ranges) ranges.push_back(format_entry(entry));
+  for (const auto& entry : record.ranges) ranges.push_back(format_entry(entry, names));
   return json::serialize(json::object{{"term", record.term.value},
                                       {"assigner", record.assigner.value},
                                       {"address", record.address},
                                       {"last_fence", record.last_fence.value},
                                       {"mark", record.mark},
+                                      {"upstreams", names.take()},
                                       {"ranges", std::move(ranges)}});
 }
 
@@ -87,19 +116,22 @@
   record.address = reader.text("address");
   record.last_fence.value = reader.unsigned_integer("last_fence");
   record.mark = reader.unsigned_integer("mark");
+  const auto names = reader.texts("upstreams", true);
   const auto* ranges = reader.array("ranges", true);
   reader.finish();
   if (!errors.empty()) return join_errors(errors);
-  std::uint32_t next = 0;
   for (const auto& item : *ranges) {
-    auto entry = parse_entry(item, "$.ranges[" + std::to_string(record.ranges.size()) + "]");
+    auto entry = parse_entry(item, names);
     if (!entry) return entry.error();
-    if (entry->first != next || entry->last < entry->first) return bad_record("ranges have gaps");
     if (entry->fence > record.last_fence) return bad_record("a fence is above the last one");
-    next = entry->last + 1;
+    const bool first = record.ranges.empty();
+    if (first ? entry->first != 0 : entry->first <= record.ranges.back().first) {
+      return bad_record("the ranges aren't sorted from the first key on");
+    }
+    if (!first) record.ranges.back().last = entry->first - 1;
     record.ranges.push_back(std::move(*entry));
   }
-  if (next != last_numbered_key + 1) return bad_record("the ranges don't cover all keys");
+  if (record.ranges.empty()) return bad_record("there are no ranges");
   return record;
 }
 
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -81,9 +81,10 @@
 }
 
 void store_client::poll(const std::string& prefix, std::uint64_t after_revision, duration wait,
-                        std::function<void(result<poll_answer>)> done) {
+                        std::function<void(result<poll_answer>)> done,
+                        std::optional<duration> timeout) {
   ask_items<poll_answer>(
-      settings_.timeout + wait,
+      timeout.value_or(settings_.timeout) + wait,
       [&](const item_protocol& p) { return p.poll(prefix, after_revision, wait); },
       [](const item_protocol& p, unsigned status, const std::string& body) {
         return p.read_poll(status, body);
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -52,8 +52,9 @@
                         std::function<void(result<swap_answer>)> done);
 
   // What has changed under the prefix after the revision; waits for a first change as long as `wait`.
+  // timeout: beyond the wait; none: that of the settings.
   void poll(const std::string& prefix, std::uint64_t after_revision, duration wait,
-            std::function<void(result<poll_answer>)> done);
+            std::function<void(result<poll_answer>)> done, std::optional<duration> timeout = {});
   void transact(const store_transaction& transaction,
                 std::function<void(result<transaction_answer>)> done);
   void create_lease(duration ttl, std::function<void(result<granted_lease>)> done);
