A draining instance reads no further request behind those under way

Ruled out: the time that is left after SIGTERM. While the instance drains, the reader waits until nothing is under way; the last answer closes.

--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -78,11 +78,15 @@
 
 void session::notify() { change_.cancel(); }
 
+// While the instance drains, the requests under way are the connection's last ones.
+bool session::must_not_read() const {
+  return reading_request_ || under_way_.size() >= max_pipelined ||
+         (home_.draining() && !under_way_.empty());
+}
+
 task<void> session::run() {
   while (!closing_) {
-    while (!closing_ && (reading_request_ || under_way_.size() >= max_pipelined)) {
-      co_await wait_change();
-    }
+    while (!closing_ && must_not_read()) co_await wait_change();
     if (closing_) break;
     const head_read read = co_await read_head();
     if (read.end == head_end::closed) break;
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -61,6 +61,7 @@
     head_fault fault = head_fault::none;
   };
 
+  bool must_not_read() const;
   task<head_read> read_head();
   task<bool> wait_readable();
   head_read examine(std::size_t& searched);
--- a/src/entry/testing/outcome_test.cc
+++ b/src/entry/testing/outcome_test.cc
@@ -409,6 +409,36 @@
   BOOST_TEST(proxy.traffic->connections() == 0U);
 }
 
+// A caller that always has a next request under way must not keep a draining instance for ever.
+BOOST_AUTO_TEST_CASE(a_drain_ends_pipelined_connections) {
+  std::atomic<int> received{0};
+  scripted_upstream upstream([&](upstream_side& side) {
+    for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
+      ++received;
+      std::this_thread::sleep_for(milliseconds(20));
+      side.answer("ok");
+    }
+  });
+  proxy_fixture proxy({upstream.address()});
+  auto caller = proxy.caller();
+  const std::string request = "GET /stock/1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  caller.send(request + request + request);
+  while (received == 0) std::this_thread::yield();
+  bool drained = false;
+  std::thread drain([&] { drained = proxy.traffic->drain(seconds(20)); });
+  bool closed = false;
+  for (int answers = 0; !closed && answers < 100; ++answers) {
+    caller.send(request);
+    const auto got = caller.read_answer();
+    closed = !got.whole || got.has("Connection: close\r\n");
+    if (got.whole) BOOST_TEST(got.status() == 200);
+  }
+  BOOST_TEST(closed);
+  caller.close();
+  drain.join();
+  BOOST_TEST(drained);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle::testing
