Plan ranges by observed speeds and single keys; a key too busy for others goes to the fastest

Ruled out: the time until a shift is noticed (the balance line showed the ratio for seconds on end).

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -2,6 +2,7 @@
 
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -27,6 +28,10 @@
 constexpr duration tick_period = milliseconds(50);
 constexpr duration settings_period = seconds(1);
 constexpr duration report_period = milliseconds(500);
+constexpr duration speed_period = milliseconds(500);
+// Observed speeds of upstreams, beside the mean, are believed within these.
+constexpr double slowest_share = 0.2;
+constexpr double fastest_share = 2.5;
 constexpr duration report_timeout = milliseconds(400);
 // The balancer takes an instance out after two questions, a second apart, that say "not ready".
 constexpr duration leave_balancer = milliseconds(2600);
@@ -106,6 +111,7 @@
   void on_view(const store_change& changed);
   void update_services();
   void update_upstreams();
+  double observed_speed(const service_id& service, const upstream_id& upstream) const;
   void publish(monotonic_time now);
   void update_budgets();
   void register_instance(monotonic_time now);
@@ -146,6 +152,7 @@
   bool registering = false;
   monotonic_time next_registration{};
   monotonic_time next_report{};
+  monotonic_time next_speeds{};
   monotonic_time next_settings{};
   monotonic_time next_publish = monotonic_time::max();
   std::size_t known_instances = 1;
@@ -203,6 +210,10 @@
   view.expire();
   for (auto& [service, runner] : runners) runner->tick();
   if (now >= next_publish) publish(now);
+  if (now >= next_speeds) {
+    next_speeds = now + speed_period;
+    update_upstreams();
+  }
   register_instance(now);
   report_load(now);
   watch_settings(now);
@@ -247,13 +258,26 @@
       const auto since = leaving_upstreams.find(id);
       still_leaving[id] = since == leaving_upstreams.end() ? now : since->second;
     }
+    const double capacity = known.entry.slots * observed_speed(known.entry.service, id);
     by_service[known.entry.service].push_back(
-        {{id, static_cast<double>(known.entry.slots), !known.entry.leaving}, known.entry.address});
+        {{id, capacity, !known.entry.leaving}, known.entry.address});
   }
   leaving_upstreams = std::move(still_leaving);
   for (auto& [service, runner] : runners) runner->set_upstreams(by_service[service]);
 }
 
+// As this instance's own requests have shown it; 1 for what it hasn't sent to.
+double range_instance::impl::observed_speed(const service_id& service,
+                                            const upstream_id& upstream) const {
+  const auto current = traffic.view();
+  for (const auto& seen : current->services) {
+    const auto index = static_cast<std::size_t>(&seen - current->services.data());
+    if (current->snapshot->services[index].service.name != service || !seen.placed) continue;
+    return std::clamp(seen.placed->speed(upstream), slowest_share, fastest_share);
+  }
+  return 1;
+}
+
 void range_instance::impl::publish(monotonic_time now) {
   next_publish = monotonic_time::max();
   if (!view.desired()) return;
--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -9,6 +9,7 @@
 
 constexpr duration load_memory = seconds(2);  // busy keys change within seconds
 constexpr duration rebalance_period = milliseconds(500);
+constexpr duration balance_line_period = seconds(1);  // in the log
 constexpr int concession_tries = 4;
 constexpr duration link_retry = milliseconds(200);
 constexpr duration connect_timeout = milliseconds(400);
@@ -62,11 +63,28 @@
   if (now >= next_rebalance_) {
     next_rebalance_ = now + rebalance_period;
     load_.age(now);
+    log_balance(now);
     assigner_->rebalance(load_, now);
   }
   act();
 }
 
+void range_runner::log_balance(monotonic_time now) {
+  if (now < next_balance_line_) return;
+  next_balance_line_ = now + balance_line_period;
+  std::vector<range_upstream> facts;
+  for (const auto& [name, one] : listed_) facts.push_back(one.facts);
+  const auto balance = measure_balance(assigner_->record(), facts, load_);
+  log_event(log_level::info, "balance",
+            {{"service", service_.value},
+             {"version", assigner_->version()},
+             {"ranges", assigner_->record().ranges.size()},
+             {"requests", balance.requests},
+             {"busiest", balance.busiest.value},
+             {"busiest_ratio", balance.busiest_ratio},
+             {"busiest_key", balance.busiest_key}});
+}
+
 void range_runner::act() {
   if (!assigner_) return;
   for (const auto& action : assigner_->tick(load_, monotonic_now())) {
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -74,6 +74,7 @@
   void give_up(std::string_view why);
   void write_concession(const range_record& record, std::uint64_t version, int tries);
   void act();
+  void log_balance(monotonic_time now);
   void perform(const range_action::write& order);
   void perform(const range_action::grant& order);
   void perform(const range_action::release& order);
@@ -96,6 +97,7 @@
   link_number last_link_ = 0;
   key_load load_;
   monotonic_time next_rebalance_{};
+  monotonic_time next_balance_line_{};
   bool reading_ = false;
 };
 
--- a/src/ownership/range_planner.cc
+++ b/src/ownership/range_planner.cc
@@ -1,18 +1,23 @@
 // Greedy: every step takes the move that brings the most loaded and the least loaded upstream
 // nearest to the mean, so that few keys change hands. A piece is cut from the edge of a range, so
-// that a range is never cut in three. Costs O(buckets) for the sums and O(ranges + buckets of the
-// cut range) a step.
+// that a range is never cut in three. A key too busy for any upstream's share stays where it is, and the
+// other keys of its owner go. Costs O(keys) for the sums and O(ranges + keys of the cut range) a step.
 #include "ownership/range_planner.h"
 
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <set>
 
 namespace plantainpaddle {
 namespace {
 
-constexpr std::uint32_t bucket_count = (last_numbered_key + 1) / key_load::keys_per_bucket;
+// Moves of more than what is wanted by this factor only shift the overload; moves of less than this
+// share of the mean load of an upstream aren't worth a moment without owner.
+constexpr double most_overstep = 1.3;
+constexpr double least_piece = 0.02;
+constexpr double worthwhile_speed = 1.2;  // of the capacities, to move a key that is too busy
 
 struct piece {
   std::uint32_t first = 0;
@@ -85,19 +90,17 @@
     mine.load += what.load;
   }
 
-  // Cuts about `wanted` of load off the start of a piece, at least one bucket.
+  // Cuts about `wanted` of load off the start of a piece, at least one key.
   piece cut_front(piece& from, double wanted) const {
     piece cut{from.first, from.first, 0};
     std::uint32_t next = from.first;
     while (next <= from.last && cut.load < wanted) {
-      const std::uint32_t end =
-          std::min(from.last, (next / key_load::keys_per_bucket + 1) * key_load::keys_per_bucket - 1);
-      const double bucket = load_of(next, end);
-      // The bucket that oversteps is left out if that is nearer to what is wanted.
-      if (cut.load > 0 && cut.load + bucket - wanted > wanted - cut.load) break;
-      cut.load += bucket;
-      cut.last = end;
-      next = end + 1;
+      const double more = load_of(next, next);
+      // The key that oversteps is left out if that is nearer to what is wanted.
+      if (cut.load > 0 && cut.load + more - wanted > wanted - cut.load) break;
+      cut.load += more;
+      cut.last = next;
+      ++next;
     }
     from.first = next;
     from.load -= cut.load;
@@ -142,26 +145,72 @@
     const double wanted = std::min(from.load - mean() * from.capacity,
                                    mean() * to.capacity - to.load);
     if (wanted <= 0) return false;
-    const auto busiest = std::max_element(from.pieces.begin(), from.pieces.end(),
-                                          [](const auto& a, const auto& b) { return a.load < b.load; });
-    piece source = *busiest;
-    piece moved = source.load <= wanted * 1.2 ? source : cut_smaller_side(source, wanted);
-    // A bucket too hot to be cut: moving it would only move the overload.
-    if (moved.load > wanted * 2 || moved.load <= 0) {
-      stuck.insert(hottest->first);
+    std::sort(from.pieces.begin(), from.pieces.end(),
+              [](const piece& a, const piece& b) { return a.load > b.load; });
+    for (std::size_t i = 0; i < from.pieces.size(); ++i) {
+      const piece source = from.pieces[i];
+      const bool whole = source.load <= wanted * most_overstep;
+      const piece moved = whole ? source : cut_smaller_side(source, wanted);
+      // A key too busy to be moved: that would only move the overload.
+      if (moved.load > wanted * most_overstep || moved.load < least_piece * mean()) continue;
+      keep_rest(from, i, moved);
+      give(moved, coldest->first);
       return true;
     }
+    if (!stuck.insert(hottest->first).second) return true;
+    return move_to_fastest(hottest->first);
+  }
+
+  // The busiest key of an upstream that no other can take over without being overloaded goes to where
+  // the most of it can be served.
+  bool move_to_fastest(const upstream_id& owner) {
+    auto& from = shares_[owner];
+    const auto fastest =
+        std::max_element(shares_.begin(), shares_.end(), [](const auto& a, const auto& b) {
+          return a.second.capacity < b.second.capacity;
+        });
+    if (fastest->second.capacity < from.capacity * worthwhile_speed) return true;
+    if (from.pieces.empty() || !stuck_.insert(fastest->first).second) return true;
+    piece source = from.pieces.front();
+    const piece key = busiest_key(source);
+    const bool at_end = key.first == source.first || key.last == source.last;
+    const piece moved = at_end ? key : cut_towards(source, key.first);
+    keep_rest(from, 0, moved);
+    give(moved, fastest->first);
+    return true;
+  }
+
+  piece busiest_key(const piece& source) const {
+    piece best{source.first, source.first, load_of(source.first, source.first)};
+    for (std::uint32_t key = source.first; key <= source.last; ++key) {
+      const double load = load_of(key, key);
+      if (load > best.load) best = {key, key, load};
+    }
+    return best;
+  }
+
+  // The smaller end of the piece that has the key.
+  piece cut_towards(const piece& source, std::uint32_t key) const {
+    const double front = load_of(source.first, key);
+    const double back = load_of(key, source.last);
+    return front <= back ? piece{source.first, key, front} : piece{key, source.last, back};
+  }
+
+  // Takes `moved`, which is at an end of the piece, off it.
+  void keep_rest(share& from, std::size_t i, const piece& moved) {
+    piece& source = from.pieces[i];
+    from.load -= moved.load;
     if (same_keys(moved, source)) {
-      from.pieces.erase(busiest);
+      from.pieces.erase(from.pieces.begin() + static_cast<std::ptrdiff_t>(i));
+      return;
+    }
+    if (moved.first == source.first) {
+      source.first = moved.last + 1;
     } else {
-      *busiest = moved.first == source.first ? piece{moved.last + 1, source.last, 0}
-                                             : piece{source.first, moved.first - 1, 0};
-      busiest->load = load_of(busiest->first, busiest->last);
-      ++ranges_;
+      source.last = moved.first - 1;
     }
-    from.load -= moved.load;
-    give(moved, coldest->first);
-    return true;
+    source.load = load_of(source.first, source.last);
+    ++ranges_;
   }
 
   // From the front or the back, whichever comes nearer to what is wanted.
@@ -183,39 +232,55 @@
   std::size_t ranges_ = 0;
   std::map<upstream_id, share> shares_;
   std::vector<piece> orphans_;
+  std::set<upstream_id> stuck_;  // have been given a key that is too busy for the others
   std::vector<range_move> moves_;
 };
 
 }  // namespace
 
-key_load::key_load(duration memory) : memory_(memory), buckets_(bucket_count) {}
+key_load::key_load(duration memory) : memory_(memory), keys_(last_numbered_key + 1) {}
 
 void key_load::add(std::uint32_t key, double requests) {
   if (key > last_numbered_key) return;
-  buckets_[key / keys_per_bucket] += static_cast<float>(requests);
+  keys_[key] += static_cast<float>(requests);
   total_ += requests;
 }
 
 void key_load::age(monotonic_time now) {
   if (aged_ == monotonic_time{}) aged_ = now;
   const double span = std::chrono::duration<double>(now - aged_).count();
-  const double kept = std::exp(-span / std::chrono::duration<double>(memory_).count());
+  const auto kept =
+      static_cast<float>(std::exp(-span / std::chrono::duration<double>(memory_).count()));
   aged_ = now;
-  total_ = 0;
-  for (auto& bucket : buckets_) {
-    bucket *= static_cast<float>(kept);
-    total_ += bucket;
-  }
+  total_ *= kept;
+  for (auto& load : keys_) load *= kept;
 }
 
 double key_load::of(std::uint32_t first, std::uint32_t last) const {
-  double sum = 0;
-  for (auto bucket = first / keys_per_bucket; bucket <= last / keys_per_bucket; ++bucket) {
-    const std::uint32_t begin = std::max(first, bucket * keys_per_bucket);
-    const std::uint32_t end = std::min(last, (bucket + 1) * keys_per_bucket - 1);
-    sum += buckets_[bucket] * (end - begin + 1) / keys_per_bucket;
+  return std::accumulate(keys_.begin() + first, keys_.begin() + last + 1, 0.0);
+}
+
+double key_load::of_busiest_key() const { return *std::max_element(keys_.begin(), keys_.end()); }
+
+range_balance measure_balance(const range_record& record,
+                              const std::vector<range_upstream>& upstreams, const key_load& load) {
+  range_balance found{.requests = load.total()};
+  if (load.total() <= 0) return found;
+  std::map<upstream_id, double> loads;
+  for (const auto& entry : record.ranges) {
+    if (entry.owner) loads[*entry.owner] += load.of(entry.first, entry.last);
+  }
+  double capacity = 0;
+  for (const auto& upstream : upstreams) capacity += upstream.serving ? upstream.capacity : 0;
+  for (const auto& upstream : upstreams) {
+    if (upstream.capacity <= 0) continue;
+    const double ratio = loads[upstream.name] / upstream.capacity / (load.total() / capacity);
+    if (ratio <= found.busiest_ratio) continue;
+    found.busiest_ratio = ratio;
+    found.busiest = upstream.name;
   }
-  return sum;
+  found.busiest_key = load.of_busiest_key() / load.total();
+  return found;
 }
 
 std::vector<range_move> plan_ranges(const range_record& record,
--- a/src/ownership/range_planner.h
+++ b/src/ownership/range_planner.h
@@ -15,11 +15,9 @@
 
 namespace plantainpaddle {
 
-// Requests by key, smoothed over `memory`; keys are counted in groups of keys_per_bucket neighbours.
+// Requests by key, smoothed over `memory`: a quarter of a megabyte.
 class key_load {
  public:
-  static constexpr std::uint32_t keys_per_bucket = 4;  // finer cuts than this aren't made
-
   explicit key_load(duration memory);
   void add(std::uint32_t key, double requests);
   // What was counted before weighs less; to be called about as often as counts come.
@@ -27,12 +25,12 @@
 
   double total() const { return total_; }
   double of(std::uint32_t first, std::uint32_t last) const;
-  double of_bucket(std::uint32_t bucket) const { return buckets_[bucket]; }
+  double of_busiest_key() const;
 
  private:
   duration memory_;
   monotonic_time aged_{};
-  std::vector<float> buckets_;
+  std::vector<float> keys_;
   double total_ = 0;
 };
 
@@ -64,6 +62,16 @@
   bool operator==(const range_plan_config&) const = default;
 };
 
+// How even the load is, for logs and metrics.
+struct range_balance {
+  double requests = 0;      // the smoothed load of all keys
+  upstream_id busiest;      // relative to its capacity
+  double busiest_ratio = 0;  // its relative load over the mean
+  double busiest_key = 0;     // its share of all load, which no cut can divide
+};
+range_balance measure_balance(const range_record& record,
+                              const std::vector<range_upstream>& upstreams, const key_load& load);
+
 std::vector<range_move> plan_ranges(const range_record& record,
                                     const std::vector<range_upstream>& upstreams,
                                     const key_load& load, const range_plan_config& config);
