--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -26,14 +26,14 @@
 namespace plantainpaddle {
 
 struct range_timing {
-  duration hold = milliseconds(4000);   // length of a grant
-  duration renew = milliseconds(900);   // from a grant to its renewal
+  duration hold = milliseconds(2600);   // length of a grant
+  duration renew = milliseconds(600);   // from a grant to its renewal
   duration right = milliseconds(9000);  // renewals go on for so long without proof from the store
   double clock_drift = 0.02;            // an upstream's clock may run slow by this share
   // From a grant's sending to its latest arrival: call_timeout, after which its connection is reset,
   // and the time that the reset takes.
   duration margin = milliseconds(600);
-  duration suspect_after = milliseconds(1500);  // without a link, an upstream's keys are moved
+  duration suspect_after = milliseconds(1000);  // without a link, an upstream's keys are moved
   duration release_retry = milliseconds(300);
   duration write_retry = milliseconds(200);  // of the record, when the store couldn't take it
   duration call_timeout = milliseconds(400);  // of grants; a release waits for running work
