--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -32,8 +32,7 @@
   return lines;
 }
 
-class buffer_backend
-    : public sinks::basic_formatted_sink_backend<char, sinks::concurrent_feeding> {
+class buffer_backend : public sinks::basic_formatted_sink_backend<char, sinks::concurrent_feeding> {
  public:
   static void consume(const boost::log::record_view& record, const string_type& line) {
     const auto level = boost::log::extract_or_default<int>("Severity", record, 0);
@@ -178,8 +177,7 @@
   end_line(level, std::move(line));
 }
 
-void log_event(log_level level, std::string_view message,
-               std::initializer_list<log_value> values) {
+void log_event(log_level level, std::string_view message, std::initializer_list<log_value> values) {
   if (!log_enabled(level)) return;
   std::string line = begin_line(level, message);
   for (const auto& value : values) std::visit(value_writer{line, value.name}, value.value);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -44,8 +44,7 @@
 
 struct log_value {
   template <class Number>
-    requires std::is_arithmetic_v<Number>
-  log_value(std::string_view n, Number v) : name(n) {
+  requires std::is_arithmetic_v<Number> log_value(std::string_view n, Number v) : name(n) {
     if constexpr (std::is_floating_point_v<Number>) {
       value = static_cast<double>(v);
     } else {
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -353,13 +353,13 @@
       co_return end;
     }
     const bool final = answer.status() >= 200;
-    const bool own = !names().echoes_request_id ||
-                     answer.find(names().request_id) == messages_.request_id;
+    const bool own =
+        !names().echoes_request_id || answer.find(names().request_id) == messages_.request_id;
     if (final && own) co_return std::nullopt;
     if (final && !co_await skip_answer()) {
       if (caller_.expired()) co_return no_answer();
-      auto end = failed(to, step::read_answer, run_state::unknown,
-                        "an answer to another request", failure_kind::error);
+      auto end = failed(to, step::read_answer, run_state::unknown, "an answer to another request",
+                        failure_kind::error);
       end.why.code = errc::protocol;
       co_return end;
     }
@@ -424,9 +424,9 @@
     const auto read =
         co_await read_answer_part(caller_, answer, connection_->socket, *answer_buffer_);
     if (read != relay_end::whole) {
-      co_return failed(to, step::read_answer, run_state::unknown, "the answer was cut off",
-                       read == relay_end::upstream_slow ? failure_kind::timeout
-                                                        : failure_kind::error);
+      co_return failed(
+          to, step::read_answer, run_state::unknown, "the answer was cut off",
+          read == relay_end::upstream_slow ? failure_kind::timeout : failure_kind::error);
     }
   }
   co_return std::nullopt;
@@ -469,8 +469,8 @@
   const bool keep = may_keep();
   messages_.head.clear();
   write_answer_head(messages_.head, answer,
-                    {.request_id = messages_.request_id, .outcome = outcome, .close = !keep},
-                    frame, names());
+                    {.request_id = messages_.request_id, .outcome = outcome, .close = !keep}, frame,
+                    names());
   outgoing pieces;
   pieces.add(messages_.head);
   if (frame.kind == body_framing::chunked) {
--- a/src/entry/body_relay.h
+++ b/src/entry/body_relay.h
@@ -37,8 +37,8 @@
   std::size_t bytes_ = 0;
 };
 
-// Writes all pieces; whole, or `failed`, or `slow` of the socket's side. With `stop`: answered_early
-// once it is true and the wait is cancelled.
+// Writes all pieces; whole, or `failed`, or `slow` of the socket's side. With `stop`:
+// answered_early once it is true and the wait is cancelled.
 task<relay_end> write_pieces(outgoing& pieces, tcp_socket& to, request_scope& caller,
                              progress_window& progress, relay_end failed, relay_end slow,
                              const bool* stop = nullptr);
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -259,8 +259,8 @@
   const caller_use used(caller_);
   progress_window progress(caller_, deadline_);
   bool room = hold_body();
-  while (!code && !request.is_done() && fits && room && !buffer.full() && messages_.body.size() < held &&
-         request.body_bytes() <= match_.route->body_limit) {
+  while (!code && !request.is_done() && fits && room && !buffer.full() &&
+         messages_.body.size() < held && request.body_bytes() <= match_.route->body_limit) {
     boost::system::error_code read_code;
     const auto size = caller_.socket().read_some(buffer.space(), read_code);
     if (read_code == asio::error::would_block) {
@@ -360,7 +360,8 @@
   // The view may be older than the list that was chosen from.
   const auto index = index_of(*chosen.upstream);
   if (!index) {
-    return no_owner{{errc::unavailable, step::route, chosen.upstream->value, "not listed any more"}};
+    return no_owner{
+        {errc::unavailable, step::route, chosen.upstream->value, "not listed any more"}};
   }
   to.upstream = *index;
   to.address = service().upstreams[to.upstream].address;
@@ -418,7 +419,8 @@
        .known = end.known,
        .idempotent = repeatable(),
        .max_attempts = match_.policy.max_attempts,
-       .outer_retries = caller_.caller().internal() || !messages_.request->find(retry_owner_header).empty(),
+       .outer_retries =
+           caller_.caller().internal() || !messages_.request->find(retry_owner_header).empty(),
        .deadline = deadline_,
        .now = now},
       home_.random());
@@ -499,12 +501,11 @@
   const auto& request = *messages_.request;
   record(own.status, outcome_name(own.outcome), 0);
   log_answer(own);
-  const std::string text =
-      format_own_answer(own,
-                        {.request_id = messages_.request_id,
-                         .head_only = request.method() == http::verb::head,
-                         .close = !keep},
-                        names());
+  const std::string text = format_own_answer(own,
+                                             {.request_id = messages_.request_id,
+                                              .head_only = request.method() == http::verb::head,
+                                              .close = !keep},
+                                             names());
   outgoing pieces;
   pieces.add(text);
   const caller_use used(caller_);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -135,17 +135,17 @@
   std::uint32_t attempts_ = 0;
   bool fresh_connection_ = false;  // the last attempt's was silent
   bool continue_sent_ = false;
-  bool streamed_ = false;  // body bytes have left the buffer: the request can't be sent again
-  bool sent_whole_ = false;  // the last attempt's request went out to its last byte
+  bool streamed_ = false;      // body bytes have left the buffer: the request can't be sent again
+  bool sent_whole_ = false;    // the last attempt's request went out to its last byte
   monotonic_time answered_{};  // the last attempt's answer was in hand
-  bool read_whole_ = false;  // the caller's bytes behind the request are the session's again
-  std::size_t held_ = 0;           // bytes of the body, counted against the worker's budget
-  std::uint64_t draw_;             // of the part of a split route
-  bool paid_ = false;  // the next attempt has taken its token from the budget of retries
-  fence_number refused_by_;  // of the owner that said that it doesn't have the key
+  bool read_whole_ = false;    // the caller's bytes behind the request are the session's again
+  std::size_t held_ = 0;       // bytes of the body, counted against the worker's budget
+  std::uint64_t draw_;         // of the part of a split route
+  bool paid_ = false;          // the next attempt has taken its token from the budget of retries
+  fence_number refused_by_;    // of the owner that said that it doesn't have the key
   monotonic_time refused_until_{};
   monotonic_time owner_wait_end_{};  // of the first wait for an owner, once there was one
-  bool misplaced_ = false;  // another upstream answered at the address
+  bool misplaced_ = false;           // another upstream answered at the address
   std::optional<stated_load> load_;  // that the upstream of the last attempt stated
 };
 
--- a/src/entry/load_report.cc
+++ b/src/entry/load_report.cc
@@ -20,7 +20,8 @@
 std::string format_load_report(const load_report_message& report) {
   json::array keys;
   for (const auto& [key, count] : report.keys) keys.push_back(json::array{key, count});
-  return json::serialize(json::object{{"service", report.service.value}, {"keys", std::move(keys)}});
+  return json::serialize(
+      json::object{{"service", report.service.value}, {"keys", std::move(keys)}});
 }
 
 std::string format_pushed_record(const pushed_record& pushed) {
--- a/src/entry/prober.h
+++ b/src/entry/prober.h
@@ -17,8 +17,8 @@
 void start_probe(boost::asio::io_context& io, std::shared_ptr<service_health> health,
                  std::size_t upstream, const std::string& address);
 
-// Tells `placed` whether a connection could be opened within connect_probe_time: enough to know that
-// the upstream's machine is in reach again.
+// Tells `placed` whether a connection could be opened within connect_probe_time: enough to know
+// that the upstream's machine is in reach again.
 inline constexpr duration connect_probe_time = milliseconds(250);
 void start_connect_probe(boost::asio::io_context& io, std::shared_ptr<placement> placed,
                          const upstream_id& upstream, const std::string& address);
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -100,9 +100,7 @@
   for (const auto& one : impl_->workers) one->begin_drain();
 }
 
-void proxy::set_retry_config(const retry_config& config) {
-  impl_->shared.set_retry_config(config);
-}
+void proxy::set_retry_config(const retry_config& config) { impl_->shared.set_retry_config(config); }
 
 std::shared_ptr<const traffic_view> proxy::view() const { return impl_->shared.view(); }
 
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -41,7 +41,8 @@
   result<std::string> start();
   // Of the listener for other instances, once started; empty if there is none.
   std::string forward_address() const;
-  // With own_thread false: works on the calling thread until finish() and the last connection's end.
+  // With own_thread false: works on the calling thread until finish() and the last connection's
+  // end.
   void run();
   void finish(bool cut_off = false);
   // The first traffic thread's, for what is to run beside the traffic.
--- a/src/entry/proxy_settings.h
+++ b/src/entry/proxy_settings.h
@@ -26,7 +26,7 @@
   duration dead_peer_time{0};
   duration sweep_period = deadline_sweeper::sweep_period;  // of deadlines
   duration drain_idle_time = milliseconds(500);  // idle connections outlive the drain's begin by it
-  std::size_t held_body = 1 << 20;   // bytes of a request that are held, to be sent again
+  std::size_t held_body = 1 << 20;    // bytes of a request that are held, to be sent again
   std::size_t held_total = 64 << 20;  // bytes that a traffic thread holds of all requests
   // Answers are held until they are whole or fill a buffer, so that one that is cut off can be
   // replaced; otherwise they are passed on as they come.
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -173,9 +173,9 @@
   auto unknown = std::make_shared<routing_snapshot>();
   unknown->known = false;
   traffic.set_snapshot(std::move(unknown));
-  auto listening = operators.listen(
-      settings.listen_operators,
-      [this](http_request request) { return serve_operators(std::move(request)); });
+  auto listening = operators.listen(settings.listen_operators, [this](http_request request) {
+    return serve_operators(std::move(request));
+  });
   if (!listening) return listening;
   listening = peers.listen(settings.listen_peers, [this](http_request request) {
     return serve_peers(std::move(request));
@@ -299,8 +299,8 @@
   known_instances = std::max<std::size_t>(1, view.instances());
   retry_config config;
   config.share = settings.bounds.retry_share * retry_share;
-  config.burst = std::max(1.0, settings.bounds.retry_burst * retry_burst_share /
-                                   static_cast<double>(known_instances));
+  config.burst = std::max(
+      1.0, settings.bounds.retry_burst * retry_burst_share / static_cast<double>(known_instances));
   traffic.set_retry_config(config);
 }
 
@@ -355,8 +355,7 @@
     }
     const std::string address(runner->second->assigner_address());
     if (address.empty()) continue;
-    orders.send(address,
-                {"POST", std::string(report_target), {}, format_load_report(report)},
+    orders.send(address, {"POST", std::string(report_target), {}, format_load_report(report)},
                 report_timeout, [address](const result<http_response>& answer) {
                   if (!answer) log_error(log_level::debug, answer.error());
                 });
--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -117,19 +117,21 @@
   });
 }
 
-// The key of the assigner and the record with the new term are written together: whatever an earlier
-// assigner has under way to the record fails from then on.
+// The key of the assigner and the record with the new term are written together: whatever an
+// earlier assigner has under way to the record fails from then on.
 void range_runner::campaign() {
   const auto* seen = context_.view.record(service_);
   const range_record before = seen == nullptr ? make_range_record() : seen->record;
   const std::uint64_t version = seen == nullptr ? 0 : seen->version;
-  const range_inheritance inherited{.any = seen != nullptr, .conceded = before.assigner.value.empty() ||
-                                                                  before.assigner == context_.self};
+  const range_inheritance inherited{
+      .any = seen != nullptr,
+      .conceded = before.assigner.value.empty() || before.assigner == context_.self};
   const auto record = take_over(before, context_.self, context_.address);
   const auto sent = monotonic_now();
-  store_transaction change{.conditions = {{assigner_key(service_), 0}, {record_key(service_), version}},
-                           .puts = {{assigner_key(service_), context_.self.value, candidacy_.lease()},
-                                    {record_key(service_), format_range_record(record), 0}}};
+  store_transaction change{
+      .conditions = {{assigner_key(service_), 0}, {record_key(service_), version}},
+      .puts = {{assigner_key(service_), context_.self.value, candidacy_.lease()},
+               {record_key(service_), format_range_record(record), 0}}};
   context_.store.transact(change, [this, record, inherited, sent](const auto& answer) {
     const auto now = monotonic_now();
     if (!answer) {
@@ -198,9 +200,8 @@
 }
 
 void range_runner::perform(const range_action::write& order) {
-  store_transaction change{
-      .conditions = {{record_key(service_), order.version}},
-      .puts = {{record_key(service_), format_range_record(order.record), 0}}};
+  store_transaction change{.conditions = {{record_key(service_), order.version}},
+                           .puts = {{record_key(service_), format_range_record(order.record), 0}}};
   const auto sent = monotonic_now();
   log_event(log_level::info, "record to be written",
             {{"service", service_.value},
@@ -255,35 +256,35 @@
 void range_runner::perform(const range_action::grant& order) {
   const auto place = links_.find(order.upstream);
   if (place == links_.end() || place->second.number != order.link) return;
-  place->second.link->send(
-      make_grant_request(order), timing_.call_timeout,
-      [this, term = term_, order](const result<http_response>& answer) {
-        if (term != term_ || !assigner_) return;
-        const auto verdict = answer ? read_grant_answer(*answer)
-                                    : result<grant_verdict>(answer.error());
-        if (!verdict) {
-          const auto used = links_.find(order.upstream);
-          if (used == links_.end() || used->second.number != order.link) return;
-          return close_link(order.upstream, verdict.error().detail);
-        }
-        const auto now = monotonic_now();
-        if (*verdict == grant_verdict::accepted) {
-          assigner_->on_granted(order, now);
-        } else {
-          log_event(log_level::warning, "grant refused",
-                    {{"upstream", order.upstream.value},
-                     {"first", order.first},
-                     {"last", order.last},
-                     {"fence", order.fence.value}});
-          assigner_->on_refused(order, now);
-        }
-        const auto used = links_.find(order.upstream);
-        if (used != links_.end() && used->second.number == order.link &&
-            !used->second.link->is_open()) {
-          close_link(order.upstream, "closed by the upstream");
-        }
-        act();
-      });
+  place->second.link->send(make_grant_request(order), timing_.call_timeout,
+                           [this, term = term_, order](const result<http_response>& answer) {
+                             if (term != term_ || !assigner_) return;
+                             const auto verdict = answer ? read_grant_answer(*answer)
+                                                         : result<grant_verdict>(answer.error());
+                             if (!verdict) {
+                               const auto used = links_.find(order.upstream);
+                               if (used == links_.end() || used->second.number != order.link)
+                                 return;
+                               return close_link(order.upstream, verdict.error().detail);
+                             }
+                             const auto now = monotonic_now();
+                             if (*verdict == grant_verdict::accepted) {
+                               assigner_->on_granted(order, now);
+                             } else {
+                               log_event(log_level::warning, "grant refused",
+                                         {{"upstream", order.upstream.value},
+                                          {"first", order.first},
+                                          {"last", order.last},
+                                          {"fence", order.fence.value}});
+                               assigner_->on_refused(order, now);
+                             }
+                             const auto used = links_.find(order.upstream);
+                             if (used != links_.end() && used->second.number == order.link &&
+                                 !used->second.link->is_open()) {
+                               close_link(order.upstream, "closed by the upstream");
+                             }
+                             act();
+                           });
 }
 
 // Another upstream has the address: the one that had it before has ended.
@@ -321,8 +322,10 @@
             answer ? read_release_answer(*answer) : result<std::string>(answer.error());
         if (!handover) return failed(handover.error().detail);
         log_event(log_level::info, "range released",
-                  {{"upstream", order.upstream.value}, {"first", order.first},
-                   {"last", order.last}, {"fence", order.fence.value}});
+                  {{"upstream", order.upstream.value},
+                   {"first", order.first},
+                   {"last", order.last},
+                   {"fence", order.fence.value}});
         assigner_->on_released(order, *handover, monotonic_now());
         act();
       },
@@ -405,10 +408,9 @@
 // An own write may have been under way: then the record is read and conceded as it stands.
 void range_runner::write_concession(const range_record& record, std::uint64_t version, int tries) {
   if (tries == 0) return;
-  const store_transaction change{
-      .conditions = {{record_key(service_), version}},
-      .puts = {{record_key(service_), format_range_record(record), 0}},
-      .removals = {assigner_key(service_)}};
+  const store_transaction change{.conditions = {{record_key(service_), version}},
+                                 .puts = {{record_key(service_), format_range_record(record), 0}},
+                                 .removals = {assigner_key(service_)}};
   context_.store.transact(change, [this, tries](const result<transaction_answer>& answer) {
     if (answer && answer->outcome == transaction_result::written) return;
     if (!answer) log_error(log_level::warning, answer.error());
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -1,5 +1,5 @@
-// Carries out what the assigner of a service decides, if this instance is it, and tries to become it
-// where nobody is. Runs on the io_context's thread.
+// Carries out what the assigner of a service decides, if this instance is it, and tries to become
+// it where nobody is. Runs on the io_context's thread.
 //
 //   range_runner runner(service, context, timing, spread);
 //   runner.set_upstreams(upstreams);          // as often as they change
@@ -90,7 +90,8 @@
   range_timing timing_;
   candidacy candidacy_;
   std::optional<range_assigner> assigner_;
-  std::uint64_t term_ = 0;  // of the calls under way, so that those of an earlier one are told apart
+  std::uint64_t term_ =
+      0;  // of the calls under way, so that those of an earlier one are told apart
   std::map<upstream_id, upstream> listed_;
   std::map<upstream_id, link_state> links_;
   std::map<upstream_id, std::string> addresses_;  // last known, also of upstreams that are gone
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -188,8 +188,7 @@
   linger_ = true;
   const own_answer answer{slow ? 408U : fault_status(read.fault),
                           refused("head: " + std::string(name))};
-  const std::string text =
-      format_own_answer(answer, {.close = true}, home_.settings().names);
+  const std::string text = format_own_answer(answer, {.close = true}, home_.settings().names);
   outgoing pieces;
   pieces.add(text);
   deadline_.set(monotonic_now() + home_.settings().limits.body_time);
@@ -201,8 +200,7 @@
 
 task<void> session::serve(std::size_t head_size) {
   reading_request_ = true;
-  auto work =
-      std::make_unique<exchange>(*this, next_number_++, std::move(buffer_), head_size);
+  auto work = std::make_unique<exchange>(*this, next_number_++, std::move(buffer_), head_size);
   auto& started = *work;
   under_way_.push_back(std::move(work));
   asio::co_spawn(home_.io(), carry_out(started), [](const std::exception_ptr& thrown) {
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -55,10 +55,10 @@
   bounds.lease_min = read_time(read, "lease_min", milliseconds(1), hour, bounds.lease_min);
   bounds.retry_share = read.number("retry_share", 0, 10, bounds.retry_share);
   bounds.retry_burst = read.number("retry_burst", 0, 1e6, bounds.retry_burst);
-  bounds.memory_mb = static_cast<std::uint32_t>(
-      read.integer("memory_mb", 16, most_count, bounds.memory_mb));
-  bounds.descriptors = static_cast<std::uint32_t>(
-      read.integer("descriptors", 64, most_count, bounds.descriptors));
+  bounds.memory_mb =
+      static_cast<std::uint32_t>(read.integer("memory_mb", 16, most_count, bounds.memory_mb));
+  bounds.descriptors =
+      static_cast<std::uint32_t>(read.integer("descriptors", 64, most_count, bounds.descriptors));
   read.finish();
 }
 
@@ -74,9 +74,10 @@
     }
   }
   settings.form = platform.choice("form", {"etcd", "items"}, 0) == 0 ? platform_form::etcd
-                                                                      : platform_form::items;
+                                                                     : platform_form::items;
   // Where upstreams register themselves, instances do too: there is no list of them.
-  if (settings.form == platform_form::etcd) settings.instances = read_address(platform, "instances");
+  if (settings.form == platform_form::etcd)
+    settings.instances = read_address(platform, "instances");
   read_bounds(platform, settings.bounds, errors);
   platform.finish();
 }
@@ -108,8 +109,8 @@
   read_platform(reader, settings, errors);
   read_listen(reader, settings, errors);
   const bool one_thread = settings.form == platform_form::items;
-  settings.threads = static_cast<std::uint32_t>(
-      reader.integer("threads", 1, one_thread ? 1 : max_threads, one_thread ? 1 : settings.threads));
+  settings.threads = static_cast<std::uint32_t>(reader.integer(
+      "threads", 1, one_thread ? 1 : max_threads, one_thread ? 1 : settings.threads));
   const std::string level = reader.text("log_level", "info");
   if (const auto parsed = parse_log_level(level)) {
     settings.level = *parsed;
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -19,8 +19,8 @@
 
 // What the platform promises and demands; with platform_form::items.
 struct platform_bounds {
-  duration drain = seconds(2);     // from a leaving upstream's notice to its last new request
-  duration shutdown = seconds(6);  // from SIGTERM to the process's end
+  duration drain = seconds(2);      // from a leaving upstream's notice to its last new request
+  duration shutdown = seconds(6);   // from SIGTERM to the process's end
   duration hold_max = seconds(10);  // longest grant
   duration lease_min = seconds(1);  // shortest lease of the store
   double retry_share = 0.2;         // retries per request of a service, over all instances
--- a/src/entry/shard_counts.h
+++ b/src/entry/shard_counts.h
@@ -9,12 +9,11 @@
 
 #include <atomic>
 #include <cstdint>
-#include <vector>
-
 #include <mutex>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "peer/messages.h"
 
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -105,24 +105,27 @@
   polling_ = true;
   poll_timer_.cancel();
   if (revision_ == 0) return read_all();
-  store_.poll("", revision_, duration::zero(), [this](const result<poll_answer>& answer) {
-    polling_ = false;
-    if (stopped_) return;
-    if (!answer) {
-      on_failure(answer.error());
-      return schedule(timing_.poll_retry);
-    }
-    on_contact();
-    if (answer->compacted) {
-      log_event(log_level::info, "store history compacted", {{"revision", revision_}});
-      revision_ = 0;
-      return poll();
-    }
-    revision_ = std::max(revision_, answer->revision);
-    tell(apply(answer->events));
-    const bool again = std::exchange(poll_again_, false);
-    schedule(again ? duration::zero() : timing_.poll_period);
-  }, poll_timeout_);
+  store_.poll(
+      "", revision_, duration::zero(),
+      [this](const result<poll_answer>& answer) {
+        polling_ = false;
+        if (stopped_) return;
+        if (!answer) {
+          on_failure(answer.error());
+          return schedule(timing_.poll_retry);
+        }
+        on_contact();
+        if (answer->compacted) {
+          log_event(log_level::info, "store history compacted", {{"revision", revision_}});
+          revision_ = 0;
+          return poll();
+        }
+        revision_ = std::max(revision_, answer->revision);
+        tell(apply(answer->events));
+        const bool again = std::exchange(poll_again_, false);
+        schedule(again ? duration::zero() : timing_.poll_period);
+      },
+      poll_timeout_);
 }
 
 void store_view::read_all() {
@@ -240,8 +243,8 @@
   if (!upstreams_.on_entry(*entry, now)) return;
   changed.upstreams = true;
   log_event(log_level::info,
-            !was_known ? "upstream found" : (entry->leaving && !was_leaving ? "upstream leaves"
-                                                                             : "upstream changed"),
+            !was_known ? "upstream found"
+                       : (entry->leaving && !was_leaving ? "upstream leaves" : "upstream changed"),
             {{"upstream", id.value},
              {"service", entry->service.value},
              {"address", entry->address},
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -1,13 +1,13 @@
-// What an instance knows of the store: the desired state, the registered upstreams and instances, the
-// records of who owns which keys, and who is their assigner.
+// What an instance knows of the store: the desired state, the registered upstreams and instances,
+// the records of who owns which keys, and who is their assigner.
 //
 //   store_view view(io, store, [&](const store_change& changed) { ... });
 //   view.start();
 //
 // Everything is polled together every poll_period, so that nothing hangs on a watch that has gone
 // silent. Whether a service has an assigner is watched besides, so that a lost one is replaced at
-// once; records are pushed by the assigner (learn). Values never go back: an older version is passed
-// over. Runs on io's thread.
+// once; records are pushed by the assigner (learn). Values never go back: an older version is
+// passed over. Runs on io's thread.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -46,7 +46,7 @@
 struct store_view_timing {
   // A leaving upstream's notice must have been acted on within two seconds: two looks fit in.
   duration poll_period = milliseconds(950);
-  duration poll_retry = milliseconds(100);   // after a failure
+  duration poll_retry = milliseconds(100);  // after a failure
   // Of a poll's answer; doubled after each failure in a row, so that a slow store is read too.
   duration poll_timeout = milliseconds(450);
   duration longest_poll_timeout = milliseconds(1800);
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -134,8 +134,8 @@
   made.counts = previous != nullptr && previous->counts->size() == shards
                     ? previous->counts
                     : std::make_shared<shard_counts>(shards, numbered);
-  made.retries = previous != nullptr ? previous->retries
-                                     : std::make_shared<service_retries>(retry_config_);
+  made.retries =
+      previous != nullptr ? previous->retries : std::make_shared<service_retries>(retry_config_);
   if (!settings_.shared_upstreams) return made;
   made.placed = previous != nullptr
                     ? previous->placed
@@ -144,8 +144,7 @@
   for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
     const auto& row = service.upstreams[i];
     const auto warm = service.warm_since.empty() ? monotonic_time{} : service.warm_since[i];
-    listed.push_back(
-        {row.name, row.domain, row.slots, row.state == upstream_state::active, warm});
+    listed.push_back({row.name, row.domain, row.slots, row.state == upstream_state::active, warm});
   }
   made.placed->set_upstreams(listed, now);
   return made;
@@ -212,13 +211,13 @@
   for (std::size_t i = 0; i < near.size(); ++i) {
     const auto& row = service.upstreams[i];
     const auto& state = *traffic.upstreams[i];
-    near[i] = {.weight = row.weight,
-               .slots = row.slots,
-               .outstanding =
-                   static_cast<double>(state.outstanding.load(std::memory_order_relaxed)),
-               .share = traffic.health->share(i, now) *
-                        cold_start_share(now - state.added, service.service.cold_start),
-               .usable = row.state == upstream_state::active && traffic.health->usable(i, now)};
+    near[i] = {
+        .weight = row.weight,
+        .slots = row.slots,
+        .outstanding = static_cast<double>(state.outstanding.load(std::memory_order_relaxed)),
+        .share = traffic.health->share(i, now) *
+                 cold_start_share(now - state.added, service.service.cold_start),
+        .usable = row.state == upstream_state::active && traffic.health->usable(i, now)};
     any_near = any_near || (near[i].usable && row.domain == domain && except != i);
   }
   if (any_near) {
--- a/src/http/beast_message.cc
+++ b/src/http/beast_message.cc
@@ -4,7 +4,8 @@
 
 namespace http = boost::beast::http;
 
-http::request<http::string_body> to_beast_request(const http_request& request, const std::string& address) {
+http::request<http::string_body> to_beast_request(const http_request& request,
+                                                  const std::string& address) {
   http::request<http::string_body> message;
   message.method_string(request.method);
   message.target(request.target);
--- a/src/ownership/candidacy.h
+++ b/src/ownership/candidacy.h
@@ -15,11 +15,11 @@
 namespace plantainpaddle {
 
 struct candidacy_timing {
-  duration lease = milliseconds(1200);      // asked of the store
-  duration renew = milliseconds(300);       // three tries before the lease ends
-  duration vacancy = milliseconds(20);      // the key is gone for so long before anybody tries
-  duration retry = milliseconds(200);       // after a try that failed
-  duration rest = seconds(4);               // after a resignation: others are to try first
+  duration lease = milliseconds(1200);  // asked of the store
+  duration renew = milliseconds(300);   // three tries before the lease ends
+  duration vacancy = milliseconds(20);  // the key is gone for so long before anybody tries
+  duration retry = milliseconds(200);   // after a try that failed
+  duration rest = seconds(4);           // after a resignation: others are to try first
   bool operator==(const candidacy_timing&) const = default;
 };
 
--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -5,15 +5,17 @@
 // 2. A range's owner gets a grant only when every former owner has released the range under the
 //    owner's fence, or can't hold it any more. An upstream that released under a fence refuses all
 //    lower ones, so that no renewal that comes late, from whomever, brings it back.
-// 3. A former owner that doesn't answer can't hold the range after the last grant that may have been
+// 3. A former owner that doesn't answer can't hold the range after the last grant that may have
+// been
 //    sent to it, plus the longest hold. Own grants are noted as they are sent. An earlier assigner
 //    renews until its right ends, which is at most `right` after the takeover; once the owner has
-//    accepted a grant under a newer fence, the earlier assigner is shut out and only own grants count.
+//    accepted a grant under a newer fence, the earlier assigner is shut out and only own grants
+//    count.
 // 4. An upstream that restarts forgets its fences. So a fence is granted over one link only: the
-//    link's end is the earliest sign of a restart, and a new link gets new fences through the record.
-//    The first grant over a link also waits for a proof of leadership that was asked for after the
-//    link was there: until then no successor can have given the upstream's present life a fence that
-//    its next life would have forgotten.
+//    link's end is the earliest sign of a restart, and a new link gets new fences through the
+//    record. The first grant over a link also waits for a proof of leadership that was asked for
+//    after the link was there: until then no successor can have given the upstream's present life a
+//    fence that its next life would have forgotten.
 // 5. Every proof of leadership ends after `right`, counted from the question. A process that was
 //    paused finds its right ended before it sends.
 //
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -30,12 +30,12 @@
   duration renew = milliseconds(600);   // from a grant to its renewal
   duration right = milliseconds(9000);  // renewals go on for so long without proof from the store
   double clock_drift = 0.02;            // an upstream's clock may run slow by this share
-  // From a grant's sending to its latest arrival: call_timeout, after which its connection is reset,
-  // and the time that the reset takes.
+  // From a grant's sending to its latest arrival: call_timeout, after which its connection is
+  // reset, and the time that the reset takes.
   duration margin = milliseconds(600);
   duration suspect_after = milliseconds(1000);  // without a link, an upstream's keys are moved
   duration release_retry = milliseconds(300);
-  duration write_retry = milliseconds(200);  // of the record, when the store couldn't take it
+  duration write_retry = milliseconds(200);   // of the record, when the store couldn't take it
   duration call_timeout = milliseconds(400);  // of grants; a release waits for running work
   // More unreachable upstreams than this share: it is rather the assigner that is cut off.
   double most_unreachable = 0.5;
@@ -75,13 +75,12 @@
 
 }  // namespace range_action
 
-using range_order =
-    std::variant<range_action::write, range_action::grant, range_action::release>;
+using range_order = std::variant<range_action::write, range_action::grant, range_action::release>;
 
 // What may still be held under orders of earlier assigners.
 struct range_inheritance {
-  bool any = false;        // there was an earlier assigner
-  bool conceded = false;   // it has given up its right, so that it renews nothing any more
+  bool any = false;       // there was an earlier assigner
+  bool conceded = false;  // it has given up its right, so that it renews nothing any more
 };
 
 class range_assigner {
@@ -108,8 +107,8 @@
   void on_written(std::uint64_t version, monotonic_time now);
   // Nothing was written; the same is tried again later.
   void on_not_written(monotonic_time now);
-  // The record as it stands in the store: after a conflict, or because an answer was lost. False: it
-  // is another's now, and this assigner must do nothing any more.
+  // The record as it stands in the store: after a conflict, or because an answer was lost. False:
+  // it is another's now, and this assigner must do nothing any more.
   bool on_read(const instance_id& self, range_record record, std::uint64_t version,
                monotonic_time now);
   // A write's answer was lost: it may have taken effect, or may do so later.
@@ -154,8 +153,8 @@
     bool listed = false;
     bool serving = false;
     link_number link = 0;
-    // A grant is under way over the link: the next one is sent when it is answered, so that the time
-    // of its sending is known.
+    // A grant is under way over the link: the next one is sent when it is answered, so that the
+    // time of its sending is known.
     bool busy = false;
     monotonic_time linked_since{};
     monotonic_time unlinked_since{};
@@ -187,7 +186,7 @@
   std::vector<range_move> planned_;
   std::map<upstream_id, upstream_state> upstreams_;
   monotonic_time renew_until_{};
-  monotonic_time confirmed_{};  // when the last question was sent that proved the right
+  monotonic_time confirmed_{};        // when the last question was sent that proved the right
   monotonic_time inherited_until_{};  // earlier assigners may have sent grants until then
   bool conceded_ = false;
 };
--- a/src/ownership/range_planner.cc
+++ b/src/ownership/range_planner.cc
@@ -1,7 +1,8 @@
 // Greedy: every step takes the move that brings the most loaded and the least loaded upstream
 // nearest to the mean, so that few keys change hands. A piece is cut from the edge of a range, so
-// that a range is never cut in three. A key too busy for any upstream's share stays where it is, and the
-// other keys of its owner go. Costs O(keys) for the sums and O(ranges + keys of the cut range) a step.
+// that a range is never cut in three. A key too busy for any upstream's share stays where it is,
+// and the other keys of its owner go. Costs O(keys) for the sums and O(ranges + keys of the cut
+// range) a step.
 #include "ownership/range_planner.h"
 
 #include <algorithm>
@@ -142,8 +143,8 @@
     if (!uneven || coldest == hottest || relative(hottest->second) <= mean()) return false;
     auto& from = hottest->second;
     const auto& to = coldest->second;
-    const double wanted = std::min(from.load - mean() * from.capacity,
-                                   mean() * to.capacity - to.load);
+    const double wanted =
+        std::min(from.load - mean() * from.capacity, mean() * to.capacity - to.load);
     if (wanted <= 0) return false;
     std::sort(from.pieces.begin(), from.pieces.end(),
               [](const piece& a, const piece& b) { return a.load > b.load; });
@@ -161,14 +162,13 @@
     return move_to_fastest(hottest->first);
   }
 
-  // The busiest key of an upstream that no other can take over without being overloaded goes to where
-  // the most of it can be served.
+  // The busiest key of an upstream that no other can take over without being overloaded goes to
+  // where the most of it can be served.
   bool move_to_fastest(const upstream_id& owner) {
     auto& from = shares_[owner];
-    const auto fastest =
-        std::max_element(shares_.begin(), shares_.end(), [](const auto& a, const auto& b) {
-          return a.second.capacity < b.second.capacity;
-        });
+    const auto fastest = std::max_element(
+        shares_.begin(), shares_.end(),
+        [](const auto& a, const auto& b) { return a.second.capacity < b.second.capacity; });
     if (fastest->second.capacity < from.capacity * worthwhile_speed) return true;
     if (from.pieces.empty() || !stuck_.insert(fastest->first).second) return true;
     piece source = from.pieces.front();
--- a/src/ownership/range_planner.h
+++ b/src/ownership/range_planner.h
@@ -64,10 +64,10 @@
 
 // How even the load is, for logs and metrics.
 struct range_balance {
-  double requests = 0;      // the smoothed load of all keys
-  upstream_id busiest;      // relative to its capacity
+  double requests = 0;       // the smoothed load of all keys
+  upstream_id busiest;       // relative to its capacity
   double busiest_ratio = 0;  // its relative load over the mean
-  double busiest_key = 0;     // its share of all load, which no cut can divide
+  double busiest_key = 0;    // its share of all load, which no cut can divide
 };
 range_balance measure_balance(const range_record& record,
                               const std::vector<range_upstream>& upstreams, const key_load& load);
--- a/src/ownership/range_record.cc
+++ b/src/ownership/range_record.cc
@@ -36,7 +36,8 @@
 class name_table {
  public:
   std::int64_t index_of(const upstream_id& name) {
-    const auto [place, added] = indices_.try_emplace(name, static_cast<std::int64_t>(names_.size()));
+    const auto [place, added] =
+        indices_.try_emplace(name, static_cast<std::int64_t>(names_.size()));
     if (added) names_.emplace_back(name.value);
     return place->second;
   }
--- a/src/ownership/testing/range_fuzz_main.cc
+++ b/src/ownership/testing/range_fuzz_main.cc
@@ -1,8 +1,10 @@
-// Stateful fuzzing of the assigners of ranges: range_fuzz [--expect-violation | --known NUMBER SEED]
+// Stateful fuzzing of the assigners of ranges: range_fuzz [--expect-violation | --known NUMBER
+// SEED]
 //
-// RC_PARAMS="seed=7 max_success=1000" range_fuzz runs a thousand scenarios. On a violation it prints
-// the smallest scenario found and its trace. With --expect-violation, for a copy of the code that
-// lacks a guard, it prints the count of steps until the oracle objects, and fails if it never does.
+// RC_PARAMS="seed=7 max_success=1000" range_fuzz runs a thousand scenarios. On a violation it
+// prints the smallest scenario found and its trace. With --expect-violation, for a copy of the code
+// that lacks a guard, it prints the count of steps until the oracle objects, and fails if it never
+// does.
 
 #include <rapidcheck.h>
 
@@ -34,14 +36,13 @@
 }
 
 rc::Gen<fault> gen_fault() {
-  return rc::gen::map(
-      rc::gen::tuple(rc::gen::inRange(0, fault_kinds), rc::gen::inRange(1000U, 32000U),
-                     rc::gen::inRange(20U, 14000U), rc::gen::inRange(0U, 12U),
-                     rc::gen::inRange(0U, 32U)),
-      [](const auto& t) {
-        return fault{static_cast<fault_kind>(std::get<0>(t)), std::get<1>(t), std::get<2>(t),
-                     std::get<3>(t), std::get<4>(t)};
-      });
+  return rc::gen::map(rc::gen::tuple(rc::gen::inRange(0, fault_kinds),
+                                     rc::gen::inRange(1000U, 32000U), rc::gen::inRange(20U, 14000U),
+                                     rc::gen::inRange(0U, 12U), rc::gen::inRange(0U, 32U)),
+                      [](const auto& t) {
+                        return fault{static_cast<fault_kind>(std::get<0>(t)), std::get<1>(t),
+                                     std::get<2>(t), std::get<3>(t), std::get<4>(t)};
+                      });
 }
 
 bool play(const scenario& s, totals& sum) {
@@ -79,11 +80,11 @@
   totals sum;
   bool passed = play_known(sum, expect_violation ? many_seeds : few_seeds);
   passed = passed && rc::check("no key has two holders", [&] {
-    if (expect_violation && sum.failed) RC_FAIL("not tried further");
-    const scenario s{*rc::gen::arbitrary<std::uint64_t>(),
-                     *rc::gen::container<std::vector<fault>>(gen_fault())};
-    if (!play(s, sum)) RC_FAIL(sum.violation);
-  });
+             if (expect_violation && sum.failed) RC_FAIL("not tried further");
+             const scenario s{*rc::gen::arbitrary<std::uint64_t>(),
+                              *rc::gen::container<std::vector<fault>>(gen_fault())};
+             if (!play(s, sum)) RC_FAIL(sum.violation);
+           });
   if (expect_violation) {
     std::printf("{\"caught\": %s, \"steps\": %llu, \"scenarios\": %llu, \"violation\": \"%s\"}\n",
                 passed ? "false" : "true", static_cast<unsigned long long>(sum.steps),
@@ -91,11 +92,11 @@
     return passed ? 1 : 0;
   }
   if (!passed && sum.failed) print_failure(*sum.failed);
-  std::printf("{\"scenarios\": %llu, \"steps\": %llu, \"moves\": %llu, \"served\": %.3f, "
-              "\"violations\": %d}\n",
-              static_cast<unsigned long long>(sum.scenarios),
-              static_cast<unsigned long long>(sum.steps), static_cast<unsigned long long>(sum.moves),
-              sum.served / static_cast<double>(std::max<std::uint64_t>(1, sum.scenarios)),
-              passed ? 0 : 1);
+  std::printf(
+      "{\"scenarios\": %llu, \"steps\": %llu, \"moves\": %llu, \"served\": %.3f, "
+      "\"violations\": %d}\n",
+      static_cast<unsigned long long>(sum.scenarios), static_cast<unsigned long long>(sum.steps),
+      static_cast<unsigned long long>(sum.moves),
+      sum.served / static_cast<double>(std::max<std::uint64_t>(1, sum.scenarios)), passed ? 0 : 1);
   return passed ? 0 : 1;
 }
--- a/src/ownership/testing/range_world.cc
+++ b/src/ownership/testing/range_world.cc
@@ -84,7 +84,8 @@
 
 class world {
  public:
-  world(const scenario& s, bool with_trace) : scenario_(s), with_trace_(with_trace), random_(s.seed) {
+  world(const scenario& s, bool with_trace)
+      : scenario_(s), with_trace_(with_trace), random_(s.seed) {
     std::uniform_real_distribution<double> drift(1.0, 1.02);
     for (int i = 0; i < upstream_count; ++i) {
       upstreams_.push_back({.name = {"u" + std::to_string(i)}});
@@ -94,7 +95,8 @@
       instances_.push_back(std::make_unique<instance>(i));
       begin(*instances_.back());
     }
-    for (const auto& f : s.faults) at(monotonic_time(milliseconds(f.at_ms)), [this, f] { strike(f); });
+    for (const auto& f : s.faults)
+      at(monotonic_time(milliseconds(f.at_ms)), [this, f] { strike(f); });
   }
 
   verdict run() {
@@ -127,7 +129,8 @@
   }
   void after(duration d, std::function<void()> what) { at(now_ + d, std::move(what)); }
   duration some(duration least, duration most) {
-    return duration(std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(random_));
+    return duration(
+        std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(random_));
   }
   bool chance(double p) { return std::uniform_real_distribution<double>(0, 1)(random_) < p; }
   void say(const std::string& line) {
@@ -184,7 +187,8 @@
           [this, what, answer, lost] {
             expire_leases();
             const Answer made = what();
-            if (!lost) after(some(milliseconds(1), milliseconds(20)), [answer, made] { answer(made); });
+            if (!lost)
+              after(some(milliseconds(1), milliseconds(20)), [answer, made] { answer(made); });
           });
     if (lost) after(milliseconds(800), [answer] { answer(std::nullopt); });
   }
@@ -409,7 +413,10 @@
     who.reading = true;
     const auto epoch = who.epoch;
     ask_store<look>(
-        who, false, [this] { return look{store_.record, store_.record_version, false}; },
+        who, false,
+        [this] {
+          return look{store_.record, store_.record_version, false};
+        },
         [this, &who, epoch](std::optional<look> seen) {
           who.reading = false;
           if (who.epoch != epoch || !who.assigner || !seen) return;
@@ -458,8 +465,8 @@
     const auto connection = link.connection;
     // Held up by at most the time after which the link is reset.
     const bool arrives = path(who, u) || chance(0.5);
-    const auto travel = path(who, u) ? some(milliseconds(0), milliseconds(3))
-                                     : some(milliseconds(3), timeout);
+    const auto travel =
+        path(who, u) ? some(milliseconds(0), milliseconds(3)) : some(milliseconds(3), timeout);
     const auto answered = [this, &who, epoch, life, order, state](bool accepted) {
       on_instance(who, [this, &who, epoch, life, order, state, accepted] {
         if (*state != 0 || who.life != life || who.epoch != epoch || !who.assigner) return;
@@ -480,12 +487,14 @@
         if (now_ < target.late_until && chance(0.5)) {
           const auto target_life = target.life;
           after(some(seconds(2), seconds(12)), [this, order, u, arrived, target_life] {
-            if (upstreams_[static_cast<std::size_t>(u)].life == target_life) take(u, order, arrived);
+            if (upstreams_[static_cast<std::size_t>(u)].life == target_life)
+              take(u, order, arrived);
           });
           return;
         }
         const bool accepted = take(u, order, arrived);
-        if (path(who, u)) after(some(milliseconds(0), milliseconds(3)), [=] { answered(accepted); });
+        if (path(who, u))
+          after(some(milliseconds(0), milliseconds(3)), [=] { answered(accepted); });
       });
     }
     after(timeout, [this, &who, epoch, life, u, state, number = order.link] {
@@ -638,9 +647,9 @@
 };
 
 constexpr std::array<const char*, fault_kinds> kind_names{
-    "kill_instance",    "freeze_instance", "cut_store",     "store_down",     "lose_answers",
-    "cut_upstream",     "isolate_upstream", "crash_upstream", "lose_upstream", "drain_upstream",
-    "late_grants",      "break_links",     "shift_load",    "concede"};
+    "kill_instance", "freeze_instance",  "cut_store",      "store_down",    "lose_answers",
+    "cut_upstream",  "isolate_upstream", "crash_upstream", "lose_upstream", "drain_upstream",
+    "late_grants",   "break_links",      "shift_load",     "concede"};
 
 void world::strike(const fault& f) {
   auto& who = some_instance(f);
@@ -692,7 +701,8 @@
       return;
     }
     case fault_kind::lose_upstream:
-      if (std::count_if(upstreams_.begin(), upstreams_.end(), [](auto& u) { return u.listed; }) < 3) {
+      if (std::count_if(upstreams_.begin(), upstreams_.end(), [](auto& u) { return u.listed; }) <
+          3) {
         return;
       }
       target.alive = false;
@@ -741,24 +751,43 @@
       {{isolate_upstream, 6000, 9000, 0, 1}},
       // The assigner is cut off from the store and goes on renewing; its successor can't reach the
       // upstreams that it still reaches.
-      {{cut_store, 6000, 12000, 0, 0}, {cut_upstream, 6000, 20000, 3, 1}, {cut_upstream, 7800, 20000, 1, 1}},
-      {{cut_store, 6000, 14000, 0, 0}, {cut_upstream, 8000, 20000, 0, 0}, {cut_upstream, 8000, 20000, 0, 1},
+      {{cut_store, 6000, 12000, 0, 0},
+       {cut_upstream, 6000, 20000, 3, 1},
+       {cut_upstream, 7800, 20000, 1, 1}},
+      {{cut_store, 6000, 14000, 0, 0},
+       {cut_upstream, 8000, 20000, 0, 0},
+       {cut_upstream, 8000, 20000, 0, 1},
        {cut_upstream, 8200, 20000, 0, 2}},
       // The assigner wakes after its keys were moved.
       {{freeze_instance, 6000, 16000, 0, 0}, {isolate_upstream, 6500, 8000, 0, 2}},
-      {{freeze_instance, 6000, 9000, 0, 0}, {drain_upstream, 9000, 9000, 0, 2}, {shift_load, 9100, 0, 0, 20}},
+      {{freeze_instance, 6000, 9000, 0, 0},
+       {drain_upstream, 9000, 9000, 0, 2},
+       {shift_load, 9100, 0, 0, 20}},
       // An upstream comes back under its id and has forgotten the fences.
-      {{crash_upstream, 6000, 300, 0, 1}, {shift_load, 6200, 0, 0, 20}, {crash_upstream, 9000, 100, 0, 1}},
-      {{cut_store, 6000, 12000, 0, 0}, {crash_upstream, 9000, 50, 0, 1}, {shift_load, 9500, 0, 0, 9}},
+      {{crash_upstream, 6000, 300, 0, 1},
+       {shift_load, 6200, 0, 0, 20},
+       {crash_upstream, 9000, 100, 0, 1}},
+      {{cut_store, 6000, 12000, 0, 0},
+       {crash_upstream, 9000, 50, 0, 1},
+       {shift_load, 9500, 0, 0, 9}},
       // Grants are taken late, after the keys have moved on.
-      {{late_grants, 5000, 12000, 0, 1}, {drain_upstream, 7000, 4000, 0, 1}, {shift_load, 9000, 0, 0, 17}},
+      {{late_grants, 5000, 12000, 0, 1},
+       {drain_upstream, 7000, 4000, 0, 1},
+       {shift_load, 9000, 0, 0, 17}},
       // Writes take effect unanswered, or later.
-      {{lose_answers, 5000, 15000, 0, 0}, {shift_load, 6000, 0, 0, 25}, {drain_upstream, 8000, 5000, 0, 2},
+      {{lose_answers, 5000, 15000, 0, 0},
+       {shift_load, 6000, 0, 0, 25},
+       {drain_upstream, 8000, 5000, 0, 2},
        {kill_instance, 9000, 500, 0, 0}},
       {{concede, 6000, 0, 0, 0}, {isolate_upstream, 6000, 9000, 0, 1}, {concede, 8000, 0, 0, 0}},
-      {{kill_instance, 6000, 1000, 0, 0}, {isolate_upstream, 6300, 30000, 0, 1}, {shift_load, 7000, 0, 0, 3}},
-      {{drain_upstream, 6000, 2000, 0, 1}, {drain_upstream, 8100, 2000, 0, 2}, {isolate_upstream, 8300, 5000, 0, 2},
-       {drain_upstream, 8500, 3000, 0, 3}, {kill_instance, 9000, 100, 0, 0}},
+      {{kill_instance, 6000, 1000, 0, 0},
+       {isolate_upstream, 6300, 30000, 0, 1},
+       {shift_load, 7000, 0, 0, 3}},
+      {{drain_upstream, 6000, 2000, 0, 1},
+       {drain_upstream, 8100, 2000, 0, 2},
+       {isolate_upstream, 8300, 5000, 0, 2},
+       {drain_upstream, 8500, 3000, 0, 3},
+       {kill_instance, 9000, 100, 0, 0}},
   };
 }
 
--- a/src/ownership/testing/range_world.h
+++ b/src/ownership/testing/range_world.h
@@ -11,20 +11,20 @@
 namespace plantainpaddle::range_model {
 
 enum class fault_kind {
-  kill_instance,      // and start it anew
-  freeze_instance,    // its clock goes on
-  cut_store,          // one instance from the store
-  store_down,         // for all; leases run on
-  lose_answers,       // writes take effect and aren't answered, or later
-  cut_upstream,       // one upstream from one instance
-  isolate_upstream,   // one upstream from all instances
-  crash_upstream,     // it comes back under its id and knows nothing
-  lose_upstream,      // for good; its entry goes
-  drain_upstream,     // it asks to be emptied
-  late_grants,        // an upstream applies grants late
-  break_links,        // all connections of an instance
-  shift_load,         // the busy keys are others
-  concede,            // the assigner gives its right up in good order
+  kill_instance,     // and start it anew
+  freeze_instance,   // its clock goes on
+  cut_store,         // one instance from the store
+  store_down,        // for all; leases run on
+  lose_answers,      // writes take effect and aren't answered, or later
+  cut_upstream,      // one upstream from one instance
+  isolate_upstream,  // one upstream from all instances
+  crash_upstream,    // it comes back under its id and knows nothing
+  lose_upstream,     // for good; its entry goes
+  drain_upstream,    // it asks to be emptied
+  late_grants,       // an upstream applies grants late
+  break_links,       // all connections of an instance
+  shift_load,        // the busy keys are others
+  concede,           // the assigner gives its right up in good order
 };
 inline constexpr int fault_kinds = static_cast<int>(fault_kind::concede) + 1;
 
--- a/src/ownership/upstream_list.h
+++ b/src/ownership/upstream_list.h
@@ -2,11 +2,11 @@
 //
 //   upstream_list list(timing);
 //   list.on_entry(entry, now);  list.on_removed(id, now);  // as the store tells
-//   list.on_contact(now);  list.on_lost_contact();         // each look at the store, or its failure
-//   list.expire(now);
+//   list.on_contact(now);  list.on_lost_contact();         // each look at the store, or its
+//   failure list.expire(now);
 //
-// An entry that lapsed while the store couldn't be reached counts as there until its upstream has had
-// the time to register again.
+// An entry that lapsed while the store couldn't be reached counts as there until its upstream has
+// had the time to register again.
 #pragma once
 
 #include <map>
--- a/src/platform/platform_codec.cc
+++ b/src/platform/platform_codec.cc
@@ -16,7 +16,7 @@
 
 constexpr std::size_t max_desired_state_bytes = 4 << 20;
 constexpr std::size_t max_entry_bytes = 1 << 16;
-constexpr std::uint32_t default_attempts = 3;    // of a route that names none
+constexpr std::uint32_t default_attempts = 3;      // of a route that names none
 constexpr duration default_timeout = seconds(30);  // the same
 
 error malformed(step at, const std::string& path, const std::string& detail) {
--- a/src/platform/platform_codec.h
+++ b/src/platform/platform_codec.h
@@ -19,7 +19,8 @@
 inline constexpr std::string_view desired_state_key = "op/config";
 inline constexpr std::string_view upstream_key_prefix = "servers/";
 
-// Names that this version doesn't know are passed over; what it needs must be there and well-formed.
+// Names that this version doesn't know are passed over; what it needs must be there and
+// well-formed.
 result<desired_state> parse_desired_state(std::string_view text);
 
 // Fails for an entry that another writer spoiled.
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -29,7 +29,8 @@
 namespace {
 
 http_request to_http(store_request request) {
-  http_request made{std::move(request.method), std::move(request.path), {}, std::move(request.body)};
+  http_request made{
+      std::move(request.method), std::move(request.path), {}, std::move(request.body)};
   if (!made.body.empty()) made.headers.push_back({"Content-Type", "application/json"});
   return made;
 }
@@ -70,8 +71,8 @@
                              std::function<void(result<Answer>)> done) {
   const auto* items = std::get_if<item_protocol>(&settings_.protocol);
   if (items == nullptr) {
-    return done(error{errc::refused, step::store, rotation_->address(),
-                      "the service has no such call"});
+    return done(
+        error{errc::refused, step::store, rotation_->address(), "the service has no such call"});
   }
   send(ask(*items), timeout,
        [done = std::move(done), read, protocol = *items](result<http_response> answer) {
@@ -175,14 +176,13 @@
         },
         std::move(done));
   }
-  call(etcd->get(key),
-       [done = std::move(done), protocol = *etcd](const result<std::string>& body) {
-         if (!body) return done(body.error());
-         auto answer = protocol.read_range(*body);
-         if (!answer) return done(answer.error());
-         if (answer->values.empty()) return done(std::optional<stored_value>());
-         done(std::optional<stored_value>(std::move(answer->values.front())));
-       });
+  call(etcd->get(key), [done = std::move(done), protocol = *etcd](const result<std::string>& body) {
+    if (!body) return done(body.error());
+    auto answer = protocol.read_range(*body);
+    if (!answer) return done(answer.error());
+    if (answer->values.empty()) return done(std::optional<stored_value>());
+    done(std::optional<stored_value>(std::move(answer->values.front())));
+  });
 }
 
 namespace {
@@ -227,11 +227,10 @@
   auto request = etcd->watch(prefix, after_revision);
   const std::string used = rotation_->address();
   const auto on_line = [on_events = std::move(on_events), used, rotation = rotation_,
-                        protocol = *etcd,
-                        ended = false](const result<std::string>& line) mutable {
+                        protocol = *etcd, ended = false](const result<std::string>& line) mutable {
     if (ended) return;  // lines that came with the one that ended it
-    auto events = line ? protocol.read_watch(*line)
-                       : result<std::vector<watch_event>>(line.error());
+    auto events =
+        line ? protocol.read_watch(*line) : result<std::vector<watch_event>>(line.error());
     if (!events) {
       ended = true;
       rotation->leave(used);
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -4,8 +4,8 @@
 //   store_client store(executor, {.addresses = {"127.0.0.1:2379"}});
 //   store.compare_and_swap(key, version, value, [](result<swap_answer> answer) { ... });
 //
-// poll(), transact() and leases are the platform's metadata store's alone; watch() is etcd's. A call
-// that the service has no form for fails with errc::refused.
+// poll(), transact() and leases are the platform's metadata store's alone; watch() is etcd's. A
+// call that the service has no form for fails with errc::refused.
 //
 // Every call counts against the store's rate, a waiting watch as one. No call is repeated here:
 // whether to ask again, and when, is decided by the callers. An error of a write says nothing on
@@ -51,8 +51,8 @@
   void compare_and_swap(const std::string& key, std::uint64_t expected, const std::string& value,
                         std::function<void(result<swap_answer>)> done);
 
-  // What has changed under the prefix after the revision; waits for a first change as long as `wait`.
-  // timeout: beyond the wait; none: that of the settings.
+  // What has changed under the prefix after the revision; waits for a first change as long as
+  // `wait`. timeout: beyond the wait; none: that of the settings.
   void poll(const std::string& prefix, std::uint64_t after_revision, duration wait,
             std::function<void(result<poll_answer>)> done, std::optional<duration> timeout = {});
   void transact(const store_transaction& transaction,
--- a/src/platform/store_protocol.h
+++ b/src/platform/store_protocol.h
@@ -23,8 +23,8 @@
 
 struct range_answer {
   std::vector<stored_value> values;
-  std::uint64_t revision = 0;           // of the whole store, to start a watch after
-  bool more = false;                    // further values stand behind last_key
+  std::uint64_t revision = 0;  // of the whole store, to start a watch after
+  bool more = false;           // further values stand behind last_key
   std::string last_key;
   std::vector<std::string> unreadable;  // keys whose values can't be read
 };
@@ -64,8 +64,8 @@
 };
 enum class transaction_result {
   written,
-  conflict,   // a condition didn't hold
-  no_lease,   // a lease of it has ended
+  conflict,  // a condition didn't hold
+  no_lease,  // a lease of it has ended
 };
 struct transaction_answer {
   transaction_result outcome = transaction_result::conflict;
--- a/src/routing/balance.h
+++ b/src/routing/balance.h
@@ -18,7 +18,7 @@
   double weight = 1;
   std::uint32_t slots = 6;
   double outstanding = 0;  // requests in the upstream, known or estimated
-  double share = 1;  // of its normal load, between 0 and 1: cold start, reports
+  double share = 1;        // of its normal load, between 0 and 1: cold start, reports
   bool usable = true;
 
   bool operator==(const balance_candidate&) const = default;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -137,14 +137,15 @@
     for (std::size_t i = 0; i < listed_.size(); ++i) {
       const auto& facts = listed_[i];
       const auto& state = seen(facts.name);
-      const bool wanted = question.only ? *question.only == facts.name
-                                        : !near_only || (facts.domain == config_.domain && is_idle(facts, now));
+      const bool wanted =
+          question.only ? *question.only == facts.name
+                        : !near_only || (facts.domain == config_.domain && is_idle(facts, now));
       const bool room = question.only || also_full || now >= state.full_until;
       candidates[i] = {.weight = facts.domain == config_.domain ? 1 : config_.far_share,
                        .slots = facts.slots,
                        .outstanding = load_of(state, config_, now),
-                       .share = (now < facts.warm_since ? config_.cold_share : 1) /
-                                state.slowness * (1 - state.failing),
+                       .share = (now < facts.warm_since ? config_.cold_share : 1) / state.slowness *
+                                (1 - state.failing),
                        .usable = facts.usable && wanted && room && !state.unreachable};
       any = any || (candidates[i].usable && except != i);
     }
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -6,7 +6,8 @@
 //   service.set_upstreams(facts, now);
 //   auto answer = service.choose({.work = "stock", .left = left, .now = now}, random);
 //   service.on_sent(upstream, now);
-//   service.on_end(upstream, {.work = "stock", .latency = latency, .ended = ending::answered}, now);
+//   service.on_end(upstream, {.work = "stock", .latency = latency, .ended = ending::answered},
+//   now);
 //
 // An upstream is known by its id; what was seen of it is kept while it is listed. Not thread-safe.
 #pragma once
@@ -43,7 +44,7 @@
   duration misplaced_rest = seconds(1);  // about as long as its entry needs to go
   // A lost answer alone may be the connection's fault: so many in a row are the upstream's.
   std::uint32_t failures_to_rest = 2;
-  duration full_memory = milliseconds(60);  // an upstream that refused has no room for so long
+  duration full_memory = milliseconds(60);     // an upstream that refused has no room for so long
   duration first_service = milliseconds(100);  // service time assumed before any was seen
   double cold_share = 0.5;                     // speed of an upstream that has just started
 
@@ -54,14 +55,14 @@
   upstream_id name;
   domain_id domain;
   std::uint32_t slots = 1;
-  bool usable = true;          // false: no new work, it leaves or is lost
+  bool usable = true;           // false: no new work, it leaves or is lost
   monotonic_time warm_since{};  // slow before that
   bool operator==(const placement_upstream&) const = default;
 };
 
 struct placement_question {
-  std::string_view work;  // requests of the same work take alike long
-  duration left{0};       // until the request is worthless
+  std::string_view work;              // requests of the same work take alike long
+  duration left{0};                   // until the request is worthless
   std::optional<upstream_id> only;    // the owner of its key
   std::optional<upstream_id> except;  // has failed it before
   monotonic_time now;
@@ -133,8 +134,8 @@
     double mean_load = 0;  // smoothed reports
     double reported = 0;
     monotonic_time reported_at{};
-    double slowness = 1;   // smoothed latency over what the work takes elsewhere
-    double failing = 0;    // smoothed share of failures
+    double slowness = 1;         // smoothed latency over what the work takes elsewhere
+    double failing = 0;          // smoothed share of failures
     std::uint32_t failures = 0;  // without an answer, in a row
     bool unreachable = false;
     bool probed = false;  // a probe is under way
--- a/src/routing/registry_snapshot.cc
+++ b/src/routing/registry_snapshot.cc
@@ -8,7 +8,8 @@
 
 std::uint32_t connection_share(const declared_service& service, const registry_config& config) {
   const double all = service.connections * config.connection_share;
-  const double mine = std::floor(all / static_cast<double>(std::max<std::size_t>(1, config.instances)));
+  const double mine =
+      std::floor(all / static_cast<double>(std::max<std::size_t>(1, config.instances)));
   return static_cast<std::uint32_t>(std::max(1.0, mine));
 }
 
@@ -19,13 +20,13 @@
   made.service.keyed = declared.keyed;
   for (const auto& [id, known] : list.all()) {
     if (known.entry.service != declared.name) continue;
-    made.upstreams.push_back({.name = id,
-                              .address = known.entry.address,
-                              .domain = known.entry.domain,
-                              .slots = known.entry.slots,
-                              .connections = connection_share(declared, config),
-                              .state = known.entry.leaving ? upstream_state::drain
-                                                           : upstream_state::active});
+    made.upstreams.push_back(
+        {.name = id,
+         .address = known.entry.address,
+         .domain = known.entry.domain,
+         .slots = known.entry.slots,
+         .connections = connection_share(declared, config),
+         .state = known.entry.leaving ? upstream_state::drain : upstream_state::active});
     made.warm_since.push_back(known.warm_since);
   }
   made.dispatchers.resize(made.upstreams.size());
--- a/src/routing/registry_snapshot.h
+++ b/src/routing/registry_snapshot.h
@@ -1,5 +1,5 @@
-// What traffic is routed by where upstreams register themselves: desired state, registered upstreams
-// and range records, made into one snapshot.
+// What traffic is routed by where upstreams register themselves: desired state, registered
+// upstreams and range records, made into one snapshot.
 //
 //   auto snapshot = make_registry_snapshot(desired, list, records, config, now);
 #pragma once
--- a/src/routing/retry.h
+++ b/src/routing/retry.h
@@ -53,8 +53,8 @@
   run_state known = run_state::unknown;
   bool idempotent = false;
   std::uint32_t max_attempts = ~0U;  // of the route; the smaller of this and the budget's counts
-  bool outer_retries = false;  // the request carries retry_owner_header
-  duration expected{0};        // time that another attempt takes as a rule
+  bool outer_retries = false;        // the request carries retry_owner_header
+  duration expected{0};              // time that another attempt takes as a rule
   monotonic_time deadline;
   monotonic_time now;
 };
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -49,9 +49,9 @@
 
 // How a route's requests are treated beyond what its row says.
 struct route_policy {
-  std::uint32_t priority = 0;       // 0 is the most urgent
-  duration target_latency{0};       // an answer within it is worth most; 0: not stated
-  std::uint32_t max_attempts = 3;   // upstreams that one request may be sent to
+  std::uint32_t priority = 0;      // 0 is the most urgent
+  duration target_latency{0};      // an answer within it is worth most; 0: not stated
+  std::uint32_t max_attempts = 3;  // upstreams that one request may be sent to
   bool operator==(const route_policy&) const = default;
 };
 
--- a/src/upstream/header_names.h
+++ b/src/upstream/header_names.h
@@ -20,13 +20,13 @@
   std::string_view outcome;   // what the router knows of a request; also how upstreams refuse
   std::string_view shard;     // sent to upstreams that check fences
   std::string_view fence;
-  std::string_view expected_upstream;  // the id without which an upstream refuses the request
+  std::string_view expected_upstream;   // the id without which an upstream refuses the request
   std::string_view answering_upstream;  // in answers: the id of the upstream that is there
-  std::string_view refusal;            // its presence says that the upstream didn't run the request
-  std::string_view load;               // "running,waiting,slots" at the upstream
-  bool echoes_request_id = false;      // an answer with another id belongs to another request
-  bool allows_unframed = false;        // an answer may end with its connection
-  bool adds_forwarded = true;          // upstreams get a Forwarded field
+  std::string_view refusal;        // its presence says that the upstream didn't run the request
+  std::string_view load;           // "running,waiting,slots" at the upstream
+  bool echoes_request_id = false;  // an answer with another id belongs to another request
+  bool allows_unframed = false;    // an answer may end with its connection
+  bool adds_forwarded = true;      // upstreams get a Forwarded field
   bool fractional_retry_after = false;
 
   bool operator==(const header_names&) const = default;
--- a/src/upstream/order_link.h
+++ b/src/upstream/order_link.h
@@ -1,12 +1,12 @@
-// One connection to an upstream over which orders go one after the other, and that is never replaced
-// silently: what was said over it reached one life of the upstream.
+// One connection to an upstream over which orders go one after the other, and that is never
+// replaced silently: what was said over it reached one life of the upstream.
 //
-//   auto link = order_link::open(executor, address, timeout, [](const std::optional<error>& failure) { ... });
-//   link->send(request, timeout, [](result<http_response> answer) { ... });
+//   auto link = order_link::open(executor, address, timeout, [](const std::optional<error>&
+//   failure) { ... }); link->send(request, timeout, [](result<http_response> answer) { ... });
 //   link->close();
 //
-// After an error, a timeout, or an answer that closes the connection, the link is over: is_open() is
-// false, and all further sends fail. Handlers are called once, never from inside a call. Not
+// After an error, a timeout, or an answer that closes the connection, the link is over: is_open()
+// is false, and all further sends fail. Handlers are called once, never from inside a call. Not
 // thread-safe.
 #pragma once
 
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -40,7 +40,7 @@
   // A connection isn't used shortly before the other side closes it: a request in flight just then
   // would be lost.
   static constexpr duration idle_margin = seconds(1);
-  static constexpr std::size_t max_waiting = 1024;    // requests that wait for a connection
+  static constexpr std::size_t max_waiting = 1024;  // requests that wait for a connection
 
   explicit connection_pool(io_executor executor) : executor_(std::move(executor)) {}
 
--- a/src/upstream/stream.cc
+++ b/src/upstream/stream.cc
@@ -23,8 +23,7 @@
 
 void limit_unacknowledged(tcp_socket& socket, std::chrono::milliseconds limit) {
   boost::system::error_code ignored;
-  using user_timeout =
-      boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  using user_timeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   socket.set_option(user_timeout(static_cast<int>(limit.count())), ignored);
 }
 
