Chance in the counts doesn't move keys

Cause: with few requests an upstream's count scatters by a quarter, which the plan took for unevenness. Moves now need a difference of more than 2.2 times the scatter.

--- a/src/ownership/range_planner.cc
+++ b/src/ownership/range_planner.cc
@@ -54,6 +54,9 @@
       }
     }
     ranges_ = record.ranges.size();
+    const double counted =
+        load.total() / static_cast<double>(std::max<std::size_t>(1, shares_.size()));
+    scatter_ = counted > 0 ? config.scatter / std::sqrt(counted) : 0;
   }
 
   std::vector<range_move> plan() {
@@ -138,8 +141,10 @@
     }
     if (hottest == shares_.end()) return false;
     const auto coldest = least_loaded();
-    const double tolerance = balancing_ ? config_.settled_tolerance : config_.tolerance;
-    const double least = balancing_ ? config_.settled_least_share : config_.least_share;
+    const double tolerance = balancing_ ? std::max(config_.settled_tolerance, scatter_ / 2)
+                                        : std::max(config_.tolerance, scatter_);
+    const double least = balancing_ ? std::min(config_.settled_least_share, 1 - scatter_ / 2)
+                                    : std::min(config_.least_share, 1 - scatter_);
     balancing_ = relative(hottest->second) > mean() * (1 + tolerance) ||
                  relative(coldest->second) < mean() * least;
     if (!balancing_ || coldest == hottest || relative(hottest->second) <= mean()) return false;
@@ -234,6 +239,7 @@
   std::size_t ranges_ = 0;
   std::map<upstream_id, share> shares_;
   std::vector<piece> orphans_;
+  double scatter_ = 0;  // of an upstream's load by chance, relative to the mean
   bool balancing_ = false;
   std::set<upstream_id> stuck_;  // have been given a key that is too busy for the others
   std::vector<range_move> moves_;
--- a/src/ownership/range_planner.h
+++ b/src/ownership/range_planner.h
@@ -49,6 +49,9 @@
 };
 
 struct range_plan_config {
+  // Counts scatter by the square root of their size: an upstream's load is uneven if it is off the
+  // mean by more than this many times that, and by more than what stands below.
+  double scatter = 2.2;
   // An upstream's load relative to its capacity may be above the mean by this before keys move.
   double tolerance = 0.25;
   // A serving upstream with less than this share of the mean load is given keys.
