An assigner that can't hand over renews until its end; longer grants while the store is away

Ruled out: renewals without the store as such. It now renews until it can concede or its process ends, and grants 8 s in place of 2.6 s while the store gives no proof.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -76,6 +76,7 @@
 range_timing range_timing_for(const entry_settings& settings) {
   range_timing timing;
   timing.hold = std::min<duration>(timing.hold, settings.bounds.hold_max);
+  timing.outage_hold = std::min<duration>(timing.outage_hold, settings.bounds.hold_max);
   return timing;
 }
 
@@ -121,6 +122,7 @@
   void push_record(const service_id& service, const range_record& record, std::uint64_t version);
   void take_record(std::string_view body);
   void leave();
+  bool still_assigns() const;
   void stop();
   void await_reload();
   void reload_settings(std::string_view why);
@@ -438,7 +440,8 @@
   leave_timer.expires_after(leave_balancer);
   leave_timer.async_wait([this](const boost::system::error_code& code) {
     if (code) return;
-    traffic.finish();
+    // An assigner that can't hand over renews until the end.
+    if (!still_assigns()) traffic.finish();
     leave_timer.expires_after(settings.bounds.shutdown - leave_balancer - exit_margin);
     leave_timer.async_wait([this](const boost::system::error_code& late) {
       if (!late) stop();
@@ -449,6 +452,11 @@
   });
 }
 
+bool range_instance::impl::still_assigns() const {
+  return std::any_of(runners.begin(), runners.end(),
+                     [](const auto& runner) { return runner.second->assigns(); });
+}
+
 void range_instance::impl::stop() {
   if (traffic.connections() != 0) {
     log_event(log_level::warning, "connections are cut off",
--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -57,6 +57,7 @@
   const auto now = monotonic_now();
   step_candidacy();
   if (!assigner_) return;
+  if (leaving_ && context_.view.in_contact()) return give_up("the instance leaves");
   if (assigner_->mostly_cut_off(now)) return resign();
   if (assigner_->wants_read()) read_record();
   keep_links();
@@ -382,9 +383,11 @@
   if (assigner_) assigner_->on_link(name, 0, monotonic_now());
 }
 
+// Without the store nobody could take over: then it renews as long as its process lasts.
 void range_runner::leave() {
+  leaving_ = true;
   candidacy_.withdraw();
-  if (assigner_) give_up("the instance leaves");
+  if (assigner_ && context_.view.in_contact()) give_up("the instance leaves");
 }
 
 // Others that reach the upstreams are to try.
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -100,6 +100,7 @@
   monotonic_time next_rebalance_{};
   monotonic_time next_balance_line_{};
   bool reading_ = false;
+  bool leaving_ = false;
 };
 
 }  // namespace plantainpaddle
--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -26,23 +26,27 @@
 
 namespace plantainpaddle {
 
-duration longest_hold(const range_timing& timing) {
-  const auto hold = static_cast<double>(timing.hold.count());
-  return duration(static_cast<duration::rep>(hold * (1 + timing.clock_drift))) + timing.margin;
+duration longest_hold(const range_timing& timing, duration hold) {
+  const auto length = static_cast<double>(hold.count());
+  return duration(static_cast<duration::rep>(length * (1 + timing.clock_drift))) + timing.margin;
+}
+
+duration range_assigner::longest_inherited() const {
+  return longest_hold(timing_, std::max(timing_.hold, timing_.outage_hold));
 }
 
 void range_assigner::start(range_record record, std::uint64_t version, range_inheritance inherited,
                            monotonic_time now) {
   record_ = std::move(record);
   version_ = version;
-  inherited_until_ = inherited.any && !inherited.conceded ? now + timing_.right : now;
+  const auto right_until = inherited.any && !inherited.conceded ? now + timing_.right : now;
+  inherited_until_ = right_until + longest_inherited();
   states_.assign(record_.ranges.size(), {});
   for (std::size_t i = 0; i < states_.size(); ++i) {
     auto& state = states_[i];
     state.foreign = inherited.any;
-    state.last_sent = now;
     for (const auto& name : record_.ranges[i].former) {
-      state.former.push_back({name, inherited_until_ + longest_hold(timing_)});
+      state.former.push_back({name, inherited_until_});
     }
   }
 }
@@ -100,6 +104,9 @@
     if (entry.owner != order.upstream || entry.fence != order.fence) continue;
     if (entry.first < order.first || entry.last > order.last) continue;
     state.granted = true;
+    // Nothing of an earlier assigner is accepted any more; what it gave may last longer than this
+    // grant.
+    if (state.foreign) state.held_until = std::max(state.held_until, now + longest_inherited());
     state.foreign = false;
     state.under_way = false;
     state.handover.clear();
@@ -187,11 +194,11 @@
         if (first && same_fence) {
           made = old;
         } else if (first) {
-          made = {.last_sent = old.last_sent, .foreign = old.foreign, .handover = old.handover};
+          made = {.held_until = old.held_until, .foreign = old.foreign, .handover = old.handover};
         } else {
           made.granted = made.granted && old.granted && same_fence;
           made.foreign = made.foreign || old.foreign;
-          made.last_sent = std::max(made.last_sent, old.last_sent);
+          made.held_until = std::max(made.held_until, old.held_until);
         }
       }
       for (const auto& name : entry.former) {
@@ -228,8 +235,7 @@
 }
 
 monotonic_time range_assigner::gone_at(const range_state& state) const {
-  const auto last = state.foreign ? std::max(state.last_sent, inherited_until_) : state.last_sent;
-  return last + longest_hold(timing_);
+  return state.foreign ? std::max(state.held_until, inherited_until_) : state.held_until;
 }
 
 bool range_assigner::is_resolved(const former_owner& former, monotonic_time now) const {
@@ -360,12 +366,14 @@
     if (!state.link && confirmed_ <= place->second.linked_since) continue;
     if (!all_resolved(state, now)) continue;
     state.link = link;
-    state.last_sent = now;
+    const duration hold =
+        now - confirmed_ < timing_.outage_after ? timing_.hold : timing_.outage_hold;
+    state.held_until = std::max(state.held_until, now + longest_hold(timing_, hold));
     state.renew_at = now + timing_.renew;
     state.under_way = true;
     place->second.busy = true;
     out.emplace_back(range_action::grant{*entry.owner, link, entry.first, entry.last, entry.fence,
-                                         timing_.hold, state.handover});
+                                         hold, state.handover});
   }
 }
 
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -26,8 +26,12 @@
 namespace plantainpaddle {
 
 struct range_timing {
-  duration hold = milliseconds(2600);   // length of a grant
-  duration renew = milliseconds(600);   // from a grant to its renewal
+  duration hold = milliseconds(2600);  // length of a grant
+  // The same while the store gives no proof of leadership: nothing can be moved then, and the
+  // upstreams are to serve on if the assigner is lost too.
+  duration outage_hold = milliseconds(8000);
+  duration outage_after = milliseconds(1000);  // three renewals of the assigner's lease
+  duration renew = milliseconds(600);          // from a grant to its renewal
   duration right = milliseconds(9000);  // renewals go on for so long without proof from the store
   double clock_drift = 0.02;            // an upstream's clock may run slow by this share
   // From a grant's sending to its latest arrival: call_timeout, after which its connection is
@@ -43,8 +47,8 @@
   bool operator==(const range_timing&) const = default;
 };
 
-// How long after the last order to it an upstream may still hold keys.
-duration longest_hold(const range_timing& timing);
+// How long after an order with this hold an upstream may still hold the keys.
+duration longest_hold(const range_timing& timing, duration hold);
 
 using link_number = std::uint64_t;
 
@@ -140,7 +144,7 @@
   // Beside an entry of the record.
   struct range_state {
     std::optional<link_number> link;  // on which its fence was granted first
-    monotonic_time last_sent{};       // of a grant under any fence to its present owner
+    monotonic_time held_until{};      // by its present owner under own grants, at the latest
     bool foreign = false;             // an earlier assigner may still renew for the owner
     bool granted = false;             // under its fence
     bool under_way = false;
@@ -164,6 +168,7 @@
   bool all_resolved(const range_state& state, monotonic_time now) const;
   bool is_usable(const upstream_state& state, monotonic_time now) const;
   monotonic_time gone_at(const range_state& state) const;
+  duration longest_inherited() const;  // of the last grant of an earlier assigner
   std::vector<range_upstream> usable_upstreams(monotonic_time now) const;
   std::optional<std::size_t> find(std::uint32_t first, std::uint32_t last,
                                   fence_number fence) const;
@@ -187,7 +192,7 @@
   std::map<upstream_id, upstream_state> upstreams_;
   monotonic_time renew_until_{};
   monotonic_time confirmed_{};        // when the last question was sent that proved the right
-  monotonic_time inherited_until_{};  // earlier assigners may have sent grants until then
+  monotonic_time inherited_until_{};  // under earlier assigners' grants keys may be held until then
   bool conceded_ = false;
 };
 
