--- a/src/apps/testing/docs_test.cc
+++ b/src/apps/testing/docs_test.cc
@@ -109,6 +109,26 @@
   BOOST_TEST(described.size() == names);
 }
 
+BOOST_AUTO_TEST_CASE(operations_page_has_the_bounds_of_a_platform_with_their_defaults) {
+  const auto described = rows_under("OPERATIONS.md", "Settings of a platform of items");
+  const platform_bounds defaults;
+  const std::map<std::string, std::string> written{
+      {"platform.form", "etcd"},
+      {"platform.bounds.drain", format_duration(defaults.drain)},
+      {"platform.bounds.shutdown", format_duration(defaults.shutdown)},
+      {"platform.bounds.hold_max", format_duration(defaults.hold_max)},
+      {"platform.bounds.lease_min", format_duration(defaults.lease_min)},
+      {"platform.bounds.retry_share", number_text(defaults.retry_share)},
+      {"platform.bounds.retry_burst", number_text(defaults.retry_burst)},
+      {"platform.bounds.memory_mb", std::to_string(defaults.memory_mb)},
+      {"platform.bounds.descriptors", std::to_string(defaults.descriptors)}};
+  BOOST_TEST(described.size() == written.size());
+  for (const auto& [name, value] : written) {
+    BOOST_TEST_REQUIRE(described.contains(name), name);
+    BOOST_TEST(without_quotes(described.at(name)[2]) == value, name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(operations_page_has_every_finding) {
   const std::map<severity, std::string> headings{
       {severity::outage, "Requests fail now"},
--- a/src/base/testing/log_buffer_test.cc
+++ b/src/base/testing/log_buffer_test.cc
@@ -18,6 +18,8 @@
     ::close(ends[0]);
     ::close(ends[1]);
   }
+  pipe_ends(const pipe_ends&) = delete;
+  pipe_ends& operator=(const pipe_ends&) = delete;
   std::string read_all() const {
     std::string text;
     std::array<char, 4096> bytes{};
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -431,7 +431,10 @@
   paid_ = true;
   home_.counters().add("retries_total", {{"class", std::string(class_name(match_.route->klass))}});
   caller_.set_deadline(deadline_);
-  co_await caller_.pause_until(now + decision.delay);
+  // A key's owner is the only one to ask again: it gets the time in which a slot may come free.
+  const bool same_again = traffic().placed && service().service.keyed;
+  const duration pause = same_again ? home_.settings().limits.owner_pause : duration::zero();
+  co_await caller_.pause_until(now + pause + decision.delay);
   if (caller_.caller_gone()) co_return give_up;
   co_return match_view();
 }
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <map>
 
+#include "base/json.h"
 #include "base/log.h"
 #include "entry/load_report.h"
 #include "entry/proxy.h"
@@ -131,6 +132,10 @@
   asio::awaitable<http_response> serve_operators(http_request request);
   asio::awaitable<http_response> serve_peers(http_request request);
   std::string describe() const;
+  std::string print_figures() const;
+  ~impl() { counters.remove_source(figures); }
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
 
   entry_settings settings;
   std::string file;
@@ -159,6 +164,7 @@
   monotonic_time next_publish = monotonic_time::max();
   std::size_t known_instances = 1;
   timespec settings_changed{};
+  std::uint64_t figures = 0;  // their place among the metrics
   bool leaving = false;
 };
 
@@ -190,6 +196,7 @@
     if (!code) leave();
   });
   await_reload();
+  figures = counters.add_source([this] { return print_figures(); });
   tick();
   return started;
 }
@@ -416,6 +423,25 @@
   co_return json_response(404, R"({"error":"no such page"})");
 }
 
+std::string range_instance::impl::print_figures() const {
+  const auto age = std::chrono::duration<double>(monotonic_now() - view.last_contact()).count();
+  std::string text;
+  const auto add = [&](const std::string& name, double value) {
+    text += "plantainpaddle_" + name + " " + number_text(value) + "\n";
+  };
+  add("store_calls_total", static_cast<double>(store.calls()));
+  add("store_view_age_seconds", age);
+  add("desired_state_version", view.desired() ? static_cast<double>(view.desired()->version) : 0);
+  add("upstreams", static_cast<double>(view.upstreams().all().size()));
+  add("instances", static_cast<double>(view.instances()));
+  add("assigned_services",
+      static_cast<double>(std::count_if(runners.begin(), runners.end(), [](const auto& runner) {
+        return runner.second->assigns();
+      })));
+  add("log_lines_dropped_total", static_cast<double>(dropped_log_lines()));
+  return text;
+}
+
 std::string range_instance::impl::describe() const {
   std::string text = "{\"instance\":\"" + self.value + "\",\"ready\":";
   text += is_ready() ? "true" : "false";
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -276,6 +276,31 @@
   BOOST_TEST(asked <= 10);  // 300 ms of waiting, one question in 30 ms
 }
 
+// An owner that is full resets connections; asking again within a millisecond only spends the
+// attempt.
+BOOST_AUTO_TEST_CASE(a_keys_owner_is_asked_again_only_after_a_pause) {
+  std::vector<monotonic_time> asked;
+  std::mutex mutex;
+  scripted_upstream upstream([&](upstream_side& side) {
+    const auto head = side.read_request();
+    if (head.empty()) return;
+    std::size_t number = 0;
+    {
+      const std::lock_guard lock(mutex);
+      asked.push_back(monotonic_now());
+      number = asked.size();
+    }
+    if (number > 1) side.answer("served", echo_id(head));
+  });
+  shared_fixture shared({upstream.address()}, true);
+  shared.set_idempotent(true);
+  shared.give("u0");
+  BOOST_TEST(shared.caller().ask(request("GET", "r")).body == "served");
+  const std::lock_guard lock(mutex);
+  BOOST_TEST_REQUIRE(asked.size() == 2U);
+  BOOST_TEST((asked[1] - asked[0] >= proxy_limits{}.owner_pause));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_known_denies_no_route) {
   shared_fixture shared({});
   auto unknown = std::make_shared<routing_snapshot>();
