--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-session::session(worker& home, std::uint64_t, tcp_socket socket, bool internal)
+session::session(worker& home, tcp_socket socket, bool internal)
     : home_(home),
       socket_(std::move(socket)),
       internal_(internal),
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -27,7 +27,7 @@
  public:
   static constexpr std::size_t max_pipelined = 8;  // requests under way on one connection
 
-  session(worker& home, std::uint64_t id, tcp_socket socket, bool internal);
+  session(worker& home, tcp_socket socket, bool internal);
   ~session();
   session(const session&) = delete;
   session& operator=(const session&) = delete;
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -123,7 +123,7 @@
   asio::post(io_, [this, internal, socket = std::move(socket)]() mutable {
     const auto id = next_id();
     auto& opened =
-        *sessions_.emplace(id, std::make_unique<session>(*this, id, std::move(socket), internal))
+        *sessions_.emplace(id, std::make_unique<session>(*this, std::move(socket), internal))
              .first->second;
     asio::co_spawn(io_, opened.run(), [this, id](const std::exception_ptr& thrown) {
       if (thrown) log_line(log_level::error, {.message = "a connection ended in an exception"});
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -12,7 +12,8 @@
 target_link_libraries(ownership_test PRIVATE ownership_model range_model)
 
 # The same for the assigners of ranges.
-add_library(range_model OBJECT ${testing}/range_world.cc)
+add_library(range_model OBJECT ${testing}/range_world.cc ${testing}/range_oracle.cc
+  ${testing}/range_scenarios.cc)
 target_link_libraries(range_model PUBLIC warnings ownership)
 add_library(range_fuzz_main OBJECT ${testing}/range_fuzz_main.cc)
 target_link_libraries(range_fuzz_main PUBLIC warnings ownership)
--- /dev/null
+++ b/src/ownership/testing/range_scenarios.cc
@@ -0,0 +1,75 @@
+#include <array>
+
+#include "ownership/testing/range_world.h"
+
+namespace plantainpaddle::range_model {
+
+namespace {
+
+constexpr std::array<const char*, fault_kinds> kind_names{
+    "kill_instance", "freeze_instance",  "cut_store",      "store_down",    "lose_answers",
+    "cut_upstream",  "isolate_upstream", "crash_upstream", "lose_upstream", "drain_upstream",
+    "late_grants",   "break_links",      "shift_load",     "concede"};
+
+}  // namespace
+
+std::string fault_name(fault_kind kind) { return kind_names[static_cast<std::size_t>(kind)]; }
+
+std::string to_string(const scenario& s) {
+  std::string text = "seed " + std::to_string(s.seed) + "\n";
+  for (const auto& f : s.faults) {
+    text += std::to_string(f.at_ms) + " " + fault_name(f.kind) + " for " +
+            std::to_string(f.for_ms) + " who " + std::to_string(f.who) + " other " +
+            std::to_string(f.other) + "\n";
+  }
+  return text;
+}
+
+std::vector<std::vector<fault>> known_scenarios() {
+  using enum fault_kind;
+  return {
+      // An upstream can't be reached by its assigner for longer than it may hold.
+      {{isolate_upstream, 6000, 9000, 0, 1}},
+      // The assigner is cut off from the store and goes on renewing; its successor can't reach the
+      // upstreams that it still reaches.
+      {{cut_store, 6000, 12000, 0, 0},
+       {cut_upstream, 6000, 20000, 3, 1},
+       {cut_upstream, 7800, 20000, 1, 1}},
+      {{cut_store, 6000, 14000, 0, 0},
+       {cut_upstream, 8000, 20000, 0, 0},
+       {cut_upstream, 8000, 20000, 0, 1},
+       {cut_upstream, 8200, 20000, 0, 2}},
+      // The assigner wakes after its keys were moved.
+      {{freeze_instance, 6000, 16000, 0, 0}, {isolate_upstream, 6500, 8000, 0, 2}},
+      {{freeze_instance, 6000, 9000, 0, 0},
+       {drain_upstream, 9000, 9000, 0, 2},
+       {shift_load, 9100, 0, 0, 20}},
+      // An upstream comes back under its id and has forgotten the fences.
+      {{crash_upstream, 6000, 300, 0, 1},
+       {shift_load, 6200, 0, 0, 20},
+       {crash_upstream, 9000, 100, 0, 1}},
+      {{cut_store, 6000, 12000, 0, 0},
+       {crash_upstream, 9000, 50, 0, 1},
+       {shift_load, 9500, 0, 0, 9}},
+      // Grants are taken late, after the keys have moved on.
+      {{late_grants, 5000, 12000, 0, 1},
+       {drain_upstream, 7000, 4000, 0, 1},
+       {shift_load, 9000, 0, 0, 17}},
+      // Writes take effect unanswered, or later.
+      {{lose_answers, 5000, 15000, 0, 0},
+       {shift_load, 6000, 0, 0, 25},
+       {drain_upstream, 8000, 5000, 0, 2},
+       {kill_instance, 9000, 500, 0, 0}},
+      {{concede, 6000, 0, 0, 0}, {isolate_upstream, 6000, 9000, 0, 1}, {concede, 8000, 0, 0, 0}},
+      {{kill_instance, 6000, 1000, 0, 0},
+       {isolate_upstream, 6300, 30000, 0, 1},
+       {shift_load, 7000, 0, 0, 3}},
+      {{drain_upstream, 6000, 2000, 0, 1},
+       {drain_upstream, 8100, 2000, 0, 2},
+       {isolate_upstream, 8300, 5000, 0, 2},
+       {drain_upstream, 8500, 3000, 0, 3},
+       {kill_instance, 9000, 100, 0, 0}},
+  };
+}
+
+}  // namespace plantainpaddle::range_model
--- a/src/ownership/testing/range_world.cc
+++ b/src/ownership/testing/range_world.cc
@@ -8,80 +8,13 @@
 #include <queue>
 #include <random>
 
-#include "ownership/candidacy.h"
-#include "ownership/range_assigner.h"
+#include "ownership/testing/range_oracle.h"
+#include "ownership/testing/range_world_state.h"
 
 namespace plantainpaddle::range_model {
 
 namespace {
 
-constexpr int instance_count = 3;
-constexpr int upstream_count = 4;
-constexpr int sample_count = 32;  // keys that the oracle looks at
-constexpr duration run_time = seconds(45);
-constexpr duration tick_period = milliseconds(50);
-constexpr duration poll_period = milliseconds(300);
-
-std::uint32_t sample_key(int i) { return static_cast<std::uint32_t>(i) * 2048 + 512; }
-
-struct held_key {
-  std::uint64_t fence = 0;
-  monotonic_time until{};
-};
-
-struct upstream {
-  upstream_id name;
-  std::uint64_t life = 1;
-  bool alive = true;
-  bool listed = true;
-  bool draining = false;
-  double clock = 1;  // true time per unit of its own
-  monotonic_time late_until{};
-  monotonic_time isolated_until{};
-  std::array<held_key, sample_count> held{};
-  std::array<std::uint64_t, sample_count> seen{};
-  std::uint64_t connections = 0;  // counts lives and resets: links of earlier ones are dead
-};
-
-struct instance {
-  explicit instance(int i) : number(i) {}
-  int number;
-  std::uint64_t life = 1;
-  bool alive = true;
-  monotonic_time frozen_until{};
-  monotonic_time store_cut_until{};
-  std::array<monotonic_time, upstream_count> cut_until{};
-  std::optional<candidacy> standing;
-  std::optional<range_assigner> assigner;
-  key_load load{seconds(2)};
-  std::uint64_t epoch = 0;  // of the calls under way
-  range_record seen;
-  std::uint64_t seen_version = 0;
-  bool seen_held = false;
-  bool polled = false;
-  struct link {
-    link_number number = 0;
-    std::uint64_t connection = 0;
-    monotonic_time next_try{};
-  };
-  std::array<link, upstream_count> links{};
-  bool reading = false;
-  monotonic_time next_rebalance{};
-
-  instance_id id() const { return make_instance_id("i" + std::to_string(number), life); }
-};
-
-struct store_state {
-  range_record record;
-  std::uint64_t record_version = 0;
-  std::uint64_t revision = 10;
-  std::optional<std::uint64_t> holder_lease;
-  std::map<std::uint64_t, monotonic_time> leases;
-  std::uint64_t last_lease = 0;
-  monotonic_time down_until{};
-  monotonic_time losing_until{};
-};
-
 class world {
  public:
   world(const scenario& s, bool with_trace) : with_trace_(with_trace), random_(s.seed) {
@@ -329,7 +262,7 @@
     if (store_.record_version != expected) return {};
     store_.record = record;
     store_.record_version = ++store_.revision;
-    check_record();
+    note(oracle_.on_record(store_.record));
     return {true, store_.record_version};
   }
 
@@ -523,7 +456,8 @@
       if (key < order.first || key > order.last) continue;
       target.seen[index] = order.fence.value;
       if (until <= now_) continue;
-      check_taking(u, i, order.fence.value);
+      note(oracle_.on_taken(upstreams_, u, i, order.fence.value, now_));
+      result_.moves = oracle_.moves();
       target.held[index] = {order.fence.value, std::max(target.held[index].until, until)};
     }
     say(target.name.value + " takes " + std::to_string(order.first) + "-" +
@@ -531,28 +465,6 @@
     return true;
   }
 
-  void check_taking(int u, int sample, std::uint64_t fence) {
-    const auto index = static_cast<std::size_t>(sample);
-    auto& best = highest_[index];
-    const auto life = upstreams_[static_cast<std::size_t>(u)].life;
-    const bool same = best.upstream == u && best.life == life;
-    if (!same && best.fence != 0 && fence <= best.fence) {
-      object("key " + std::to_string(sample_key(sample)) + " taken by u" + std::to_string(u) +
-             " under fence " + std::to_string(fence) + ", u" + std::to_string(best.upstream) +
-             " had it under " + std::to_string(best.fence));
-    }
-    if (!same && best.fence != 0) ++result_.moves;
-    if (same) fence = std::max(fence, best.fence);
-    best = {u, life, fence};
-    for (int other = 0; other < upstream_count; ++other) {
-      if (other == u) continue;
-      const auto& o = upstreams_[static_cast<std::size_t>(other)];
-      if (!o.alive || o.held[index].until <= now_) continue;
-      object("key " + std::to_string(sample_key(sample)) + " taken by u" + std::to_string(u) +
-             " is still held by u" + std::to_string(other));
-    }
-  }
-
   void perform(instance& who, const range_action::release& order) {
     const int u = index_of(order.upstream);
     const auto epoch = who.epoch;
@@ -568,13 +480,7 @@
     after(some(milliseconds(0), milliseconds(5)), [this, &who, u, epoch, life, order, failed] {
       auto& target = upstreams_[static_cast<std::size_t>(u)];
       if (!target.alive) return after(seconds(3), failed);
-      for (int i = 0; i < sample_count; ++i) {
-        const auto key = sample_key(i);
-        const auto index = static_cast<std::size_t>(i);
-        if (key < order.first || key > order.last) continue;
-        target.seen[index] = std::max(target.seen[index], order.fence.value);
-        if (target.held[index].fence <= order.fence.value) target.held[index] = {};
-      }
+      target.release(order);
       after(some(milliseconds(0), milliseconds(300)), [this, &who, u, epoch, life, order, failed] {
         if (!path(who, u)) return after(seconds(3), failed);
         on_instance(who, [this, &who, epoch, life, order] {
@@ -586,19 +492,10 @@
     });
   }
 
-  // The record itself: fences never fall for a key.
-  void check_record() {
-    for (int i = 0; i < sample_count; ++i) {
-      const auto fence = entry_of(store_.record, sample_key(i)).fence.value;
-      auto& before = record_fences_[static_cast<std::size_t>(i)];
-      if (fence < before) object("the record lowers a fence");
-      before = fence;
-    }
-  }
-
-  void object(const std::string& what) {
-    say("VIOLATION " + what);
-    if (!result_.violation) result_.violation = what;
+  void note(const std::optional<std::string>& violation) {
+    if (!violation) return;
+    say("VIOLATION " + *violation);
+    if (!result_.violation) result_.violation = violation;
   }
 
   void measure() {
@@ -632,29 +529,18 @@
   std::vector<upstream> upstreams_;
   link_number last_link_ = 0;
   int hot_ = 5;
-  struct taken {
-    int upstream = -1;
-    std::uint64_t life = 0;
-    std::uint64_t fence = 0;
-  };
-  std::array<taken, sample_count> highest_{};
-  std::array<std::uint64_t, sample_count> record_fences_{};
+  oracle oracle_;
   verdict result_;
   double served_ = 0;
   std::uint64_t samples_ = 0;
 };
 
-constexpr std::array<const char*, fault_kinds> kind_names{
-    "kill_instance", "freeze_instance",  "cut_store",      "store_down",    "lose_answers",
-    "cut_upstream",  "isolate_upstream", "crash_upstream", "lose_upstream", "drain_upstream",
-    "late_grants",   "break_links",      "shift_load",     "concede"};
-
 void world::strike(const fault& f) {
   auto& who = some_instance(f);
   auto& target = upstreams_[f.other % upstream_count];
   const auto length = milliseconds(f.for_ms);
-  say(std::string(kind_names[static_cast<std::size_t>(f.kind)]) + " i" +
-      std::to_string(who.number) + " " + target.name.value + " for " + std::to_string(f.for_ms));
+  say(fault_name(f.kind) + " i" + std::to_string(who.number) + " " + target.name.value + " for " +
+      std::to_string(f.for_ms));
   switch (f.kind) {
     case fault_kind::kill_instance: {
       who.alive = false;
@@ -732,61 +618,4 @@
 
 verdict run(const scenario& s, bool with_trace) { return world(s, with_trace).run(); }
 
-std::string to_string(const scenario& s) {
-  std::string text = "seed " + std::to_string(s.seed) + "\n";
-  for (const auto& f : s.faults) {
-    text += std::to_string(f.at_ms) + " " + kind_names[static_cast<std::size_t>(f.kind)] + " for " +
-            std::to_string(f.for_ms) + " who " + std::to_string(f.who) + " other " +
-            std::to_string(f.other) + "\n";
-  }
-  return text;
-}
-
-std::vector<std::vector<fault>> known_scenarios() {
-  using enum fault_kind;
-  return {
-      // An upstream can't be reached by its assigner for longer than it may hold.
-      {{isolate_upstream, 6000, 9000, 0, 1}},
-      // The assigner is cut off from the store and goes on renewing; its successor can't reach the
-      // upstreams that it still reaches.
-      {{cut_store, 6000, 12000, 0, 0},
-       {cut_upstream, 6000, 20000, 3, 1},
-       {cut_upstream, 7800, 20000, 1, 1}},
-      {{cut_store, 6000, 14000, 0, 0},
-       {cut_upstream, 8000, 20000, 0, 0},
-       {cut_upstream, 8000, 20000, 0, 1},
-       {cut_upstream, 8200, 20000, 0, 2}},
-      // The assigner wakes after its keys were moved.
-      {{freeze_instance, 6000, 16000, 0, 0}, {isolate_upstream, 6500, 8000, 0, 2}},
-      {{freeze_instance, 6000, 9000, 0, 0},
-       {drain_upstream, 9000, 9000, 0, 2},
-       {shift_load, 9100, 0, 0, 20}},
-      // An upstream comes back under its id and has forgotten the fences.
-      {{crash_upstream, 6000, 300, 0, 1},
-       {shift_load, 6200, 0, 0, 20},
-       {crash_upstream, 9000, 100, 0, 1}},
-      {{cut_store, 6000, 12000, 0, 0},
-       {crash_upstream, 9000, 50, 0, 1},
-       {shift_load, 9500, 0, 0, 9}},
-      // Grants are taken late, after the keys have moved on.
-      {{late_grants, 5000, 12000, 0, 1},
-       {drain_upstream, 7000, 4000, 0, 1},
-       {shift_load, 9000, 0, 0, 17}},
-      // Writes take effect unanswered, or later.
-      {{lose_answers, 5000, 15000, 0, 0},
-       {shift_load, 6000, 0, 0, 25},
-       {drain_upstream, 8000, 5000, 0, 2},
-       {kill_instance, 9000, 500, 0, 0}},
-      {{concede, 6000, 0, 0, 0}, {isolate_upstream, 6000, 9000, 0, 1}, {concede, 8000, 0, 0, 0}},
-      {{kill_instance, 6000, 1000, 0, 0},
-       {isolate_upstream, 6300, 30000, 0, 1},
-       {shift_load, 7000, 0, 0, 3}},
-      {{drain_upstream, 6000, 2000, 0, 1},
-       {drain_upstream, 8100, 2000, 0, 2},
-       {isolate_upstream, 8300, 5000, 0, 2},
-       {drain_upstream, 8500, 3000, 0, 3},
-       {kill_instance, 9000, 100, 0, 0}},
-  };
-}
-
 }  // namespace plantainpaddle::range_model
--- a/src/ownership/testing/range_world.h
+++ b/src/ownership/testing/range_world.h
@@ -28,6 +28,8 @@
 };
 inline constexpr int fault_kinds = static_cast<int>(fault_kind::concede) + 1;
 
+std::string fault_name(fault_kind kind);
+
 struct fault {
   fault_kind kind = fault_kind::kill_instance;
   std::uint32_t at_ms = 0;
