--- a/src/ownership/testing/range_planner_test.cc
+++ b/src/ownership/testing/range_planner_test.cc
@@ -69,8 +69,8 @@
   }
   BOOST_TEST(keys.size() == 16U);
   for (const auto& [name, count] : keys) {
-    BOOST_TEST(count > key_count / 16 * 0.6, name);
-    BOOST_TEST(count < key_count / 16 * 1.4, name);
+    BOOST_TEST(count > key_count / 16.0 * 0.6, name);
+    BOOST_TEST(count < key_count / 16.0 * 1.4, name);
   }
 }
 
--- a/src/upstream/order_link.cc
+++ b/src/upstream/order_link.cc
@@ -47,8 +47,10 @@
   beast::flat_buffer buffer;
   std::string address;
   std::deque<order> waiting;
-  bool busy = false;
+  bool busy = true;  // connecting, or an order is under way
   bool open = true;
+
+  static asio::awaitable<void> carry_out(std::shared_ptr<state> link);
 };
 
 std::shared_ptr<order_link> order_link::open(asio::any_io_executor executor,
@@ -60,19 +62,22 @@
     const auto endpoint = parse_address(link->address);
     if (!endpoint) {
       link->open = false;
-      co_return told(endpoint.error());
+      told(endpoint.error());
+      co_return co_await state::carry_out(link);
     }
     link->stream.expires_after(limit);
     auto [code] = co_await link->stream.async_connect(*endpoint, as_result);
     if (code || !link->open) {
       link->reset();
-      co_return told(error{errc::unavailable, step::connect, link->address, code.message()});
+      told(error{errc::unavailable, step::connect, link->address, code.message()});
+      co_return co_await state::carry_out(link);
     }
     beast::error_code ignored;
     link->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     // However it is closed, also by a timeout: what the network still holds must not arrive later.
     link->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     told(std::nullopt);
+    co_await state::carry_out(link);
   };
   asio::co_spawn(executor, connect(self, timeout, std::move(done)), asio::detached);
   return std::shared_ptr<order_link>(new order_link(self));
@@ -89,39 +94,41 @@
   self.waiting.push_back({std::move(request), timeout, std::move(done)});
   if (self.busy) return;
   self.busy = true;
-  auto work = [](std::shared_ptr<state> link) -> asio::awaitable<void> {
-    while (!link->waiting.empty()) {
-      auto next = std::move(link->waiting.front());
-      link->waiting.pop_front();
-      if (!link->open) {
-        next.done(error{errc::cancelled, step::grant, link->address, "the link is over"});
-        continue;
-      }
-      http::request<http::string_body> message = to_beast_request(next.request, link->address);
-      link->stream.expires_after(next.timeout);
-      auto [write_code, written] = co_await http::async_write(link->stream, message, as_result);
-      http::response_parser<http::string_body> parser;
-      parser.body_limit(max_answer_bytes);
-      beast::error_code code = write_code;
-      if (!code) {
-        auto [read_code, size] =
-            co_await http::async_read(link->stream, link->buffer, parser, as_result);
-        code = read_code;
-      }
-      if (code) {
-        link->reset();
-        const bool late = code == beast::error::timeout;
-        next.done(error{late ? errc::timed_out : errc::unavailable, step::grant, link->address,
-                        code.message()});
-        continue;
-      }
-      link->stream.expires_never();
-      if (!parser.get().keep_alive()) link->reset();
-      next.done(from_beast_response(parser.release()));
+  asio::co_spawn(self.executor, state::carry_out(state_), asio::detached);
+}
+
+// One order after the other, until none waits.
+asio::awaitable<void> order_link::state::carry_out(std::shared_ptr<state> link) {
+  while (!link->waiting.empty()) {
+    auto next = std::move(link->waiting.front());
+    link->waiting.pop_front();
+    if (!link->open) {
+      next.done(error{errc::cancelled, step::grant, link->address, "the link is over"});
+      continue;
     }
-    link->busy = false;
-  };
-  asio::co_spawn(self.executor, work(state_), asio::detached);
+    http::request<http::string_body> message = to_beast_request(next.request, link->address);
+    link->stream.expires_after(next.timeout);
+    auto [write_code, written] = co_await http::async_write(link->stream, message, as_result);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    beast::error_code code = write_code;
+    if (!code) {
+      auto [read_code, size] =
+          co_await http::async_read(link->stream, link->buffer, parser, as_result);
+      code = read_code;
+    }
+    if (code) {
+      link->reset();
+      const bool late = code == beast::error::timeout;
+      next.done(error{late ? errc::timed_out : errc::unavailable, step::grant, link->address,
+                      code.message()});
+      continue;
+    }
+    link->stream.expires_never();
+    if (!parser.get().keep_alive()) link->reset();
+    next.done(from_beast_response(parser.release()));
+  }
+  link->busy = false;
 }
 
 }  // namespace plantainpaddle
