Decide when the store is read in store_feed, without network and clock

The polls of store_view, their timeouts and their repetitions could only be tried with sockets and in real time. store_feed takes the same decisions, unchanged: one poll of all keys every period, repeated from the same revision after a failure, and a watch of the assigner keys. store_view carries them out and ignores an older version of any key, not only of the router's own.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -36,11 +36,8 @@
 // Bounds on the observed speed of an upstream, relative to the mean of its service.
 constexpr double min_relative_speed = 0.2;
 constexpr double max_relative_speed = 2.5;
-// Both are shares of the drain time of a leaving upstream, which ends with its last new request.
-// The time covers two polls of the store, so that one may fail, or one poll and the grace for which
-// the upstream still gets requests after its notice was seen, with 0.175 left for the poll's
-// response.
-constexpr double poll_period_share = 0.475;
+// A share of the drain time of a leaving upstream, which ends with its last new request. The rest
+// covers one poll of the store.
 constexpr double leaving_grace_share = 0.35;
 constexpr duration report_timeout = milliseconds(400);
 // The load balancer removes an instance after two readiness checks, a second apart, that fail.
@@ -96,10 +93,7 @@
 }
 
 store_view_timing store_view_timing_for(const entry_settings& settings) {
-  store_view_timing timing;
-  timing.poll_period =
-      std::min(timing.poll_period, share_of(settings.bounds.drain, poll_period_share));
-  return timing;
+  return {.bounds = {.leaving = settings.bounds.drain}};
 }
 
 candidacy_timing candidacy_timing_for(const entry_settings& settings) {
@@ -119,7 +113,7 @@
         io(traffic.io()),
         store(io.get_executor(), {.addresses = settings.store, .protocol = item_protocol{}}),
         view(
-            io, store, [this](const store_change& changed) { on_store_change(changed); },
+            store, [this](const store_change& changed) { on_store_change(changed); },
             store_view_timing_for(settings)),
         orders(io.get_executor()),
         operators(io.get_executor()),
@@ -217,7 +211,6 @@
   if (!listening) return listening;
   auto started = traffic.start();
   if (!started) return started;
-  view.start();
   signals.async_wait([this](const boost::system::error_code& code, int) {
     if (!code) leave();
   });
@@ -253,7 +246,7 @@
 void range_instance::impl::tick() {
   const auto now = monotonic_now();
   note_lag(now);
-  view.expire();
+  view.tick();
   for (auto& [service, runner] : runners) runner->tick();
   if (now >= next_publish) publish(now);
   if (now >= next_speed_update) {
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -1,5 +1,6 @@
 #include "entry/store_view.h"
 
+#include <algorithm>
 #include <set>
 
 #include "base/log.h"
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr duration watch_retry_delay = milliseconds(300);
 // Successful reads that took less are not logged.
 constexpr duration slow_read = milliseconds(250);
 
@@ -20,18 +20,31 @@
   return total;
 }
 
-}  // namespace
+void log_read(const store_feed& feed, const store_read& asked, std::size_t values,
+              std::size_t bytes, std::string_view failure) {
+  const auto took = monotonic_now() - asked.sent;
+  if (failure.empty() && took < asked.wait + slow_read) return;
+  log_event(log_level::info,
+            failure.empty() ? "slow read of the store" : "read of the store failed",
+            {{"prefix", feed.prefix()},
+             {"after", asked.after},
+             {"took_ms", took},
+             {"timeout_ms", asked.wait + asked.timeout},
+             {"values", values},
+             {"bytes", bytes},
+             {"detail", failure}});
+}
 
-store_view::store_view(boost::asio::io_context& io, store_client& store, handler on_change,
-                       store_view_timing timing)
-    : store_(store),
-      on_change_(std::move(on_change)),
-      timing_(timing),
-      poll_timer_(io),
-      watch_timer_(io),
-      poll_timeout_(timing_.poll_timeout) {}
+}  // namespace
 
-void store_view::start() { poll(); }
+store_view::store_view(store_client& store, handler on_change, store_view_timing timing)
+    : store_(store), on_change_(std::move(on_change)), timing_(timing) {
+  const store_layout layout{.desired = std::string(desired_state_key),
+                            .upstreams = std::string(upstream_key_prefix)};
+  for (auto& config : make_store_feeds(layout, timing_.bounds)) {
+    feeds_.emplace_back(std::move(config), timing_.feed);
+  }
+}
 
 const versioned_record* store_view::record(const service_id& service) const {
   const auto found = records_.find(service);
@@ -39,8 +52,12 @@
 }
 
 std::optional<bool> store_view::has_assigner(const service_id& service) const {
-  if (polled_revision_ == 0 && watched_revision_ == 0) return std::nullopt;
-  return assigners_.contains(assigner_key(service));
+  const auto key = assigner_key(service);
+  const bool known = std::any_of(feeds_.begin(), feeds_.end(), [&](const store_feed& feed) {
+    return feed.is_read() && key.starts_with(feed.prefix());
+  });
+  if (!known) return std::nullopt;
+  return assigners_.contains(key);
 }
 
 void store_view::update_record(const service_id& service, const range_record& record,
@@ -53,36 +70,46 @@
 }
 
 void store_view::refresh() {
-  if (polling_) {
-    poll_again_ = true;
-  } else {
-    poll();
-  }
+  for (auto& feed : feeds_) feed.request(monotonic_now());
+  tick();
 }
 
-void store_view::expire() {
-  if (upstreams_.expire(monotonic_now())) notify({.upstreams = true});
+void store_view::tick() {
+  const auto now = monotonic_now();
+  for (auto& feed : feeds_) {
+    while (const auto wanted = feed.next(now)) read(feed, *wanted);
+  }
+  if (upstreams_.expire(now)) notify({.upstreams = true});
 }
 
-void store_view::schedule(duration after) {
-  poll_timer_.expires_after(after);
-  poll_timer_.async_wait([this](const boost::system::error_code& code) {
-    if (!code) poll();
-  });
+void store_view::read(store_feed& feed, const store_read& wanted) {
+  if (wanted.after != 0) {
+    return store_.poll(
+        feed.prefix(), wanted.after, wanted.wait,
+        [this, &feed, wanted](const result<poll_answer>& answer) {
+          on_changes(feed, wanted, answer);
+        },
+        wanted.timeout);
+  }
+  store_.range(
+      feed.prefix(),
+      [this, &feed, wanted](const result<range_answer>& answer) {
+        on_values(feed, wanted, answer);
+      },
+      wanted.timeout);
 }
 
-void store_view::on_contact() {
+void store_view::on_contact(const store_feed& feed) {
   const auto now = monotonic_now();
   last_contact_ = now;
-  if (store_lost_) log_event(log_level::info, "store reached", {{"revision", polled_revision_}});
+  if (store_lost_) log_event(log_level::info, "store reached", {{"revision", feed.revision()}});
   store_lost_ = false;
-  poll_timeout_ = timing_.poll_timeout;
   upstreams_.on_contact(now);
 }
 
-void store_view::on_failure(const error& e) {
+void store_view::on_failure(store_feed& feed, const store_read& asked, const error& e) {
   const auto now = monotonic_now();
-  poll_timeout_ = std::min(timing_.max_poll_timeout, poll_timeout_ * 2);
+  feed.on_failure(asked, now);
   if (!store_lost_ && now - last_contact_ >= timing_.store_lost_after) {
     store_lost_ = true;
     upstreams_.on_lost_contact();
@@ -91,110 +118,67 @@
   }
 }
 
-// Ends the poll in progress. Returns false after a failure, with the next attempt scheduled.
-template <class Answer>
-bool store_view::handle_poll_result(const result<Answer>& answer) {
-  polling_ = false;
-  if (answer) {
-    on_contact();
-    return true;
+// Returns whether the answer's values are to be taken in.
+bool store_view::accept(store_feed& feed, const store_read& asked, const read_result& answer) {
+  on_contact(feed);
+  if (answer.compacted) {
+    log_event(log_level::info, "store history compacted",
+              {{"prefix", feed.prefix()}, {"revision", asked.after}});
   }
-  on_failure(answer.error());
-  schedule(timing_.poll_retry_delay);
-  return false;
+  return feed.on_answer(asked, answer, monotonic_now());
 }
 
-void store_view::log_read(monotonic_time sent, std::size_t values, std::size_t bytes,
-                          std::string_view failure) const {
-  const auto took = monotonic_now() - sent;
-  if (failure.empty() && took < slow_read) return;
-  log_event(log_level::info, failure.empty() ? "slow read of the store" : "read of the store failed",
-            {{"after", polled_revision_},
-             {"took_ms", took},
-             {"timeout_ms", poll_timeout_},
-             {"values", values},
-             {"bytes", bytes},
-             {"detail", failure}});
+void store_view::on_changes(store_feed& feed, const store_read& asked,
+                            const result<poll_answer>& answer) {
+  const auto value_bytes = [](const watch_event& e) { return e.value.value.size(); };
+  log_read(feed, asked, answer ? answer->events.size() : 0,
+           answer ? total_bytes(answer->events, value_bytes) : 0,
+           answer ? std::string_view() : answer.error().detail);
+  if (!answer) return on_failure(feed, asked, answer.error());
+  const bool taken = accept(feed, asked,
+                            {.revision = answer->revision,
+                             .compacted = answer->compacted,
+                             .changed = !answer->events.empty()});
+  if (taken) notify(apply(answer->events));
+  tick();
 }
 
-void store_view::poll() {
-  if (polling_) return;
-  polling_ = true;
-  poll_timer_.cancel();
-  if (polled_revision_ == 0) return read_all();
-  store_.poll(
-      "", polled_revision_, duration::zero(),
-      [this, sent = monotonic_now()](const result<poll_answer>& answer) {
-        const auto value_bytes = [](const watch_event& e) { return e.value.value.size(); };
-        log_read(sent, answer ? answer->events.size() : 0,
-                 answer ? total_bytes(answer->events, value_bytes) : 0,
-                 answer ? std::string_view() : answer.error().detail);
-        if (!handle_poll_result(answer)) return;
-        if (answer->compacted) {
-          log_event(log_level::info, "store history compacted", {{"revision", polled_revision_}});
-          polled_revision_ = 0;
-          return poll();
-        }
-        polled_revision_ = std::max(polled_revision_, answer->revision);
-        notify(apply(answer->events));
-        const bool again = std::exchange(poll_again_, false);
-        schedule(again ? duration::zero() : timing_.poll_period);
-      },
-      poll_timeout_);
-}
-
-void store_view::read_all() {
-  store_.range("", [this, sent = monotonic_now()](const result<range_answer>& answer) {
-    const auto value_bytes = [](const stored_value& v) { return v.value.size(); };
-    log_read(sent, answer ? answer->values.size() : 0,
-             answer ? total_bytes(answer->values, value_bytes) : 0,
-             answer ? std::string_view() : answer.error().detail);
-    if (!handle_poll_result(answer)) return;
-    std::vector<watch_event> events;
-    std::set<upstream_id> present;
-    std::set<std::string> keys;
-    for (const auto& value : answer->values) {
-      events.push_back({false, value});
-      keys.insert(value.key);
-      if (value.key.starts_with(upstream_key_prefix)) {
-        present.insert({value.key.substr(upstream_key_prefix.size())});
-      }
-    }
-    for (const auto& key : answer->unreadable) {
-      log_event(log_level::warning, "item can't be read",
-                {{"key", key}, {"revision", answer->revision}});
-    }
-    // Known keys that are missing from the full read have been removed.
-    for (const auto& [key, version] : versions_) {
-      if (!keys.contains(key)) events.push_back({true, {key, "", answer->revision}});
+void store_view::on_values(store_feed& feed, const store_read& asked,
+                           const result<range_answer>& answer) {
+  const auto value_bytes = [](const stored_value& v) { return v.value.size(); };
+  log_read(feed, asked, answer ? answer->values.size() : 0,
+           answer ? total_bytes(answer->values, value_bytes) : 0,
+           answer ? std::string_view() : answer.error().detail);
+  if (!answer) return on_failure(feed, asked, answer.error());
+  if (!accept(feed, asked, {.revision = answer->revision, .changed = true})) return;
+  std::vector<watch_event> events;
+  std::set<upstream_id> present;
+  std::set<std::string, std::less<>> keys;
+  for (const auto& value : answer->values) {
+    events.push_back({false, value});
+    keys.insert(value.key);
+    if (value.key.starts_with(upstream_key_prefix)) {
+      present.insert({value.key.substr(upstream_key_prefix.size())});
     }
-    auto changed = apply(events);
+  }
+  for (const auto& key : answer->unreadable) {
+    log_event(log_level::warning, "item can't be read",
+              {{"key", key}, {"revision", answer->revision}});
+  }
+  // Known keys that are missing from the full read have been removed.
+  for (const auto& [key, version] : versions_) {
+    if (key.starts_with(feed.prefix()) && !keys.contains(key))
+      events.push_back({true, {key, "", answer->revision}});
+  }
+  auto changed = apply(events);
+  if (upstream_key_prefix.starts_with(feed.prefix())) {
     changed.upstreams = upstreams_.on_full_list(present, monotonic_now()) || changed.upstreams;
-    polled_revision_ = answer->revision;
-    watched_revision_ = std::max(watched_revision_, answer->revision);
-    if (!watching_) watch();
-    notify(changed);
-    schedule(timing_.poll_period);
+  }
+  std::erase_if(versions_, [&](const auto& known) {
+    return known.first.starts_with(feed.prefix()) && !keys.contains(known.first) &&
+           known.second <= answer->revision;
   });
-}
-
-void store_view::watch() {
-  watching_ = true;
-  store_.poll(std::string(assigner_key_prefix), watched_revision_, timing_.watch_wait,
-              [this](const result<poll_answer>& answer) {
-                if (answer && !answer->compacted) {
-                  watched_revision_ = std::max(watched_revision_, answer->revision);
-                  notify(apply(answer->events));
-                  return watch();
-                }
-                // A poll reads the changes that the compacted history no longer has.
-                if (answer) refresh();
-                watch_timer_.expires_after(watch_retry_delay);
-                watch_timer_.async_wait([this](const boost::system::error_code& code) {
-                  watched_revision_ = std::max(watched_revision_, polled_revision_);
-                  if (!code) watch();
-                });
-              });
+  notify(changed);
 }
 
 store_change store_view::apply(const std::vector<watch_event>& events) {
@@ -205,6 +189,10 @@
 
 void store_view::apply_event(const watch_event& event, store_change& changed) {
   const auto& key = event.value.key;
+  // Pages of a full read are newer than its revision, so that changes come a second time.
+  auto& version = versions_[key];
+  if (event.value.version != 0 && event.value.version <= version) return;
+  version = std::max(version, event.value.version);
   if (key == desired_state_key) {
     if (!event.removed) apply_desired(event.value, changed);
   } else if (key.starts_with(upstream_key_prefix)) {
@@ -269,9 +257,6 @@
 
 void store_view::apply_own_key(const watch_event& event, store_change& changed) {
   const auto& key = event.value.key;
-  auto& version = versions_[key];
-  if (event.value.version <= version) return;
-  version = event.value.version;
   if (key.starts_with(record_key_prefix)) {
     const service_id service{key.substr(record_key_prefix.size())};
     if (event.removed) {
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -1,23 +1,22 @@
 // store_view is an instance's copy of the store: the desired state, the registered upstreams and
 // instances, the records of which upstream owns which keys, and which services have an assigner.
 //
-//   store_view view(io, store, [&](const store_change& changed) { ... });
-//   view.start();
+//   store_view view(store, [&](const store_change& changed) { ... });
+//   view.tick();  // several times a second
 //
-// Every poll_period one poll reads all changes, so that nothing depends on a watch that may have
-// gone silent. The assigner keys are watched as well, so that a lost assigner is replaced at once,
-// and assigners push their records to the other instances, which pass them to update_record().
-// Versions never decrease: an older one is ignored. Everything runs on io's thread.
+// What is read when is decided by store_feeds. Assigners push their records to the other instances,
+// which pass them to update_record(). Versions never decrease: an older one is ignored. Everything
+// runs on io's thread.
 #pragma once
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "ownership/range_record.h"
+#include "ownership/store_feed.h"
 #include "ownership/store_keys.h"
 #include "ownership/upstream_list.h"
 #include "platform/store_client.h"
@@ -41,15 +40,8 @@
 };
 
 struct store_view_timing {
-  // Two polls fit into the two seconds in which an upstream's notice that it leaves must
-  // take effect.
-  duration poll_period = milliseconds(950);
-  duration poll_retry_delay = milliseconds(100);  // after a failed poll
-  // Limits a poll's response time. It doubles with each consecutive failure, up to
-  // max_poll_timeout, so that a slow store can still be read.
-  duration poll_timeout = milliseconds(450);
-  duration max_poll_timeout = milliseconds(1800);
-  duration watch_wait = seconds(15);  // each wait costs one call to the store
+  news_bounds bounds;
+  feed_timing feed;
   duration store_lost_after =
       milliseconds(1800);  // without a response, as entries may lapse unseen
 };
@@ -59,15 +51,13 @@
   using handler = std::function<void(const store_change&)>;
 
   // Calls `on_change` after each update that changed something.
-  store_view(boost::asio::io_context& io, store_client& store, handler on_change,
-             store_view_timing timing = {});
+  store_view(store_client& store, handler on_change, store_view_timing timing = {});
 
-  void start();
-  // Polls at once, or again right after the poll in progress.
+  // Reads what is due and ends entries of upstreams whose grace period has passed. It should be
+  // called several times a second.
+  void tick();
+  // Reads everything at once, or again right after the reads in progress.
   void refresh();
-  // Ends entries of upstreams whose grace period has passed. It should be called several times a
-  // second.
-  void expire();
 
   const std::optional<desired_state>& desired() const { return desired_; }
   const upstream_list& upstreams() const { return upstreams_; }
@@ -82,43 +72,32 @@
   void update_record(const service_id& service, const range_record& record, std::uint64_t version);
 
  private:
-  void poll();
-  void read_all();
-  void watch();
-  void schedule(duration after);
-  template <class Answer>
-  bool handle_poll_result(const result<Answer>& answer);
-  void on_contact();
-  void on_failure(const error& e);
+  void read(store_feed& feed, const store_read& wanted);
+  void on_changes(store_feed& feed, const store_read& asked, const result<poll_answer>& answer);
+  void on_values(store_feed& feed, const store_read& asked, const result<range_answer>& answer);
+  bool accept(store_feed& feed, const store_read& asked, const read_result& answer);
+  void on_contact(const store_feed& feed);
+  void on_failure(store_feed& feed, const store_read& asked, const error& e);
   store_change apply(const std::vector<watch_event>& events);
   void apply_event(const watch_event& event, store_change& changed);
   void apply_desired(const stored_value& value, store_change& changed);
   void apply_upstream(const watch_event& event, store_change& changed);
   void apply_own_key(const watch_event& event, store_change& changed);
   void notify(const store_change& changed);
-  void log_read(monotonic_time sent, std::size_t values, std::size_t bytes,
-                std::string_view failure) const;
 
   store_client& store_;
   handler on_change_;
   store_view_timing timing_;
-  boost::asio::steady_timer poll_timer_;
-  boost::asio::steady_timer watch_timer_;
+  std::vector<store_feed> feeds_;
   std::optional<desired_state> desired_;
   upstream_list upstreams_;
-  std::map<std::string, std::uint64_t, std::less<>>
-      versions_;  // by own key, including removed keys
+  // By key, including keys whose removal no complete list has confirmed yet.
+  std::map<std::string, std::uint64_t, std::less<>> versions_;
   std::map<service_id, versioned_record> records_;
   std::map<std::string, std::string> assigners_;  // by key
   std::map<std::string, std::string> instances_;  // by key
-  std::uint64_t polled_revision_ = 0;             // polled up to; 0 makes poll() read everything
-  std::uint64_t watched_revision_ = 0;
   monotonic_time last_contact_{};
   bool store_lost_ = true;
-  duration poll_timeout_;
-  bool polling_ = false;
-  bool poll_again_ = false;
-  bool watching_ = false;
 };
 
 }  // namespace plantainpaddle
--- /dev/null
+++ b/src/ownership/store_feed.h
@@ -0,0 +1,100 @@
+// Decides when an instance reads a part of the store, whether it asks for changes or for
+// everything, and how long an answer may take. Each part that an instance believes in has a feed of
+// its own, so that news of one isn't held up by the volume of another. No I/O and no clock.
+//
+//   store_feed feed({.prefix = "servers/", .period = milliseconds(950)}, timing);
+//   if (const auto read = feed.next(now)) ...          // several times a second; carry it out
+//   if (feed.on_answer(*read, answer, now)) ...        // take the answer's values in
+//   feed.on_failure(*read, now);
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace plantainpaddle {
+
+// The part of the store that a feed reads, and how often.
+struct feed_config {
+  std::string prefix;  // of the keys
+  duration period{0};  // from a good answer to the next read
+  duration wait{0};    // for which the store holds a read that has nothing to say
+  bool operator==(const feed_config&) const = default;
+};
+
+struct feed_timing {
+  duration retry_delay = milliseconds(100);  // after a failed read
+  // Limits a read's response time. It doubles with each consecutive failure, up to max_timeout, so
+  // that a slow store can still be read.
+  duration timeout = milliseconds(450);
+  duration max_timeout = milliseconds(1800);
+  bool operator==(const feed_timing&) const = default;
+};
+
+// One read of the store.
+struct store_read {
+  std::uint64_t id = 0;     // unique within the feed
+  std::uint64_t after = 0;  // changes after this revision; 0: all values under the prefix
+  duration wait{0};         // for which the store may wait for a first change
+  duration timeout{0};      // beyond the wait
+  monotonic_time sent{};
+  bool operator==(const store_read&) const = default;
+};
+
+struct read_result {
+  std::uint64_t revision = 0;  // of the store; later reads ask for changes after it
+  bool compacted = false;      // the store no longer has the changes
+  bool changed = false;        // the answer holds at least one change
+};
+
+class store_feed {
+ public:
+  explicit store_feed(feed_config config, feed_timing timing = {});
+
+  const std::string& prefix() const { return config_.prefix; }
+  // Returns the read that is due, which counts as sent at `now`.
+  std::optional<store_read> next(monotonic_time now);
+  // Returns whether the values are to be taken in. They aren't if a later read was answered before,
+  // or if the store doesn't have the changes any more.
+  bool on_answer(const store_read& read, const read_result& answer, monotonic_time now);
+  void on_failure(const store_read& read, monotonic_time now);
+  // Reads at once, or again after the read in progress.
+  void request(monotonic_time now);
+
+  // Every change that the store acknowledged before this time has been taken in.
+  monotonic_time known_at() const { return known_at_; }
+  std::uint64_t revision() const { return revision_; }
+  bool is_read() const { return known_at_ != monotonic_time{}; }
+
+ private:
+  feed_config config_;
+  feed_timing timing_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t last_id_ = 0;
+  std::optional<store_read> under_way_;
+  bool again_ = false;
+  duration timeout_{0};
+  monotonic_time next_at_{};
+  monotonic_time known_at_{};
+};
+
+// The bounds within which news from the store must take effect, from its acknowledgement.
+struct news_bounds {
+  duration desired = seconds(2);  // a desired state
+  duration leaving = seconds(2);  // an upstream's notice that it leaves
+  bool operator==(const news_bounds&) const = default;
+};
+
+// Where the parts of the store stand.
+struct store_layout {
+  std::string desired;    // key of the desired state
+  std::string upstreams;  // prefix of the entries of upstreams
+};
+
+// Returns the feeds of an instance, which together cover the keys that it reads.
+std::vector<feed_config> make_store_feeds(const store_layout& layout, const news_bounds& bounds);
+
+}  // namespace plantainpaddle
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -132,16 +132,17 @@
 
 // The pages are no snapshot: a watch goes on from the first one's revision, so that it tells what
 // changed behind pages that were read already.
-void store_client::range_pages(const std::string& prefix, range_answer so_far,
+void store_client::range_pages(const std::string& prefix, range_answer so_far, duration timeout,
                                std::function<void(result<range_answer>)> done) {
   auto page = std::make_shared<range_answer>(std::move(so_far));
   const std::string after = page->last_key;
   ask_items<range_answer>(
-      settings_.timeout, [&](const item_protocol& p) { return p.range(prefix, after); },
+      timeout, [&](const item_protocol& p) { return p.range(prefix, after); },
       [](const item_protocol& p, unsigned status, const std::string& body) {
         return p.read_range(status, body);
       },
-      [this, prefix, page, done, alive = std::weak_ptr(alive_)](result<range_answer> answer) {
+      [this, prefix, page, timeout, done,
+       alive = std::weak_ptr(alive_)](result<range_answer> answer) {
         if (!answer) return done(answer.error());
         if (alive.expired()) return done(error{errc::cancelled, step::store, "", "closed"});
         if (page->last_key.empty()) page->revision = answer->revision;
@@ -150,14 +151,15 @@
         const bool further = answer->more && answer->last_key > page->last_key;
         page->last_key = answer->last_key;
         if (!further) return done(std::move(*page));
-        range_pages(prefix, std::move(*page), done);
+        range_pages(prefix, std::move(*page), timeout, done);
       });
 }
 
-void store_client::range(const std::string& prefix,
-                         std::function<void(result<range_answer>)> done) {
+void store_client::range(const std::string& prefix, std::function<void(result<range_answer>)> done,
+                         std::optional<duration> timeout) {
   const auto* etcd = std::get_if<etcd_protocol>(&settings_.protocol);
-  if (etcd == nullptr) return range_pages(prefix, {}, std::move(done));
+  if (etcd == nullptr)
+    return range_pages(prefix, {}, timeout.value_or(settings_.timeout), std::move(done));
   call(etcd->range(prefix),
        [done = std::move(done), protocol = *etcd](const result<std::string>& body) {
          if (!body) return done(body.error());
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -45,7 +45,9 @@
 
   traffic_totals traffic() const { return http_.traffic(); }
 
-  void range(const std::string& prefix, std::function<void(result<range_answer>)> done);
+  // timeout: of each call, as of poll().
+  void range(const std::string& prefix, std::function<void(result<range_answer>)> done,
+             std::optional<duration> timeout = {});
   void get(const std::string& key, std::function<void(result<std::optional<stored_value>>)> done);
   // Writes value if the key's version is expected (0: absent).
   void compare_and_swap(const std::string& key, std::uint64_t expected, const std::string& value,
@@ -80,7 +82,7 @@
   template <class Answer, class Ask, class Read>
   void ask_items(duration timeout, const Ask& ask, Read read,
                  std::function<void(result<Answer>)> done);
-  void range_pages(const std::string& prefix, range_answer so_far,
+  void range_pages(const std::string& prefix, range_answer so_far, duration timeout,
                    std::function<void(result<range_answer>)> done);
 
   store_settings settings_;
