--- /dev/null
+++ b/src/ownership/testing/feed_simulation.cc
@@ -0,0 +1,276 @@
+#include "ownership/testing/feed_simulation.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "ownership/store_keys.h"
+
+namespace plantainpaddle {
+
+namespace {
+
+const std::string desired_key = "desired";
+const std::string upstream_prefix = "upstreams/";
+constexpr monotonic_time start = monotonic_time(seconds(1000));
+constexpr duration tick = milliseconds(50);
+constexpr duration one_way = milliseconds(1);
+constexpr duration store_time = milliseconds(4);
+constexpr duration quiet_period = seconds(3);
+constexpr std::size_t item_overhead = 90;
+constexpr double loss = 0.35;
+
+std::size_t wire_bytes(std::size_t bytes) { return bytes * 4 / 3 + item_overhead; }
+
+std::string upstream_key(std::size_t index) { return upstream_prefix + std::to_string(index); }
+
+}  // namespace
+
+feed_simulation::feed_simulation(feed_load load, std::vector<feed_fault> faults, std::uint64_t seed)
+    : load_(load), faults_(std::move(faults)), random_(seed), now_(start) {
+  const news_bounds bounds{.desired = milliseconds(2500), .leaving = milliseconds(2500)};
+  for (std::size_t i = 0; i < load_.instances; ++i) {
+    instance made;
+    for (auto& config : make_store_feeds({desired_key, upstream_prefix}, bounds)) {
+      made.feeds.emplace_back(std::move(config));
+    }
+    instances_.push_back(std::move(made));
+  }
+}
+
+void feed_simulation::at(monotonic_time when, std::function<void()> what) {
+  events_.emplace(std::max(when, now_), std::move(what));
+}
+
+void feed_simulation::write(const std::string& key, std::size_t bytes, std::uint64_t version) {
+  const change made{++revision_, key, bytes, version, false};
+  log_.push_back(made);
+  state_[key] = made;
+  const bool leaves = key.starts_with(upstream_prefix) && version != 0;
+  if (key == desired_key) news_.push_back({version, "", now_});
+  if (leaves) news_.push_back({0, key, now_});
+  // The first change ends the waiting of a read.
+  const auto woken = std::partition(waiting_.begin(), waiting_.end(), [&](const auto& call) {
+    return !key.starts_with(instances_[call->instance].feeds[call->feed].prefix());
+  });
+  const std::vector<std::shared_ptr<pending>> calls(woken, waiting_.end());
+  waiting_.erase(woken, waiting_.end());
+  for (const auto& call : calls) answer(call);
+}
+
+void feed_simulation::remove(const std::string& key) {
+  log_.push_back({++revision_, key, 0, 1, true});
+  state_.erase(key);
+}
+
+// The desired state grows by many routes within a second while upstreams are replaced in turn, and
+// the assigner moves keys all the while.
+void feed_simulation::plan_writes(duration length) {
+  write(desired_key, 25'000, 1);
+  for (std::size_t i = 0; i < load_.upstreams; ++i) write(upstream_key(i), 200, 0);
+  news_.clear();
+  for (auto t = load_.record_period; t < length;
+       t += t < load_.many_moves_until ? load_.record_period : load_.calm_record_period) {
+    at(start + t, [this] { write(record_key({"desk"}), load_.record_bytes, 0); });
+  }
+  std::uint64_t version = 1;
+  const auto change_desired = [&](duration when, std::size_t bytes) {
+    at(start + when, [this, bytes, v = ++version] { write(desired_key, bytes, v); });
+  };
+  for (const auto when : {milliseconds(3400), milliseconds(7300), milliseconds(11'900)})
+    change_desired(when, 25'000);
+  for (const auto when : {milliseconds(21'300), milliseconds(21'800), milliseconds(22'300)})
+    change_desired(when, load_.large_state_bytes);
+  for (auto t = milliseconds(26'000); t < length; t += milliseconds(1700))
+    change_desired(t, load_.large_state_bytes);
+  std::size_t next_upstream = 0;
+  for (duration t = seconds(5); t < length; t += milliseconds(600)) {
+    for (int i = 0; i < 4; ++i) {
+      const auto leaving = upstream_key(next_upstream);
+      const auto joining = upstream_key(load_.upstreams + next_upstream++);
+      at(start + t, [this, leaving] { write(leaving, 200, 1); });
+      at(start + t + seconds(4), [this, leaving] { remove(leaving); });
+      at(start + t + seconds(2), [this, joining] { write(joining, 200, 0); });
+      // An upstream that warms up states a new remaining time with each heartbeat.
+      for (int beat = 1; beat <= 2; ++beat) {
+        at(start + t + seconds(2) + beat * milliseconds(1500),
+           [this, joining] { write(joining, 200, 0); });
+      }
+    }
+  }
+}
+
+const feed_fault* feed_simulation::active(feed_fault_kind kind, std::size_t index) const {
+  for (const auto& fault : faults_) {
+    const bool here = fault.instances == 0 || (index >= fault.first_instance &&
+                                               index < fault.first_instance + fault.instances);
+    if (fault.kind == kind && here && now_ >= start + fault.from && now_ < start + fault.until)
+      return &fault;
+  }
+  return nullptr;
+}
+
+bool feed_simulation::is_in_touch(std::size_t index) const {
+  return std::none_of(faults_.begin(), faults_.end(), [&](const feed_fault& fault) {
+    const bool here = fault.instances == 0 || (index >= fault.first_instance &&
+                                               index < fault.first_instance + fault.instances);
+    return here && now_ >= start + fault.from && now_ < start + fault.until + quiet_period;
+  });
+}
+
+void feed_simulation::send_reads(std::size_t index) {
+  auto& self = instances_[index];
+  if (active(feed_fault_kind::frozen, index) != nullptr || now_ < self.busy_until) return;
+  for (std::size_t f = 0; f < self.feeds.size(); ++f) {
+    while (const auto read = self.feeds[f].next(now_)) {
+      ++calls_;
+      auto call = std::make_shared<pending>(pending{index, f, *read});
+      at(now_ + read->wait + read->timeout, [this, call] { fail(call); });
+      if (active(feed_fault_kind::cut, index) != nullptr) continue;
+      if (active(feed_fault_kind::refused, index) != nullptr) {
+        at(now_ + 2 * one_way, [this, call] { fail(call); });
+        continue;
+      }
+      duration delay = one_way + store_time;
+      if (active(feed_fault_kind::late, index) != nullptr &&
+          std::uniform_real_distribution<>()(random_) < loss) {
+        delay += milliseconds(std::uniform_int_distribution<>(500, 3000)(random_));
+      }
+      at(now_ + delay, [this, call] { arrive(call); });
+    }
+  }
+}
+
+void feed_simulation::arrive(const std::shared_ptr<pending>& call) {
+  const auto& prefix = instances_[call->instance].feeds[call->feed].prefix();
+  const bool has_changes = call->read.after == 0 || call->read.after < compacted_ ||
+                           std::any_of(log_.rbegin(), log_.rend(), [&](const change& c) {
+                             return c.revision > call->read.after && c.key.starts_with(prefix);
+                           });
+  if (has_changes || call->read.wait == duration::zero()) return answer(call);
+  waiting_.push_back(call);
+  at(now_ + call->read.wait, [this, call] {
+    if (std::erase(waiting_, call) != 0) answer(call);
+  });
+}
+
+void feed_simulation::answer(const std::shared_ptr<pending>& call) {
+  auto& self = instances_[call->instance];
+  const auto& feed = self.feeds[call->feed];
+  const bool silent = std::any_of(faults_.begin(), faults_.end(), [&](const feed_fault& f) {
+    return f.kind == feed_fault_kind::silent && call->instance >= f.first_instance &&
+           call->instance < f.first_instance + f.instances && call->read.sent < start + f.from &&
+           now_ >= start + f.from;
+  });
+  const bool lost = active(feed_fault_kind::lost, call->instance) != nullptr &&
+                    std::uniform_real_distribution<>()(random_) < loss;
+  if (call->answered || silent || lost || active(feed_fault_kind::cut, call->instance) != nullptr)
+    return;
+  const bool compacted = call->read.after != 0 && call->read.after < compacted_;
+  std::vector<change> changes;
+  std::size_t bytes = item_overhead;
+  const auto add = [&](const change& c) {
+    if (!c.key.starts_with(feed.prefix())) return;
+    changes.push_back(c);
+    bytes += wire_bytes(c.bytes);
+  };
+  if (call->read.after == 0) {
+    for (const auto& [key, value] : state_) add(value);
+  } else if (!compacted) {
+    for (const auto& c : log_) {
+      if (c.revision > call->read.after) add(c);
+    }
+  }
+  largest_answer_ = std::max(largest_answer_, bytes);
+  const auto seconds_of = [](double s) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
+  };
+  const auto size = static_cast<double>(bytes);
+  const auto deadline = call->read.sent + call->read.wait + call->read.timeout;
+  const auto sent = std::max(now_, self.link_free);
+  const auto arrived = sent + seconds_of(size / load_.link_bytes_per_s) + one_way;
+  self.link_free = std::min(arrived, std::max(deadline, self.link_free));
+  if (arrived >= deadline) return;
+  at(arrived, [this, call, changes, compacted, size, seconds_of, revision = revision_] {
+    if (call->answered) return;
+    auto& reader = instances_[call->instance];
+    reader.busy_until =
+        std::max(now_, reader.busy_until) + seconds_of(size / load_.processing_bytes_per_s);
+    at(reader.busy_until, [this, call, changes, compacted, revision] {
+      if (std::exchange(call->answered, true)) return;
+      const read_result result{revision, compacted, !changes.empty()};
+      auto& taker = instances_[call->instance];
+      if (taker.feeds[call->feed].on_answer(call->read, result, now_)) {
+        if (call->read.after == 0 &&
+            upstream_prefix.starts_with(taker.feeds[call->feed].prefix())) {
+          // An upstream that a complete list lacks is gone.
+          for (const auto& known : news_) {
+            const bool listed = std::any_of(changes.begin(), changes.end(), [&](const change& c) {
+              return c.key == known.upstream;
+            });
+            if (!known.upstream.empty() && !listed) taker.leaving.insert(known.upstream);
+          }
+        }
+        take_in(call->instance, changes);
+      }
+      send_reads(call->instance);
+    });
+  });
+}
+
+void feed_simulation::fail(const std::shared_ptr<pending>& call) {
+  if (std::exchange(call->answered, true)) return;
+  std::erase(waiting_, call);
+  instances_[call->instance].feeds[call->feed].on_failure(call->read, now_);
+}
+
+void feed_simulation::take_in(std::size_t index, const std::vector<change>& changes) {
+  auto& self = instances_[index];
+  for (const auto& c : changes) {
+    if (c.key == desired_key) self.desired = std::max(self.desired, c.version);
+    if (c.key.starts_with(upstream_prefix) && c.version != 0) self.leaving.insert(c.key);
+  }
+}
+
+void feed_simulation::check() {
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    if (!is_in_touch(i)) continue;
+    const auto& self = instances_[i];
+    const auto unknown = [&](const news& n) {
+      return n.upstream.empty() ? self.desired < n.version : !self.leaving.contains(n.upstream);
+    };
+    for (const auto& n : news_) {
+      auto& worst = n.upstream.empty() ? worst_desired_ : worst_leaving_;
+      const auto age = now_ - n.acked;
+      if (age <= worst || !unknown(n)) continue;
+      worst = age;
+      const auto ms = std::chrono::duration_cast<milliseconds>(now_ - start).count();
+      worst_ = "instance " + std::to_string(i) + " at " + std::to_string(ms) +
+               " ms: " + (n.upstream.empty() ? "version " + std::to_string(n.version) : n.upstream);
+    }
+  }
+}
+
+void feed_simulation::run(duration length) {
+  plan_writes(length);
+  for (const auto& fault : faults_) {
+    if (fault.kind != feed_fault_kind::compacted) continue;
+    for (auto t = fault.from; t < fault.until; t += milliseconds(300))
+      at(start + t, [this] { compacted_ = revision_; });
+  }
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    const auto offset = milliseconds(std::uniform_int_distribution<>(0, 49)(random_));
+    for (duration t = offset; t < length; t += tick) at(start + t, [this, i] { send_reads(i); });
+  }
+  constexpr duration settled = seconds(2);
+  for (duration t = settled; t < length; t += tick) at(start + t, [this] { check(); });
+  while (!events_.empty() && events_.begin()->first < start + length) {
+    auto next = events_.extract(events_.begin());
+    now_ = next.key();
+    next.mapped()();
+  }
+  calls_per_s_ = static_cast<double>(calls_) / std::chrono::duration<double>(length).count() /
+                 static_cast<double>(instances_.size());
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/ownership/testing/feed_simulation.h
@@ -0,0 +1,133 @@
+// Instances that read a store through store_feeds, on virtual time: answers take as long as their
+// bytes need on the instance's link and processor. Measures how long after the store's
+// acknowledgement news take effect on instances that are in touch with it.
+//
+//   feed_simulation simulation(faults, seed);
+//   simulation.run(seconds(40));
+//   simulation.worst_desired_age();
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "ownership/store_feed.h"
+
+namespace plantainpaddle {
+
+enum class feed_fault_kind {
+  refused,    // the store turns the instances away
+  cut,        // the instances don't reach the store
+  frozen,     // the instances' processes stop
+  silent,     // connections that are open say nothing any more
+  lost,       // some of the store's answers are lost
+  late,       // some of the store's answers are late by seconds
+  compacted,  // the store has no history
+};
+
+inline constexpr int feed_fault_kinds = 7;
+
+struct feed_fault {
+  feed_fault_kind kind;
+  duration from{0};
+  duration until{0};
+  std::size_t first_instance = 0;
+  std::size_t instances = 0;  // 0: the fault is the store's own
+};
+
+struct feed_load {
+  std::size_t instances = 80;
+  std::size_t upstreams = 400;
+  double link_bytes_per_s = 1'000'000;    // what other traffic leaves of 10 Mbit/s
+  double processing_bytes_per_s = 2.5e6;  // on a tenth of a core
+  // The assigner moves many keys at first and a few later.
+  duration record_period = milliseconds(60);
+  duration calm_record_period = milliseconds(500);
+  duration many_moves_until = seconds(16);
+  std::size_t record_bytes = 13'000;
+  std::size_t large_state_bytes = 250'000;
+};
+
+class feed_simulation {
+ public:
+  feed_simulation(feed_load load, std::vector<feed_fault> faults, std::uint64_t seed);
+
+  void run(duration length);
+
+  // The worst ages, over all instances in touch, of a change that isn't in effect yet.
+  duration worst_desired_age() const { return worst_desired_; }
+  duration worst_leaving_age() const { return worst_leaving_; }
+  const std::string& worst() const { return worst_; }
+  double calls_per_s() const { return calls_per_s_; }
+  std::size_t largest_answer() const { return largest_answer_; }
+
+ private:
+  struct change {
+    std::uint64_t revision = 0;
+    std::string key;
+    std::size_t bytes = 0;
+    std::uint64_t version = 0;  // of a desired state; of an upstream: whether it leaves
+    bool removed = false;
+  };
+  struct pending {
+    std::size_t instance = 0;
+    std::size_t feed = 0;
+    store_read read;
+    bool answered = false;
+  };
+  struct instance {
+    std::vector<store_feed> feeds;
+    std::uint64_t desired = 0;
+    std::set<std::string> leaving;  // upstreams that it knows to leave or to be gone
+    monotonic_time link_free{};
+    monotonic_time busy_until{};
+    monotonic_time in_touch_from{};
+  };
+  struct news {
+    std::uint64_t version = 0;
+    std::string upstream;
+    monotonic_time acked{};
+  };
+
+  void at(monotonic_time when, std::function<void()> what);
+  void write(const std::string& key, std::size_t bytes, std::uint64_t version);
+  void remove(const std::string& key);
+  void plan_writes(duration length);
+  void send_reads(std::size_t index);
+  void arrive(const std::shared_ptr<pending>& call);
+  void answer(const std::shared_ptr<pending>& call);
+  void fail(const std::shared_ptr<pending>& call);
+  void take_in(std::size_t index, const std::vector<change>& changes);
+  void check();
+  const feed_fault* active(feed_fault_kind kind, std::size_t index) const;
+  bool is_in_touch(std::size_t index) const;
+
+  feed_load load_;
+  std::vector<feed_fault> faults_;
+  std::mt19937_64 random_;
+  monotonic_time now_{};
+  std::multimap<monotonic_time, std::function<void()>> events_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t compacted_ = 0;
+  std::vector<change> log_;
+  std::map<std::string, change> state_;
+  std::vector<instance> instances_;
+  std::vector<std::shared_ptr<pending>> waiting_;
+  std::vector<news> news_;
+  duration worst_desired_{0};
+  duration worst_leaving_{0};
+  std::string worst_;
+  std::uint64_t calls_ = 0;
+  double calls_per_s_ = 0;
+  std::size_t largest_answer_ = 0;
+};
+
+}  // namespace plantainpaddle
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -48,3 +48,8 @@
   set_tests_properties(ownership_mutant_${name} PROPERTIES TIMEOUT 300
     ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=5000")
 endforeach()
+
+# Instances that read the store, for store_feed_test.cc.
+add_library(feed_model OBJECT ${testing}/feed_simulation.cc)
+target_link_libraries(feed_model PUBLIC warnings ownership)
+target_link_libraries(ownership_test PRIVATE feed_model)
