Read the parts of the store separately, and never more than they hold

Callers saw requests handled by a desired state that had been replaced seconds before, and upstreams got requests after their notice had been acknowledged.

Cause: one poll carried every version of every key, among them those of a record of 13 kB that is written 15 times a second, and a poll that timed out was repeated from the same revision with more to carry. On a link of 10 Mbit/s an instance that had fallen behind never caught up.

The desired state, the upstreams and the router's own keys are now read by a store_feed each. A feed asks for changes only while it is little behind and for all values otherwise, which bounds an answer. An answer that arrives slowly is waited for; one of which nothing comes is asked for again on another connection after 450 ms, and whichever comes first is taken.

--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -40,9 +40,11 @@
 store_view::store_view(store_client& store, handler on_change, store_view_timing timing)
     : store_(store), on_change_(std::move(on_change)), timing_(timing) {
   const store_layout layout{.desired = std::string(desired_state_key),
-                            .upstreams = std::string(upstream_key_prefix)};
+                            .upstreams = std::string(upstream_key_prefix),
+                            .own = std::string(own_key_prefix),
+                            .assigners = std::string(assigner_key_prefix)};
   for (auto& config : make_store_feeds(layout, timing_.bounds)) {
-    feeds_.emplace_back(std::move(config), timing_.feed);
+    feeds_.push_back({store_feed(std::move(config), timing_.feed), {}});
   }
 }
 
@@ -53,8 +55,8 @@
 
 std::optional<bool> store_view::has_assigner(const service_id& service) const {
   const auto key = assigner_key(service);
-  const bool known = std::any_of(feeds_.begin(), feeds_.end(), [&](const store_feed& feed) {
-    return feed.is_read() && key.starts_with(feed.prefix());
+  const bool known = std::any_of(feeds_.begin(), feeds_.end(), [&](const feed_state& state) {
+    return state.feed.is_read() && key.starts_with(state.feed.prefix());
   });
   if (!known) return std::nullopt;
   return assigners_.contains(key);
@@ -70,33 +72,36 @@
 }
 
 void store_view::refresh() {
-  for (auto& feed : feeds_) feed.request(monotonic_now());
+  for (auto& state : feeds_) state.feed.request(monotonic_now());
   tick();
 }
 
 void store_view::tick() {
   const auto now = monotonic_now();
-  for (auto& feed : feeds_) {
-    while (const auto wanted = feed.next(now)) read(feed, *wanted);
+  for (auto& state : feeds_) {
+    while (const auto wanted = state.feed.next(now)) read(state, *wanted);
   }
   if (upstreams_.expire(now)) notify({.upstreams = true});
 }
 
-void store_view::read(store_feed& feed, const store_read& wanted) {
+void store_view::read(feed_state& state, const store_read& wanted) {
+  auto call = std::make_shared<http_call>();
+  call->on_progress = [&state, wanted] { state.feed.on_progress(wanted, monotonic_now()); };
+  state.calls[wanted.id] = call;
   if (wanted.after != 0) {
     return store_.poll(
-        feed.prefix(), wanted.after, wanted.wait,
-        [this, &feed, wanted](const result<poll_answer>& answer) {
-          on_changes(feed, wanted, answer);
+        state.feed.prefix(), wanted.after, wanted.wait,
+        [this, &state, wanted](const result<poll_answer>& answer) {
+          on_changes(state, wanted, answer);
         },
-        wanted.timeout);
+        wanted.timeout, std::move(call));
   }
   store_.range(
-      feed.prefix(),
-      [this, &feed, wanted](const result<range_answer>& answer) {
-        on_values(feed, wanted, answer);
+      state.feed.prefix(),
+      [this, &state, wanted](const result<range_answer>& answer) {
+        on_values(state, wanted, answer);
       },
-      wanted.timeout);
+      wanted.timeout, std::move(call));
 }
 
 void store_view::on_contact(const store_feed& feed) {
@@ -107,9 +112,9 @@
   upstreams_.on_contact(now);
 }
 
-void store_view::on_failure(store_feed& feed, const store_read& asked, const error& e) {
+void store_view::on_failure(feed_state& state, const store_read& asked, const error& e) {
   const auto now = monotonic_now();
-  feed.on_failure(asked, now);
+  state.feed.on_failure(asked, now);
   if (!store_lost_ && now - last_contact_ >= timing_.store_lost_after) {
     store_lost_ = true;
     upstreams_.on_lost_contact();
@@ -118,24 +123,28 @@
   }
 }
 
-// Returns whether the answer's values are to be taken in.
-bool store_view::accept(store_feed& feed, const store_read& asked, const read_result& answer) {
-  on_contact(feed);
+// Returns whether the answer's values are to be taken in. Then the reads that are still under way
+// are needless, and their connections, on which nothing comes, are closed.
+bool store_view::accept(feed_state& state, const store_read& asked, const read_result& answer) {
+  on_contact(state.feed);
   if (answer.compacted) {
     log_event(log_level::info, "store history compacted",
-              {{"prefix", feed.prefix()}, {"revision", asked.after}});
+              {{"prefix", state.feed.prefix()}, {"revision", asked.after}});
   }
-  return feed.on_answer(asked, answer, monotonic_now());
+  if (!state.feed.on_answer(asked, answer, monotonic_now())) return false;
+  for (const auto& [id, call] : std::exchange(state.calls, {})) call->cancel();
+  return true;
 }
 
-void store_view::on_changes(store_feed& feed, const store_read& asked,
+void store_view::on_changes(feed_state& state, const store_read& asked,
                             const result<poll_answer>& answer) {
+  if (state.calls.erase(asked.id) == 0) return;
   const auto value_bytes = [](const watch_event& e) { return e.value.value.size(); };
-  log_read(feed, asked, answer ? answer->events.size() : 0,
+  log_read(state.feed, asked, answer ? answer->events.size() : 0,
            answer ? total_bytes(answer->events, value_bytes) : 0,
            answer ? std::string_view() : answer.error().detail);
-  if (!answer) return on_failure(feed, asked, answer.error());
-  const bool taken = accept(feed, asked,
+  if (!answer) return on_failure(state, asked, answer.error());
+  const bool taken = accept(state, asked,
                             {.revision = answer->revision,
                              .compacted = answer->compacted,
                              .changed = !answer->events.empty()});
@@ -143,14 +152,16 @@
   tick();
 }
 
-void store_view::on_values(store_feed& feed, const store_read& asked,
+void store_view::on_values(feed_state& state, const store_read& asked,
                            const result<range_answer>& answer) {
+  if (state.calls.erase(asked.id) == 0) return;
   const auto value_bytes = [](const stored_value& v) { return v.value.size(); };
-  log_read(feed, asked, answer ? answer->values.size() : 0,
+  log_read(state.feed, asked, answer ? answer->values.size() : 0,
            answer ? total_bytes(answer->values, value_bytes) : 0,
            answer ? std::string_view() : answer.error().detail);
-  if (!answer) return on_failure(feed, asked, answer.error());
-  if (!accept(feed, asked, {.revision = answer->revision, .changed = true})) return;
+  if (!answer) return on_failure(state, asked, answer.error());
+  if (!accept(state, asked, {.revision = answer->revision, .changed = true})) return;
+  const auto& prefix = state.feed.prefix();
   std::vector<watch_event> events;
   std::set<upstream_id> present;
   std::set<std::string, std::less<>> keys;
@@ -167,15 +178,15 @@
   }
   // Known keys that are missing from the full read have been removed.
   for (const auto& [key, version] : versions_) {
-    if (key.starts_with(feed.prefix()) && !keys.contains(key))
+    if (key.starts_with(prefix) && !keys.contains(key))
       events.push_back({true, {key, "", answer->revision}});
   }
   auto changed = apply(events);
-  if (upstream_key_prefix.starts_with(feed.prefix())) {
+  if (upstream_key_prefix.starts_with(prefix)) {
     changed.upstreams = upstreams_.on_full_list(present, monotonic_now()) || changed.upstreams;
   }
   std::erase_if(versions_, [&](const auto& known) {
-    return known.first.starts_with(feed.prefix()) && !keys.contains(known.first) &&
+    return known.first.starts_with(prefix) && !keys.contains(known.first) &&
            known.second <= answer->revision;
   });
   notify(changed);
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -72,12 +73,17 @@
   void update_record(const service_id& service, const range_record& record, std::uint64_t version);
 
  private:
-  void read(store_feed& feed, const store_read& wanted);
-  void on_changes(store_feed& feed, const store_read& asked, const result<poll_answer>& answer);
-  void on_values(store_feed& feed, const store_read& asked, const result<range_answer>& answer);
-  bool accept(store_feed& feed, const store_read& asked, const read_result& answer);
+  struct feed_state {
+    store_feed feed;
+    std::map<std::uint64_t, std::shared_ptr<http_call>> calls;  // by read
+  };
+
+  void read(feed_state& state, const store_read& wanted);
+  void on_changes(feed_state& state, const store_read& asked, const result<poll_answer>& answer);
+  void on_values(feed_state& state, const store_read& asked, const result<range_answer>& answer);
+  bool accept(feed_state& state, const store_read& asked, const read_result& answer);
   void on_contact(const store_feed& feed);
-  void on_failure(store_feed& feed, const store_read& asked, const error& e);
+  void on_failure(feed_state& state, const store_read& asked, const error& e);
   store_change apply(const std::vector<watch_event>& events);
   void apply_event(const watch_event& event, store_change& changed);
   void apply_desired(const stored_value& value, store_change& changed);
@@ -88,7 +94,7 @@
   store_client& store_;
   handler on_change_;
   store_view_timing timing_;
-  std::vector<store_feed> feeds_;
+  std::vector<feed_state> feeds_;  // never resized, as calls refer to its elements
   std::optional<desired_state> desired_;
   upstream_list upstreams_;
   // By key, including keys whose removal no complete list has confirmed yet.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -22,6 +22,7 @@
 namespace {
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr duration stream_connect_timeout = seconds(2);
+constexpr int max_response_timeouts = 10;  // a whole response may take so many time-outs
 }  // namespace
 
 struct http_client::connection {
@@ -58,6 +59,22 @@
 
 namespace {
 
+// Lets http_call::cancel() close a connection as long as a call uses it.
+class stop_guard {
+ public:
+  stop_guard(std::shared_ptr<http_call> call, beast::tcp_stream& stream) : call_(std::move(call)) {
+    if (call_) call_->stop = [&stream] { stream.close(); };
+  }
+  ~stop_guard() {
+    if (call_) call_->stop = nullptr;
+  }
+  stop_guard(const stop_guard&) = delete;
+  stop_guard& operator=(const stop_guard&) = delete;
+
+ private:
+  std::shared_ptr<http_call> call_;
+};
+
 error failed(const beast::error_code& code, step at, const std::string& address, errc otherwise) {
   const bool timeout = code == beast::error::timeout;
   return error{timeout ? errc::timed_out : otherwise, at, address, code.message()};
@@ -78,14 +95,17 @@
 void http_client::forget(const std::string& address) { state_->idle.erase(address); }
 
 void http_client::send(const std::string& address, http_request request, duration timeout,
-                       handler done, bool fresh) {
+                       handler done, bool fresh, std::shared_ptr<http_call> call) {
   auto work = [](std::shared_ptr<state> self, std::string address, http_request request,
-                 duration timeout, bool fresh) -> asio::awaitable<result<http_response>> {
+                 duration timeout, bool fresh,
+                 std::shared_ptr<http_call> call) -> asio::awaitable<result<http_response>> {
     const auto endpoint = parse_address(address);
     if (!endpoint) co_return endpoint.error();
     auto used = fresh ? nullptr : self->take_idle(address);
-    if (!used) {
-      used = std::make_unique<connection>(self->executor);
+    const bool connected = used != nullptr;
+    if (!connected) used = std::make_unique<connection>(self->executor);
+    const stop_guard guard(call, used->stream);
+    if (!connected) {
       used->stream.expires_after(timeout);
       auto [code] = co_await used->stream.async_connect(*endpoint, as_result);
       if (code) {
@@ -102,12 +122,20 @@
     if (write_code) co_return failed(write_code, step::send_request, address, errc::protocol);
     http::response_parser<http::string_body> parser;
     parser.body_limit(self->limits.body_bytes);
-    auto [code, size] = co_await http::async_read(used->stream, used->buffer, parser, as_result);
-    self->traffic.received(size);
-    if (code) {
-      error e = failed(code, step::read_answer, address, errc::protocol);
-      e.detail += ", " + std::to_string(size) + " bytes received";
-      co_return e;
+    std::size_t size = 0;
+    const auto last = monotonic_now() + timeout * max_response_timeouts;
+    while (!parser.is_done()) {
+      used->stream.expires_after(std::min<duration>(timeout, last - monotonic_now()));
+      auto [code, part] =
+          co_await http::async_read_some(used->stream, used->buffer, parser, as_result);
+      self->traffic.received(part);
+      size += part;
+      if (code) {
+        error e = failed(code, step::read_answer, address, errc::protocol);
+        e.detail += ", " + std::to_string(size) + " bytes received";
+        co_return e;
+      }
+      if (call && call->on_progress) call->on_progress();
     }
     used->stream.expires_never();
     const bool keep = parser.get().keep_alive();
@@ -115,7 +143,8 @@
     if (keep) self->keep(address, std::move(used));
     co_return response;
   };
-  asio::co_spawn(state_->executor, work(state_, address, std::move(request), timeout, fresh),
+  asio::co_spawn(state_->executor,
+                 work(state_, address, std::move(request), timeout, fresh, std::move(call)),
                  [done = std::move(done), address](const std::exception_ptr& thrown,
                                                    result<http_response> answer) {
                    if (thrown) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,6 +31,16 @@
   duration idle_time = seconds(20);
 };
 
+// A handle on one call.
+struct http_call {
+  std::function<void()> on_progress;  // called for each part of the response, if set
+  std::function<void()> stop;         // set while the call is under way
+  // Closes the call's connection; its handler gets an error.
+  void cancel() {
+    if (stop) stop();
+  }
+};
+
 class http_client {
  public:
   using handler = std::function<void(result<http_response>)>;
@@ -42,9 +52,11 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  // fresh: on a new connection, so that a silent old one isn't taken for a silent peer.
+  // timeout: of connecting and sending, and without a further byte of the response; it may take
+  // ten times as long in all. fresh: on a new connection, so that a silent old one isn't taken for
+  // a silent peer.
   void send(const std::string& address, http_request request, duration timeout, handler done,
-            bool fresh = false);
+            bool fresh = false, std::shared_ptr<http_call> call = {});
 
   // Reads a response without end, line by line. The answer's token stops it when destroyed.
   // idle: the stream ends with errc::timed_out if nothing comes for so long.
--- a/src/ownership/store_feed.h
+++ b/src/ownership/store_feed.h
@@ -22,15 +22,21 @@
   std::string prefix;  // of the keys
   duration period{0};  // from a good answer to the next read
   duration wait{0};    // for which the store holds a read that has nothing to say
+  bool whole = false;  // reads ask for all values, never for changes
+  // All values are read instead of the changes of more than this, which grow without limit.
+  duration max_change_age = seconds(3);
   bool operator==(const feed_config&) const = default;
 };
 
 struct feed_timing {
-  duration retry_delay = milliseconds(100);  // after a failed read
-  // Limits a read's response time. It doubles with each consecutive failure, up to max_timeout, so
-  // that a slow store can still be read.
-  duration timeout = milliseconds(450);
-  duration max_timeout = milliseconds(1800);
+  duration retry_delay = milliseconds(100);      // after a failed read; doubles with each failure
+  duration max_retry_delay = milliseconds(400);  // up to this
+  // A read of which nothing has come for so long is repeated on another connection, while an answer
+  // to the first is still taken in.
+  duration hedge_after = milliseconds(450);
+  std::size_t max_reads = 4;  // under way at once
+  duration timeout =
+      milliseconds(1800);  // without a further byte of an answer; a store may be slow
   bool operator==(const feed_timing&) const = default;
 };
 
@@ -59,6 +65,8 @@
   std::optional<store_read> next(monotonic_time now);
   // Returns whether the values are to be taken in. They aren't if a later read was answered before,
   // or if the store doesn't have the changes any more.
+  // A part of the answer has come.
+  void on_progress(const store_read& read, monotonic_time now);
   bool on_answer(const store_read& read, const read_result& answer, monotonic_time now);
   void on_failure(const store_read& read, monotonic_time now);
   // Reads at once, or again after the read in progress.
@@ -74,9 +82,10 @@
   feed_timing timing_;
   std::uint64_t revision_ = 0;
   std::uint64_t last_id_ = 0;
-  std::optional<store_read> under_way_;
+  std::vector<store_read> under_way_;  // in the order in which they were sent
+  monotonic_time progress_{};          // when a part of an answer to one of them came last
   bool again_ = false;
-  duration timeout_{0};
+  int failures_ = 0;  // since the last good answer
   monotonic_time next_at_{};
   monotonic_time known_at_{};
 };
@@ -92,6 +101,8 @@
 struct store_layout {
   std::string desired;    // key of the desired state
   std::string upstreams;  // prefix of the entries of upstreams
+  std::string own;        // prefix of what the instances write
+  std::string assigners;  // prefix, within `own`, of the keys that name assigners
 };
 
 // Returns the feeds of an instance, which together cover the keys that it reads.
--- a/src/ownership/testing/feed_simulation.cc
+++ b/src/ownership/testing/feed_simulation.cc
@@ -16,6 +16,7 @@
 constexpr duration tick = milliseconds(50);
 constexpr duration one_way = milliseconds(1);
 constexpr duration store_time = milliseconds(4);
+constexpr duration progress_period = milliseconds(50);
 constexpr duration quiet_period = seconds(3);
 constexpr std::size_t item_overhead = 90;
 constexpr double loss = 0.35;
@@ -28,10 +29,14 @@
 
 feed_simulation::feed_simulation(feed_load load, std::vector<feed_fault> faults, std::uint64_t seed)
     : load_(load), faults_(std::move(faults)), random_(seed), now_(start) {
+  const store_layout layout{.desired = desired_key,
+                            .upstreams = upstream_prefix,
+                            .own = std::string(own_key_prefix),
+                            .assigners = std::string(assigner_key_prefix)};
   const news_bounds bounds{.desired = milliseconds(2500), .leaving = milliseconds(2500)};
   for (std::size_t i = 0; i < load_.instances; ++i) {
     instance made;
-    for (auto& config : make_store_feeds({desired_key, upstream_prefix}, bounds)) {
+    for (auto& config : make_store_feeds(layout, bounds)) {
       made.feeds.emplace_back(std::move(config));
     }
     instances_.push_back(std::move(made));
@@ -77,10 +82,8 @@
   const auto change_desired = [&](duration when, std::size_t bytes) {
     at(start + when, [this, bytes, v = ++version] { write(desired_key, bytes, v); });
   };
-  for (const auto when : {milliseconds(3400), milliseconds(7300), milliseconds(11'900)})
-    change_desired(when, 25'000);
-  for (const auto when : {milliseconds(21'300), milliseconds(21'800), milliseconds(22'300)})
-    change_desired(when, load_.large_state_bytes);
+  for (const int ms : {3400, 7300, 11'900, 21'300}) change_desired(milliseconds(ms), 25'000);
+  for (const int ms : {21'800, 22'300}) change_desired(milliseconds(ms), load_.large_state_bytes);
   for (auto t = milliseconds(26'000); t < length; t += milliseconds(1700))
     change_desired(t, load_.large_state_bytes);
   std::size_t next_upstream = 0;
@@ -125,6 +128,7 @@
     while (const auto read = self.feeds[f].next(now_)) {
       ++calls_;
       auto call = std::make_shared<pending>(pending{index, f, *read});
+      calls_under_way_.push_back(call);
       at(now_ + read->wait + read->timeout, [this, call] { fail(call); });
       if (active(feed_fault_kind::cut, index) != nullptr) continue;
       if (active(feed_fault_kind::refused, index) != nullptr) {
@@ -164,7 +168,8 @@
   });
   const bool lost = active(feed_fault_kind::lost, call->instance) != nullptr &&
                     std::uniform_real_distribution<>()(random_) < loss;
-  if (call->answered || silent || lost || active(feed_fault_kind::cut, call->instance) != nullptr)
+  if (call->answered || call->cancelled || silent || lost ||
+      active(feed_fault_kind::cut, call->instance) != nullptr)
     return;
   const bool compacted = call->read.after != 0 && call->read.after < compacted_;
   std::vector<change> changes;
@@ -186,13 +191,21 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
   };
   const auto size = static_cast<double>(bytes);
-  const auto deadline = call->read.sent + call->read.wait + call->read.timeout;
   const auto sent = std::max(now_, self.link_free);
+  if (sent >= call->read.sent + call->read.wait + call->read.timeout) return;
   const auto arrived = sent + seconds_of(size / load_.link_bytes_per_s) + one_way;
-  self.link_free = std::min(arrived, std::max(deadline, self.link_free));
-  if (arrived >= deadline) return;
+  self.link_free = arrived;
+  call->transferring = true;
+  call->arrives = arrived;
+  for (auto part = sent + progress_period; part < arrived; part += progress_period) {
+    at(part, [this, call] {
+      auto& reader = instances_[call->instance];
+      if (now_ >= reader.busy_until && !call->answered && !call->cancelled)
+        reader.feeds[call->feed].on_progress(call->read, now_);
+    });
+  }
   at(arrived, [this, call, changes, compacted, size, seconds_of, revision = revision_] {
-    if (call->answered) return;
+    if (call->answered || call->cancelled) return;
     auto& reader = instances_[call->instance];
     reader.busy_until =
         std::max(now_, reader.busy_until) + seconds_of(size / load_.processing_bytes_per_s);
@@ -201,6 +214,7 @@
       const read_result result{revision, compacted, !changes.empty()};
       auto& taker = instances_[call->instance];
       if (taker.feeds[call->feed].on_answer(call->read, result, now_)) {
+        cancel_others(call);
         if (call->read.after == 0 &&
             upstream_prefix.starts_with(taker.feeds[call->feed].prefix())) {
           // An upstream that a complete list lacks is gone.
@@ -218,8 +232,19 @@
   });
 }
 
+// The connections of reads that another one has made needless are closed.
+void feed_simulation::cancel_others(const std::shared_ptr<pending>& call) {
+  auto& self = instances_[call->instance];
+  for (const auto& other : calls_under_way_) {
+    if (other->instance != call->instance || other->feed != call->feed || other == call) continue;
+    other->cancelled = true;
+    if (other->transferring && other->arrives == self.link_free) self.link_free = now_;
+  }
+  std::erase_if(calls_under_way_, [](const auto& c) { return c->answered || c->cancelled; });
+}
+
 void feed_simulation::fail(const std::shared_ptr<pending>& call) {
-  if (std::exchange(call->answered, true)) return;
+  if (call->transferring || call->cancelled || std::exchange(call->answered, true)) return;
   std::erase(waiting_, call);
   instances_[call->instance].feeds[call->feed].on_failure(call->read, now_);
 }
@@ -244,6 +269,7 @@
       const auto age = now_ - n.acked;
       if (age <= worst || !unknown(n)) continue;
       worst = age;
+      if (age <= std::max(worst_desired_, worst_leaving_) - tick) continue;
       const auto ms = std::chrono::duration_cast<milliseconds>(now_ - start).count();
       worst_ = "instance " + std::to_string(i) + " at " + std::to_string(ms) +
                " ms: " + (n.upstream.empty() ? "version " + std::to_string(n.version) : n.upstream);
--- a/src/ownership/testing/feed_simulation.h
+++ b/src/ownership/testing/feed_simulation.h
@@ -82,6 +82,9 @@
     std::size_t feed = 0;
     store_read read;
     bool answered = false;
+    bool transferring = false;
+    bool cancelled = false;
+    monotonic_time arrives{};
   };
   struct instance {
     std::vector<store_feed> feeds;
@@ -104,6 +107,7 @@
   void send_reads(std::size_t index);
   void arrive(const std::shared_ptr<pending>& call);
   void answer(const std::shared_ptr<pending>& call);
+  void cancel_others(const std::shared_ptr<pending>& call);
   void fail(const std::shared_ptr<pending>& call);
   void take_in(std::size_t index, const std::vector<change>& changes);
   void check();
@@ -121,6 +125,7 @@
   std::map<std::string, change> state_;
   std::vector<instance> instances_;
   std::vector<std::shared_ptr<pending>> waiting_;
+  std::vector<std::shared_ptr<pending>> calls_under_way_;
   std::vector<news> news_;
   duration worst_desired_{0};
   duration worst_leaving_{0};
--- a/src/ownership/testing/store_feed_test.cc
+++ b/src/ownership/testing/store_feed_test.cc
@@ -1,7 +1,9 @@
 #include "ownership/store_feed.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <string>
 
 #include "ownership/testing/feed_simulation.h"
 
@@ -19,12 +21,26 @@
   return {kind, milliseconds(from_ms), milliseconds(until_ms), first, instances};
 }
 
+std::string to_text(const std::vector<feed_fault>& faults) {
+  static constexpr std::array<const char*, feed_fault_kinds> names{
+      "refused", "cut", "frozen", "silent", "lost", "late", "compacted"};
+  std::string text;
+  for (const auto& f : faults) {
+    text += std::string(" ") + names[static_cast<std::size_t>(f.kind)] + " " +
+            std::to_string(f.from.count() / 1000) + "-" + std::to_string(f.until.count() / 1000) +
+            " ms, " + std::to_string(f.instances) + " from " + std::to_string(f.first_instance) +
+            ";";
+  }
+  return text;
+}
+
 // Plays a day with the faults; all changes must be in effect in time on the instances in touch.
 void play(std::vector<feed_fault> faults, std::uint64_t seed = 1) {
+  const auto text = to_text(faults);
   feed_simulation simulation({}, std::move(faults), seed);
   simulation.run(day);
-  BOOST_TEST_CONTEXT("seed " << seed << ", worst: " << simulation.worst() << ", largest answer "
-                             << simulation.largest_answer() << " bytes, "
+  BOOST_TEST_CONTEXT("seed " << seed << text << " worst: " << simulation.worst()
+                             << ", largest answer " << simulation.largest_answer() << " bytes, "
                              << simulation.calls_per_s() << " calls a second") {
     BOOST_TEST(ms(simulation.worst_desired_age()) <= ms(bound));
     BOOST_TEST(ms(simulation.worst_leaving_age()) <= ms(bound));
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -39,19 +39,22 @@
 
 // A connection on which an answer is lost may stay silent: the next call goes out on a new one.
 void store_client::send(store_request request, duration timeout,
-                        std::function<void(result<http_response>)> done) {
+                        std::function<void(result<http_response>)> done,
+                        std::shared_ptr<http_call> call) {
   const std::string used = rotation_->address();
   ++*calls_;
-  http_.send(used, to_http(std::move(request)), timeout,
-             [this, done = std::move(done), used, rotation = rotation_,
-              alive = std::weak_ptr(alive_)](result<http_response> answer) {
-               if (answer) return done(std::move(answer));
-               if (!alive.expired()) http_.forget(used);
-               rotation->leave(used);
-               error e = answer.error();
-               e.at = step::store;
-               done(std::move(e));
-             });
+  http_.send(
+      used, to_http(std::move(request)), timeout,
+      [this, done = std::move(done), used, rotation = rotation_,
+       alive = std::weak_ptr(alive_)](result<http_response> answer) {
+        if (answer) return done(std::move(answer));
+        if (!alive.expired()) http_.forget(used);
+        rotation->leave(used);
+        error e = answer.error();
+        e.at = step::store;
+        done(std::move(e));
+      },
+      false, std::move(call));
 }
 
 void store_client::call(store_request request, std::function<void(result<std::string>)> done) {
@@ -68,29 +71,32 @@
 
 template <class Answer, class Ask, class Read>
 void store_client::ask_items(duration timeout, const Ask& ask, Read read,
-                             std::function<void(result<Answer>)> done) {
+                             std::function<void(result<Answer>)> done,
+                             std::shared_ptr<http_call> call) {
   const auto* items = std::get_if<item_protocol>(&settings_.protocol);
   if (items == nullptr) {
     return done(
         error{errc::refused, step::store, rotation_->address(), "the service has no such call"});
   }
-  send(ask(*items), timeout,
-       [done = std::move(done), read, protocol = *items](result<http_response> answer) {
-         if (!answer) return done(answer.error());
-         done(read(protocol, answer->status, answer->body));
-       });
+  send(
+      ask(*items), timeout,
+      [done = std::move(done), read, protocol = *items](result<http_response> answer) {
+        if (!answer) return done(answer.error());
+        done(read(protocol, answer->status, answer->body));
+      },
+      std::move(call));
 }
 
 void store_client::poll(const std::string& prefix, std::uint64_t after_revision, duration wait,
                         std::function<void(result<poll_answer>)> done,
-                        std::optional<duration> timeout) {
+                        std::optional<duration> timeout, std::shared_ptr<http_call> call) {
   ask_items<poll_answer>(
       timeout.value_or(settings_.timeout) + wait,
       [&](const item_protocol& p) { return p.poll(prefix, after_revision, wait); },
       [](const item_protocol& p, unsigned status, const std::string& body) {
         return p.read_poll(status, body);
       },
-      std::move(done));
+      std::move(done), std::move(call));
 }
 
 void store_client::transact(const store_transaction& transaction,
@@ -133,7 +139,8 @@
 // The pages are no snapshot: a watch goes on from the first one's revision, so that it tells what
 // changed behind pages that were read already.
 void store_client::range_pages(const std::string& prefix, range_answer so_far, duration timeout,
-                               std::function<void(result<range_answer>)> done) {
+                               std::function<void(result<range_answer>)> done,
+                               std::shared_ptr<http_call> handle) {
   auto page = std::make_shared<range_answer>(std::move(so_far));
   const std::string after = page->last_key;
   ask_items<range_answer>(
@@ -141,7 +148,7 @@
       [](const item_protocol& p, unsigned status, const std::string& body) {
         return p.read_range(status, body);
       },
-      [this, prefix, page, timeout, done,
+      [this, prefix, page, timeout, done, handle,
        alive = std::weak_ptr(alive_)](result<range_answer> answer) {
         if (!answer) return done(answer.error());
         if (alive.expired()) return done(error{errc::cancelled, step::store, "", "closed"});
@@ -151,15 +158,17 @@
         const bool further = answer->more && answer->last_key > page->last_key;
         page->last_key = answer->last_key;
         if (!further) return done(std::move(*page));
-        range_pages(prefix, std::move(*page), timeout, done);
-      });
+        range_pages(prefix, std::move(*page), timeout, done, handle);
+      },
+      handle);
 }
 
 void store_client::range(const std::string& prefix, std::function<void(result<range_answer>)> done,
-                         std::optional<duration> timeout) {
+                         std::optional<duration> timeout, std::shared_ptr<http_call> handle) {
   const auto* etcd = std::get_if<etcd_protocol>(&settings_.protocol);
   if (etcd == nullptr)
-    return range_pages(prefix, {}, timeout.value_or(settings_.timeout), std::move(done));
+    return range_pages(prefix, {}, timeout.value_or(settings_.timeout), std::move(done),
+                       std::move(handle));
   call(etcd->range(prefix),
        [done = std::move(done), protocol = *etcd](const result<std::string>& body) {
          if (!body) return done(body.error());
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -47,7 +47,7 @@
 
   // timeout: of each call, as of poll().
   void range(const std::string& prefix, std::function<void(result<range_answer>)> done,
-             std::optional<duration> timeout = {});
+             std::optional<duration> timeout = {}, std::shared_ptr<http_call> call = {});
   void get(const std::string& key, std::function<void(result<std::optional<stored_value>>)> done);
   // Writes value if the key's version is expected (0: absent).
   void compare_and_swap(const std::string& key, std::uint64_t expected, const std::string& value,
@@ -56,7 +56,8 @@
   // What has changed under the prefix after the revision; waits for a first change as long as
   // `wait`. timeout: beyond the wait; none: that of the settings.
   void poll(const std::string& prefix, std::uint64_t after_revision, duration wait,
-            std::function<void(result<poll_answer>)> done, std::optional<duration> timeout = {});
+            std::function<void(result<poll_answer>)> done, std::optional<duration> timeout = {},
+            std::shared_ptr<http_call> call = {});
   void transact(const store_transaction& transaction,
                 std::function<void(result<transaction_answer>)> done);
   void create_lease(duration ttl, std::function<void(result<granted_lease>)> done);
@@ -76,14 +77,15 @@
   // Which address is in use; shared with calls under way.
   struct rotation;
   void send(store_request request, duration timeout,
-            std::function<void(result<http_response>)> done);
+            std::function<void(result<http_response>)> done, std::shared_ptr<http_call> call = {});
   void call(store_request request, std::function<void(result<std::string>)> done);
   // What `ask` makes of the platform's form goes out, `read` reads the answer.
   template <class Answer, class Ask, class Read>
   void ask_items(duration timeout, const Ask& ask, Read read,
-                 std::function<void(result<Answer>)> done);
+                 std::function<void(result<Answer>)> done, std::shared_ptr<http_call> call = {});
   void range_pages(const std::string& prefix, range_answer so_far, duration timeout,
-                   std::function<void(result<range_answer>)> done);
+                   std::function<void(result<range_answer>)> done,
+                   std::shared_ptr<http_call> handle);
 
   store_settings settings_;
   std::shared_ptr<std::uint64_t> calls_ = std::make_shared<std::uint64_t>(0);
