Look for changes to the range record ten times a second, not after each grant

After each answer to a grant, 280 a second, it went through all ranges for each upstream and through all keys. A write of the record, which goes to all instances, came 20 times a second.

The assigner now looks for changes when an upstream has changed and otherwise every 100 ms, and finds the owners with a new link in one pass. The new test fails with the former condition (a write at once after the answer).

--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -28,6 +28,7 @@
 #include "ownership/range_assigner.h"
 
 #include <algorithm>
+#include <set>
 
 namespace plantainpaddle {
 
@@ -62,7 +63,11 @@
 }
 
 void range_assigner::set_upstreams(const std::vector<range_upstream>& listed, monotonic_time now) {
-  for (auto& [name, state] : upstreams_) state.listed = state.serving = false;
+  std::set<upstream_id> served_before;
+  for (auto& [name, state] : upstreams_) {
+    if (state.listed && state.serving) served_before.insert(name);
+    state.listed = state.serving = false;
+  }
   for (const auto& upstream : listed) {
     auto [it, added] = upstreams_.try_emplace(upstream.name);
     auto& state = it->second;
@@ -71,6 +76,9 @@
     state.listed = true;
     state.serving = upstream.serving;
   }
+  for (const auto& [name, state] : upstreams_) {
+    if ((state.listed && state.serving) != served_before.contains(name)) upstreams_changed_ = true;
+  }
 }
 
 void range_assigner::on_link(const upstream_id& upstream, link_number link, monotonic_time now) {
@@ -82,6 +90,7 @@
     }
   }
   if (link != 0) state.linked_since = now;
+  if (state.link != link) upstreams_changed_ = true;
   state.link = link;
   state.busy = false;
 }
@@ -308,15 +317,15 @@
 
 // Gives new fences to owners whose fences were granted over a link that has ended.
 void range_assigner::stage_fences(range_record& next) const {
-  for (const auto& [name, upstream] : upstreams_) {
-    if (upstream.link == 0) continue;
-    for (std::size_t i = 0; i < record_.ranges.size(); ++i) {
-      const bool bound = states_[i].link && *states_[i].link != upstream.link;
-      if (record_.ranges[i].owner != name || !bound) continue;
-      renew_fences(next, name);
-      break;
-    }
+  std::set<upstream_id> bound;
+  for (std::size_t i = 0; i < record_.ranges.size(); ++i) {
+    const auto& owner = record_.ranges[i].owner;
+    if (!owner || !states_[i].link) continue;
+    const auto it = upstreams_.find(*owner);
+    if (it == upstreams_.end() || it->second.link == 0) continue;
+    if (*states_[i].link != it->second.link) bound.insert(*owner);
   }
+  for (const auto& owner : bound) renew_fences(next, owner);
 }
 
 void range_assigner::rebalance(const key_load& load, monotonic_time now) {
@@ -353,7 +362,10 @@
 std::vector<range_order> range_assigner::tick(const key_load& load, monotonic_time now) {
   std::vector<range_order> out;
   if (stopped_) return out;
-  if (write_ == write_state::idle && now >= write_after_) {
+  const bool due = upstreams_changed_ || now >= stage_after_;
+  if (write_ == write_state::idle && now >= write_after_ && due) {
+    upstreams_changed_ = false;
+    stage_after_ = now + timing_.stage_period;
     stage(load, now);
     if (next_.ranges != record_.ranges) {
       next_.mark = record_.mark + 1;
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -46,7 +46,10 @@
   // An upstream without a link for this long is unreachable, and its keys are moved.
   duration suspect_after = milliseconds(1000);
   duration release_retry = milliseconds(300);
-  duration write_retry = milliseconds(200);   // of the record, after the store refused it
+  duration write_retry = milliseconds(200);  // of the record, after the store refused it
+  // From one look for changes to the record to the next, unless an upstream has changed. A look
+  // takes time linear in the ranges and keys, and each write goes to all instances.
+  duration stage_period = milliseconds(100);
   duration call_timeout = milliseconds(400);  // of grants; a release takes as long as running work
   // If a larger share of the upstreams is unreachable, the assigner itself is taken to be isolated.
   double max_unreachable = 0.5;
@@ -203,6 +206,8 @@
   range_record next_;  // being written
   write_state write_ = write_state::idle;
   monotonic_time write_after_{};
+  monotonic_time stage_after_{};
+  bool upstreams_changed_ = false;  // since the last look for changes to the record
   std::vector<range_move> planned_;
   std::map<upstream_id, upstream_state> upstreams_;
   monotonic_time renew_until_{};
--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -96,6 +96,24 @@
   BOOST_TEST(granted[0].handover == "token");
 }
 
+// Guards against an assigner that looks through all ranges and keys for changes after each answer
+// of an upstream, until it has no time left to read the store.
+BOOST_AUTO_TEST_CASE(answers_of_upstreams_do_not_make_it_look_for_changes_to_the_record) {
+  one_owner world;
+  const range_timing timing;
+  world.move_to_b(10);
+  const auto staged = at(10);
+  world.assigner.on_released(only<release>(world.assigner.tick(world.load, at(11)))[0], "", at(12));
+  const auto granted = only<grant>(world.assigner.tick(world.load, at(12)));
+  BOOST_TEST_REQUIRE(!granted.empty());
+  // The record could now lose its former owner.
+  world.assigner.on_granted(granted[0], at(13));
+  BOOST_TEST(only<write>(world.assigner.tick(world.load, at(13))).empty());
+  const auto due = staged + timing.stage_period;
+  BOOST_TEST(only<write>(world.assigner.tick(world.load, due - milliseconds(1))).empty());
+  BOOST_TEST(only<write>(world.assigner.tick(world.load, due)).size() == 1U);
+}
+
 // Two ranges were merged while the grant of the first was unanswered. Its answer was attributed to
 // another range, and the merged range was never renewed again. The store failure test found this.
 BOOST_AUTO_TEST_CASE(ranges_that_are_joined_while_a_grant_is_under_way_are_renewed) {
