Only one feed tries while the store can't be reached

Four feeds that each repeat their reads cost a store that turns an instance away 8 to 16 calls a second; failed calls are paid for too. The feed of the upstreams tries for all.

--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -38,15 +38,15 @@
 }  // namespace
 
 store_view::store_view(store_client& store, handler on_change, store_view_timing timing)
-    : store_(store), on_change_(std::move(on_change)), timing_(timing) {
-  const store_layout layout{.desired = std::string(desired_state_key),
-                            .upstreams = std::string(upstream_key_prefix),
-                            .own = std::string(own_key_prefix),
-                            .assigners = std::string(assigner_key_prefix)};
-  for (auto& config : make_store_feeds(layout, timing_.bounds)) {
-    feeds_.push_back({store_feed(std::move(config), timing_.feed), {}});
-  }
-}
+    : store_(store),
+      on_change_(std::move(on_change)),
+      timing_(timing),
+      feeds_({.desired = std::string(desired_state_key),
+              .upstreams = std::string(upstream_key_prefix),
+              .own = std::string(own_key_prefix),
+              .assigners = std::string(assigner_key_prefix)},
+             timing_.bounds, timing_.feed),
+      calls_(feeds_.size()) {}
 
 const versioned_record* store_view::record(const service_id& service) const {
   const auto found = records_.find(service);
@@ -55,9 +55,10 @@
 
 std::optional<bool> store_view::has_assigner(const service_id& service) const {
   const auto key = assigner_key(service);
-  const bool known = std::any_of(feeds_.begin(), feeds_.end(), [&](const feed_state& state) {
-    return state.feed.is_read() && key.starts_with(state.feed.prefix());
-  });
+  bool known = false;
+  for (std::size_t i = 0; i < feeds_.size(); ++i) {
+    known = known || (feeds_[i].is_read() && key.starts_with(feeds_[i].prefix()));
+  }
   if (!known) return std::nullopt;
   return assigners_.contains(key);
 }
@@ -72,36 +73,32 @@
 }
 
 void store_view::refresh() {
-  for (auto& state : feeds_) state.feed.request(monotonic_now());
+  for (std::size_t i = 0; i < feeds_.size(); ++i) {
+    if (feeds_[i].prefix().starts_with(own_key_prefix)) feeds_[i].request(monotonic_now());
+  }
   tick();
 }
 
 void store_view::tick() {
   const auto now = monotonic_now();
-  for (auto& state : feeds_) {
-    while (const auto wanted = state.feed.next(now)) read(state, *wanted);
-  }
+  while (const auto due = feeds_.next(now)) read(*due);
   if (upstreams_.expire(now)) notify({.upstreams = true});
 }
 
-void store_view::read(feed_state& state, const store_read& wanted) {
+void store_view::read(const due_read& due) {
   auto call = std::make_shared<http_call>();
-  call->on_progress = [&state, wanted] { state.feed.on_progress(wanted, monotonic_now()); };
-  state.calls[wanted.id] = call;
-  if (wanted.after != 0) {
+  call->on_progress = [this, due] { feeds_[due.feed].on_progress(due.read, monotonic_now()); };
+  calls_[due.feed][due.read.id] = call;
+  const auto& prefix = feeds_[due.feed].prefix();
+  if (due.read.after != 0) {
     return store_.poll(
-        state.feed.prefix(), wanted.after, wanted.wait,
-        [this, &state, wanted](const result<poll_answer>& answer) {
-          on_changes(state, wanted, answer);
-        },
-        wanted.timeout, std::move(call));
+        prefix, due.read.after, due.read.wait,
+        [this, due](const result<poll_answer>& answer) { on_changes(due, answer); },
+        due.read.timeout, std::move(call));
   }
   store_.range(
-      state.feed.prefix(),
-      [this, &state, wanted](const result<range_answer>& answer) {
-        on_values(state, wanted, answer);
-      },
-      wanted.timeout, std::move(call));
+      prefix, [this, due](const result<range_answer>& answer) { on_values(due, answer); },
+      due.read.timeout, std::move(call));
 }
 
 void store_view::on_contact(const store_feed& feed) {
@@ -112,9 +109,9 @@
   upstreams_.on_contact(now);
 }
 
-void store_view::on_failure(feed_state& state, const store_read& asked, const error& e) {
+void store_view::on_failure(const due_read& asked, const error& e) {
   const auto now = monotonic_now();
-  state.feed.on_failure(asked, now);
+  feeds_[asked.feed].on_failure(asked.read, now);
   if (!store_lost_ && now - last_contact_ >= timing_.store_lost_after) {
     store_lost_ = true;
     upstreams_.on_lost_contact();
@@ -125,43 +122,41 @@
 
 // Returns whether the answer's values are to be taken in. Then the reads that are still under way
 // are needless, and their connections, on which nothing comes, are closed.
-bool store_view::accept(feed_state& state, const store_read& asked, const read_result& answer) {
-  on_contact(state.feed);
+bool store_view::accept(const due_read& asked, const read_result& answer) {
+  auto& feed = feeds_[asked.feed];
+  on_contact(feed);
   if (answer.compacted) {
     log_event(log_level::info, "store history compacted",
-              {{"prefix", state.feed.prefix()}, {"revision", asked.after}});
+              {{"prefix", feeds_[asked.feed].prefix()}, {"revision", asked.read.after}});
   }
-  if (!state.feed.on_answer(asked, answer, monotonic_now())) return false;
-  for (const auto& [id, call] : std::exchange(state.calls, {})) call->cancel();
+  if (!feed.on_answer(asked.read, answer, monotonic_now())) return false;
+  for (const auto& [id, call] : std::exchange(calls_[asked.feed], {})) call->cancel();
   return true;
 }
 
-void store_view::on_changes(feed_state& state, const store_read& asked,
-                            const result<poll_answer>& answer) {
-  if (state.calls.erase(asked.id) == 0) return;
+void store_view::on_changes(const due_read& asked, const result<poll_answer>& answer) {
+  if (calls_[asked.feed].erase(asked.read.id) == 0) return;
   const auto value_bytes = [](const watch_event& e) { return e.value.value.size(); };
-  log_read(state.feed, asked, answer ? answer->events.size() : 0,
+  log_read(feeds_[asked.feed], asked.read, answer ? answer->events.size() : 0,
            answer ? total_bytes(answer->events, value_bytes) : 0,
            answer ? std::string_view() : answer.error().detail);
-  if (!answer) return on_failure(state, asked, answer.error());
-  const bool taken = accept(state, asked,
-                            {.revision = answer->revision,
-                             .compacted = answer->compacted,
-                             .changed = !answer->events.empty()});
+  if (!answer) return on_failure(asked, answer.error());
+  const bool taken = accept(asked, {.revision = answer->revision,
+                                    .compacted = answer->compacted,
+                                    .changed = !answer->events.empty()});
   if (taken) notify(apply(answer->events));
   tick();
 }
 
-void store_view::on_values(feed_state& state, const store_read& asked,
-                           const result<range_answer>& answer) {
-  if (state.calls.erase(asked.id) == 0) return;
+void store_view::on_values(const due_read& asked, const result<range_answer>& answer) {
+  if (calls_[asked.feed].erase(asked.read.id) == 0) return;
   const auto value_bytes = [](const stored_value& v) { return v.value.size(); };
-  log_read(state.feed, asked, answer ? answer->values.size() : 0,
+  log_read(feeds_[asked.feed], asked.read, answer ? answer->values.size() : 0,
            answer ? total_bytes(answer->values, value_bytes) : 0,
            answer ? std::string_view() : answer.error().detail);
-  if (!answer) return on_failure(state, asked, answer.error());
-  if (!accept(state, asked, {.revision = answer->revision, .changed = true})) return;
-  const auto& prefix = state.feed.prefix();
+  if (!answer) return on_failure(asked, answer.error());
+  if (!accept(asked, {.revision = answer->revision, .changed = true})) return;
+  const auto& prefix = feeds_[asked.feed].prefix();
   std::vector<watch_event> events;
   std::set<upstream_id> present;
   std::set<std::string, std::less<>> keys;
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -4,9 +4,9 @@
 //   store_view view(store, [&](const store_change& changed) { ... });
 //   view.tick();  // several times a second
 //
-// What is read when is decided by store_feeds. Assigners push their records to the other instances,
-// which pass them to update_record(). Versions never decrease: an older one is ignored. Everything
-// runs on io's thread.
+// What is read when is decided by store_reader. Assigners push their records to the other
+// instances, which pass them to update_record(). Versions never decrease: an older one is ignored.
+// Everything runs on io's thread.
 #pragma once
 
 #include <functional>
@@ -57,7 +57,7 @@
   // Reads what is due and ends entries of upstreams whose grace period has passed. It should be
   // called several times a second.
   void tick();
-  // Reads everything at once, or again right after the reads in progress.
+  // Reads the router's own keys at once, or again right after the reads in progress.
   void refresh();
 
   const std::optional<desired_state>& desired() const { return desired_; }
@@ -73,17 +73,14 @@
   void update_record(const service_id& service, const range_record& record, std::uint64_t version);
 
  private:
-  struct feed_state {
-    store_feed feed;
-    std::map<std::uint64_t, std::shared_ptr<http_call>> calls;  // by read
-  };
+  using due_read = store_reader::due_read;
 
-  void read(feed_state& state, const store_read& wanted);
-  void on_changes(feed_state& state, const store_read& asked, const result<poll_answer>& answer);
-  void on_values(feed_state& state, const store_read& asked, const result<range_answer>& answer);
-  bool accept(feed_state& state, const store_read& asked, const read_result& answer);
+  void read(const due_read& due);
+  void on_changes(const due_read& asked, const result<poll_answer>& answer);
+  void on_values(const due_read& asked, const result<range_answer>& answer);
+  bool accept(const due_read& asked, const read_result& answer);
   void on_contact(const store_feed& feed);
-  void on_failure(feed_state& state, const store_read& asked, const error& e);
+  void on_failure(const due_read& asked, const error& e);
   store_change apply(const std::vector<watch_event>& events);
   void apply_event(const watch_event& event, store_change& changed);
   void apply_desired(const stored_value& value, store_change& changed);
@@ -94,7 +91,9 @@
   store_client& store_;
   handler on_change_;
   store_view_timing timing_;
-  std::vector<feed_state> feeds_;  // never resized, as calls refer to its elements
+  store_reader feeds_;
+  // By feed, the calls that are under way, by the id of the read.
+  std::vector<std::map<std::uint64_t, std::shared_ptr<http_call>>> calls_;
   std::optional<desired_state> desired_;
   upstream_list upstreams_;
   // By key, including keys whose removal no complete list has confirmed yet.
--- a/src/ownership/store_feed.cc
+++ b/src/ownership/store_feed.cc
@@ -62,7 +62,8 @@
   const auto it = std::find(under_way_.begin(), under_way_.end(), read);
   if (it == under_way_.end()) return;
   under_way_.erase(it);
-  const auto delay = timing_.retry_delay * (1 << std::min(failures_, 4));
+  constexpr int max_doublings = 5;
+  const auto delay = timing_.retry_delay * (1 << std::min(failures_, max_doublings));
   ++failures_;
   next_at_ = now + std::min(timing_.max_retry_delay, delay);
 }
@@ -72,7 +73,8 @@
   if (failures_ == 0) next_at_ = std::min(next_at_, now);
 }
 
-std::vector<feed_config> make_store_feeds(const store_layout& layout, const news_bounds& bounds) {
+store_reader::store_reader(const store_layout& layout, const news_bounds& bounds,
+                         feed_timing timing) {
   const auto share_of = [](duration whole, double share) {
     return std::chrono::duration_cast<duration>(whole * share);
   };
@@ -84,12 +86,23 @@
   constexpr duration desired_slack = milliseconds(400);  // one value is less than several versions
   constexpr duration own_period = seconds(5);            // pushed records arrive sooner
   constexpr duration assigner_wait = seconds(15);        // each wait costs one call to the store
-  return {{.prefix = layout.desired,
-           .wait = desired_wait,
-           .max_change_age = desired_wait + desired_slack},
-          {.prefix = layout.upstreams, .period = share_of(bounds.leaving, leaving_share)},
-          {.prefix = layout.own, .period = own_period, .whole = true},
-          {.prefix = layout.assigners, .wait = assigner_wait}};
+  const std::vector<feed_config> configs{
+      {.prefix = layout.desired,
+       .wait = desired_wait,
+       .max_change_age = desired_wait + desired_slack},
+      {.prefix = layout.upstreams, .period = share_of(bounds.leaving, leaving_share)},
+      {.prefix = layout.own, .period = own_period, .whole = true},
+      {.prefix = layout.assigners, .wait = assigner_wait}};
+  for (const auto& config : configs) feeds_.emplace_back(config, timing);
+}
+
+std::optional<store_reader::due_read> store_reader::next(monotonic_time now) {
+  for (std::size_t i = 0; i < feeds_.size(); ++i) {
+    const bool tries = i == upstream_feed || !feeds_[upstream_feed].is_failing();
+    if (feeds_[i].is_failing() && !tries) continue;
+    if (const auto read = feeds_[i].next(now)) return due_read{i, *read};
+  }
+  return std::nullopt;
 }
 
 }  // namespace plantainpaddle
--- a/src/ownership/store_feed.h
+++ b/src/ownership/store_feed.h
@@ -1,11 +1,11 @@
-// Decides when an instance reads a part of the store, whether it asks for changes or for
-// everything, and how long an answer may take. Each part that an instance believes in has a feed of
-// its own, so that news of one isn't held up by the volume of another. No I/O and no clock.
+// Decides when an instance reads the parts of the store, whether it asks for changes or for
+// everything, and how long an answer may take. Each part has a feed of its own, so that news of one
+// isn't held up by the volume of another. No I/O and no clock.
 //
-//   store_feed feed({.prefix = "servers/", .period = milliseconds(950)}, timing);
-//   if (const auto read = feed.next(now)) ...          // several times a second; carry it out
-//   if (feed.on_answer(*read, answer, now)) ...        // take the answer's values in
-//   feed.on_failure(*read, now);
+//   store_reader reader(layout, bounds);
+//   while (const auto due = reader.next(now)) ...    // several times a second; carry it out
+//   if (reader[due->feed].on_answer(due->read, answer, now)) ...  // take the values in
+//   reader[due->feed].on_failure(due->read, now);
 #pragma once
 
 #include <cstdint>
@@ -75,6 +75,7 @@
   // Every change that the store acknowledged before this time has been taken in.
   monotonic_time known_at() const { return known_at_; }
   std::uint64_t revision() const { return revision_; }
+  bool is_failing() const { return failures_ != 0; }
   bool is_read() const { return known_at_ != monotonic_time{}; }
 
  private:
@@ -105,7 +106,26 @@
   std::string assigners;  // prefix, within `own`, of the keys that name assigners
 };
 
-// Returns the feeds of an instance, which together cover the keys that it reads.
-std::vector<feed_config> make_store_feeds(const store_layout& layout, const news_bounds& bounds);
+// The feeds of an instance, which together cover the keys that it reads.
+class store_reader {
+ public:
+  store_reader(const store_layout& layout, const news_bounds& bounds, feed_timing timing = {});
+
+  struct due_read {
+    std::size_t feed = 0;
+    store_read read;
+  };
+  // Returns a read that is due. While the store can't be reached, only one feed tries.
+  std::optional<due_read> next(monotonic_time now);
+
+  store_feed& operator[](std::size_t feed) { return feeds_[feed]; }
+  const store_feed& operator[](std::size_t feed) const { return feeds_[feed]; }
+  std::size_t size() const { return feeds_.size(); }
+  const store_feed& upstreams() const { return feeds_[upstream_feed]; }
+
+ private:
+  static constexpr std::size_t upstream_feed = 1;
+  std::vector<store_feed> feeds_;
+};
 
 }  // namespace plantainpaddle
--- a/src/ownership/testing/feed_simulation.cc
+++ b/src/ownership/testing/feed_simulation.cc
@@ -34,13 +34,7 @@
                             .own = std::string(own_key_prefix),
                             .assigners = std::string(assigner_key_prefix)};
   const news_bounds bounds{.desired = milliseconds(2500), .leaving = milliseconds(2500)};
-  for (std::size_t i = 0; i < load_.instances; ++i) {
-    instance made;
-    for (auto& config : make_store_feeds(layout, bounds)) {
-      made.feeds.emplace_back(std::move(config));
-    }
-    instances_.push_back(std::move(made));
-  }
+  instances_.assign(load_.instances, {.feeds = store_reader(layout, bounds)});
 }
 
 void feed_simulation::at(monotonic_time when, std::function<void()> what) {
@@ -124,24 +118,23 @@
 void feed_simulation::send_reads(std::size_t index) {
   auto& self = instances_[index];
   if (active(feed_fault_kind::frozen, index) != nullptr || now_ < self.busy_until) return;
-  for (std::size_t f = 0; f < self.feeds.size(); ++f) {
-    while (const auto read = self.feeds[f].next(now_)) {
-      ++calls_;
-      auto call = std::make_shared<pending>(pending{index, f, *read});
-      calls_under_way_.push_back(call);
-      at(now_ + read->wait + read->timeout, [this, call] { fail(call); });
-      if (active(feed_fault_kind::cut, index) != nullptr) continue;
-      if (active(feed_fault_kind::refused, index) != nullptr) {
-        at(now_ + 2 * one_way, [this, call] { fail(call); });
-        continue;
-      }
-      duration delay = one_way + store_time;
-      if (active(feed_fault_kind::late, index) != nullptr &&
-          std::uniform_real_distribution<>()(random_) < loss) {
-        delay += milliseconds(std::uniform_int_distribution<>(500, 3000)(random_));
-      }
-      at(now_ + delay, [this, call] { arrive(call); });
+  while (const auto due = self.feeds.next(now_)) {
+    const auto* read = &due->read;
+    ++calls_;
+    auto call = std::make_shared<pending>(pending{index, due->feed, due->read});
+    calls_under_way_.push_back(call);
+    at(now_ + read->wait + read->timeout, [this, call] { fail(call); });
+    if (active(feed_fault_kind::cut, index) != nullptr) continue;
+    if (active(feed_fault_kind::refused, index) != nullptr) {
+      at(now_ + 2 * one_way, [this, call] { fail(call); });
+      continue;
+    }
+    duration delay = one_way + store_time;
+    if (active(feed_fault_kind::late, index) != nullptr &&
+        std::uniform_real_distribution<>()(random_) < loss) {
+      delay += milliseconds(std::uniform_int_distribution<>(500, 3000)(random_));
     }
+    at(now_ + delay, [this, call] { arrive(call); });
   }
 }
 
--- a/src/ownership/testing/feed_simulation.h
+++ b/src/ownership/testing/feed_simulation.h
@@ -1,4 +1,4 @@
-// Instances that read a store through store_feeds, on virtual time: answers take as long as their
+// Instances that read a store through store_reader, on virtual time: answers take as long as their
 // bytes need on the instance's link and processor. Measures how long after the store's
 // acknowledgement news take effect on instances that are in touch with it.
 //
@@ -87,7 +87,7 @@
     monotonic_time arrives{};
   };
   struct instance {
-    std::vector<store_feed> feeds;
+    store_reader feeds;
     std::uint64_t desired = 0;
     std::set<std::string> leaving;  // upstreams that it knows to leave or to be gone
     monotonic_time link_free{};
