--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -36,9 +36,11 @@
 // Bounds on the observed speed of an upstream, relative to the mean of its service.
 constexpr double min_relative_speed = 0.2;
 constexpr double max_relative_speed = 2.5;
-// A share of the drain time of a leaving upstream, which ends with its last new request. The rest
-// covers one poll of the store.
+// Shares of the drain time of a leaving upstream, which ends with its last new request. Its keys'
+// requests go to it for the grace after its notice was seen, but not after the limit, counted from
+// when the notice can have been given at the earliest.
 constexpr double leaving_grace_share = 0.35;
+constexpr double leaving_limit_share = 0.85;
 constexpr duration report_timeout = milliseconds(400);
 // The load balancer removes an instance after two readiness checks, a second apart, that fail.
 constexpr duration balancer_removal_time = milliseconds(2600);
@@ -299,7 +301,9 @@
   for (const auto& [id, known] : view.upstreams().all()) {
     if (known.entry.leaving) {
       const auto since = leaving_upstreams.find(id);
-      still_leaving[id] = since == leaving_upstreams.end() ? now : since->second;
+      const auto oldest = known.leaving_since + share_of(settings.bounds.drain,
+                                                         leaving_limit_share - leaving_grace_share);
+      still_leaving[id] = since == leaving_upstreams.end() ? std::min(now, oldest) : since->second;
     }
     const auto& service = known.entry.service;
     const double speed = is_assigner(service) ? observed_speed(service, id) : 1;
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -141,10 +141,11 @@
            answer ? total_bytes(answer->events, value_bytes) : 0,
            answer ? std::string_view() : answer.error().detail);
   if (!answer) return on_failure(asked, answer.error());
+  const auto known_at = feeds_[asked.feed].known_at();
   const bool taken = accept(asked, {.revision = answer->revision,
                                     .compacted = answer->compacted,
                                     .changed = !answer->events.empty()});
-  if (taken) notify(apply(answer->events));
+  if (taken) notify(apply(answer->events, known_at));
   tick();
 }
 
@@ -155,6 +156,7 @@
            answer ? total_bytes(answer->values, value_bytes) : 0,
            answer ? std::string_view() : answer.error().detail);
   if (!answer) return on_failure(asked, answer.error());
+  const auto known_at = feeds_[asked.feed].known_at();
   if (!accept(asked, {.revision = answer->revision, .changed = true})) return;
   const auto& prefix = feeds_[asked.feed].prefix();
   std::vector<watch_event> events;
@@ -176,7 +178,7 @@
     if (key.starts_with(prefix) && !keys.contains(key))
       events.push_back({true, {key, "", answer->revision}});
   }
-  auto changed = apply(events);
+  auto changed = apply(events, known_at);
   if (upstream_key_prefix.starts_with(prefix)) {
     changed.upstreams = upstreams_.on_full_list(present, monotonic_now()) || changed.upstreams;
   }
@@ -187,13 +189,14 @@
   notify(changed);
 }
 
-store_change store_view::apply(const std::vector<watch_event>& events) {
+store_change store_view::apply(const std::vector<watch_event>& events, monotonic_time known_at) {
   store_change changed;
-  for (const auto& event : events) apply_event(event, changed);
+  for (const auto& event : events) apply_event(event, known_at, changed);
   return changed;
 }
 
-void store_view::apply_event(const watch_event& event, store_change& changed) {
+void store_view::apply_event(const watch_event& event, monotonic_time known_at,
+                             store_change& changed) {
   const auto& key = event.value.key;
   // Pages of a full read are newer than its revision, so that changes come a second time.
   auto& version = versions_[key];
@@ -202,7 +205,7 @@
   if (key == desired_state_key) {
     if (!event.removed) apply_desired(event.value, changed);
   } else if (key.starts_with(upstream_key_prefix)) {
-    apply_upstream(event, changed);
+    apply_upstream(event, known_at, changed);
   } else if (key.starts_with(own_key_prefix)) {
     apply_own_key(event, changed);
   }
@@ -225,7 +228,8 @@
   changed.desired = true;
 }
 
-void store_view::apply_upstream(const watch_event& event, store_change& changed) {
+void store_view::apply_upstream(const watch_event& event, monotonic_time known_at,
+                                store_change& changed) {
   const auto now = monotonic_now();
   const upstream_id id{event.value.key.substr(upstream_key_prefix.size())};
   const auto before = upstreams_.all().find(id);
@@ -249,7 +253,7 @@
     changed.upstreams = upstreams_.on_removed(id, now) || changed.upstreams;
     return;
   }
-  if (!upstreams_.on_entry(*entry, now)) return;
+  if (!upstreams_.on_entry(*entry, now, known_at)) return;
   changed.upstreams = true;
   log_event(log_level::info,
             !was_known ? "upstream found"
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -81,10 +81,11 @@
   bool accept(const due_read& asked, const read_result& answer);
   void on_contact(const store_feed& feed);
   void on_failure(const due_read& asked, const error& e);
-  store_change apply(const std::vector<watch_event>& events);
-  void apply_event(const watch_event& event, store_change& changed);
+  // known_at: up to when the feed was known before the events were read.
+  store_change apply(const std::vector<watch_event>& events, monotonic_time known_at);
+  void apply_event(const watch_event& event, monotonic_time known_at, store_change& changed);
   void apply_desired(const stored_value& value, store_change& changed);
-  void apply_upstream(const watch_event& event, store_change& changed);
+  void apply_upstream(const watch_event& event, monotonic_time known_at, store_change& changed);
   void apply_own_key(const watch_event& event, store_change& changed);
   void notify(const store_change& changed);
 
--- a/src/ownership/store_feed.cc
+++ b/src/ownership/store_feed.cc
@@ -65,7 +65,8 @@
   constexpr int max_doublings = 5;
   const auto delay = timing_.retry_delay * (1 << std::min(failures_, max_doublings));
   ++failures_;
-  next_at_ = now + std::min(timing_.max_retry_delay, delay);
+  // While others are under way, hedge_after says when to try again.
+  if (under_way_.empty()) next_at_ = now + std::min(timing_.max_retry_delay, delay);
 }
 
 void store_feed::request(monotonic_time now) {
@@ -74,7 +75,7 @@
 }
 
 store_reader::store_reader(const store_layout& layout, const news_bounds& bounds,
-                         feed_timing timing) {
+                           feed_timing timing) {
   const auto share_of = [](duration whole, double share) {
     return std::chrono::duration_cast<duration>(whole * share);
   };
--- a/src/ownership/testing/feed_simulation.cc
+++ b/src/ownership/testing/feed_simulation.cc
@@ -17,6 +17,7 @@
 constexpr duration one_way = milliseconds(1);
 constexpr duration store_time = milliseconds(4);
 constexpr duration progress_period = milliseconds(50);
+constexpr duration store_lost_after = milliseconds(1800);
 constexpr duration quiet_period = seconds(3);
 constexpr std::size_t item_overhead = 90;
 constexpr double loss = 0.35;
@@ -58,6 +59,9 @@
 }
 
 void feed_simulation::remove(const std::string& key) {
+  // An upstream that gave no notice is news as well.
+  const auto it = state_.find(key);
+  if (it != state_.end() && it->second.version == 0) news_.push_back({0, key, now_});
   log_.push_back({++revision_, key, 0, 1, true});
   state_.erase(key);
 }
@@ -88,6 +92,9 @@
       at(start + t, [this, leaving] { write(leaving, 200, 1); });
       at(start + t + seconds(4), [this, leaving] { remove(leaving); });
       at(start + t + seconds(2), [this, joining] { write(joining, 200, 0); });
+      // Others fail.
+      const auto failing = upstream_key(load_.upstreams - 1 - next_upstream);
+      if (i == 0) at(start + t, [this, failing] { remove(failing); });
       // An upstream that warms up states a new remaining time with each heartbeat.
       for (int beat = 1; beat <= 2; ++beat) {
         at(start + t + seconds(2) + beat * milliseconds(1500),
@@ -117,6 +124,7 @@
 
 void feed_simulation::send_reads(std::size_t index) {
   auto& self = instances_[index];
+  self.upstreams.expire(now_);
   if (active(feed_fault_kind::frozen, index) != nullptr || now_ < self.busy_until) return;
   while (const auto due = self.feeds.next(now_)) {
     const auto* read = &due->read;
@@ -206,19 +214,11 @@
       if (std::exchange(call->answered, true)) return;
       const read_result result{revision, compacted, !changes.empty()};
       auto& taker = instances_[call->instance];
+      taker.last_contact = now_;
+      taker.upstreams.on_contact(now_);
       if (taker.feeds[call->feed].on_answer(call->read, result, now_)) {
         cancel_others(call);
-        if (call->read.after == 0 &&
-            upstream_prefix.starts_with(taker.feeds[call->feed].prefix())) {
-          // An upstream that a complete list lacks is gone.
-          for (const auto& known : news_) {
-            const bool listed = std::any_of(changes.begin(), changes.end(), [&](const change& c) {
-              return c.key == known.upstream;
-            });
-            if (!known.upstream.empty() && !listed) taker.leaving.insert(known.upstream);
-          }
-        }
-        take_in(call->instance, changes);
+        take_in(*call, changes);
       }
       send_reads(call->instance);
     });
@@ -239,28 +239,43 @@
 void feed_simulation::fail(const std::shared_ptr<pending>& call) {
   if (call->transferring || call->cancelled || std::exchange(call->answered, true)) return;
   std::erase(waiting_, call);
-  instances_[call->instance].feeds[call->feed].on_failure(call->read, now_);
+  auto& self = instances_[call->instance];
+  self.feeds[call->feed].on_failure(call->read, now_);
+  if (now_ - self.last_contact >= store_lost_after) self.upstreams.on_lost_contact();
 }
 
-void feed_simulation::take_in(std::size_t index, const std::vector<change>& changes) {
-  auto& self = instances_[index];
+void feed_simulation::take_in(const pending& call, const std::vector<change>& changes) {
+  auto& self = instances_[call.instance];
+  std::set<upstream_id> present;
   for (const auto& c : changes) {
     if (c.key == desired_key) self.desired = std::max(self.desired, c.version);
-    if (c.key.starts_with(upstream_prefix) && c.version != 0) self.leaving.insert(c.key);
+    if (!c.key.starts_with(upstream_prefix)) continue;
+    if (c.removed) {
+      self.upstreams.on_removed({c.key}, now_);
+    } else {
+      self.upstreams.on_entry({.id = {c.key}, .leaving = c.version != 0}, now_);
+      present.insert({c.key});
+    }
   }
+  const bool whole = call.read.after == 0;
+  if (whole && upstream_prefix.starts_with(self.feeds[call.feed].prefix()))
+    self.upstreams.on_full_list(present, now_);
+}
+
+bool feed_simulation::is_known(const instance& self, const news& n) const {
+  if (n.upstream.empty()) return self.desired >= n.version;
+  const auto it = self.upstreams.all().find({n.upstream});
+  return it == self.upstreams.all().end() || it->second.entry.leaving;
 }
 
 void feed_simulation::check() {
   for (std::size_t i = 0; i < instances_.size(); ++i) {
     if (!is_in_touch(i)) continue;
     const auto& self = instances_[i];
-    const auto unknown = [&](const news& n) {
-      return n.upstream.empty() ? self.desired < n.version : !self.leaving.contains(n.upstream);
-    };
     for (const auto& n : news_) {
       auto& worst = n.upstream.empty() ? worst_desired_ : worst_leaving_;
       const auto age = now_ - n.acked;
-      if (age <= worst || !unknown(n)) continue;
+      if (age <= worst || is_known(self, n)) continue;
       worst = age;
       if (age <= std::max(worst_desired_, worst_leaving_) - tick) continue;
       const auto ms = std::chrono::duration_cast<milliseconds>(now_ - start).count();
--- a/src/ownership/testing/feed_simulation.h
+++ b/src/ownership/testing/feed_simulation.h
@@ -20,6 +20,7 @@
 
 #include "base/time.h"
 #include "ownership/store_feed.h"
+#include "ownership/upstream_list.h"
 
 namespace plantainpaddle {
 
@@ -89,27 +90,29 @@
   struct instance {
     store_reader feeds;
     std::uint64_t desired = 0;
-    std::set<std::string> leaving;  // upstreams that it knows to leave or to be gone
+    upstream_list upstreams = upstream_list();
+    monotonic_time last_contact{};
     monotonic_time link_free{};
     monotonic_time busy_until{};
     monotonic_time in_touch_from{};
   };
   struct news {
     std::uint64_t version = 0;
-    std::string upstream;
+    std::string upstream;  // that leaves or is gone
     monotonic_time acked{};
   };
 
   void at(monotonic_time when, std::function<void()> what);
   void write(const std::string& key, std::size_t bytes, std::uint64_t version);
   void remove(const std::string& key);
+  bool is_known(const instance& self, const news& n) const;
   void plan_writes(duration length);
   void send_reads(std::size_t index);
   void arrive(const std::shared_ptr<pending>& call);
   void answer(const std::shared_ptr<pending>& call);
   void cancel_others(const std::shared_ptr<pending>& call);
   void fail(const std::shared_ptr<pending>& call);
-  void take_in(std::size_t index, const std::vector<change>& changes);
+  void take_in(const pending& call, const std::vector<change>& changes);
   void check();
   const feed_fault* active(feed_fault_kind kind, std::size_t index) const;
   bool is_in_touch(std::size_t index) const;
--- a/src/ownership/testing/upstream_list_test.cc
+++ b/src/ownership/testing/upstream_list_test.cc
@@ -37,6 +37,17 @@
   BOOST_TEST((list.all().at({"a"}).warm_since == at(3500)));
 }
 
+// Guards against a notice whose age is counted from when it was seen: it may be as old as the read
+// before.
+BOOST_AUTO_TEST_CASE(a_notice_may_be_as_old_as_the_last_read_without_it) {
+  upstream_list list;
+  list.on_entry(entry("a"), at(0), at(-1000));
+  list.on_entry(entry("a", true), at(2000), at(100));
+  BOOST_TEST((list.all().at({"a"}).leaving_since == at(100)));
+  list.on_entry(entry("a", true), at(3000), at(2000));  // a heartbeat
+  BOOST_TEST((list.all().at({"a"}).leaving_since == at(100)));
+}
+
 BOOST_AUTO_TEST_CASE(a_removed_entry_is_dropped_while_the_store_is_reachable) {
   upstream_list list;
   list.on_contact(at(0));
--- a/src/ownership/upstream_list.cc
+++ b/src/ownership/upstream_list.cc
@@ -2,8 +2,10 @@
 
 namespace plantainpaddle {
 
-bool upstream_list::on_entry(const registered_upstream& entry, monotonic_time now) {
+bool upstream_list::on_entry(const registered_upstream& entry, monotonic_time now,
+                             monotonic_time known_at) {
   listed fresh{entry, now + entry.warm_up_left, std::nullopt};
+  if (entry.leaving) fresh.leaving_since = known_at;
   auto [it, added] = upstreams_.try_emplace(entry.id, fresh);
   if (added) return true;
   auto& known = it->second;
@@ -11,7 +13,10 @@
   auto same = entry;
   same.warm_up_left = known.entry.warm_up_left;
   const bool changed = same != known.entry || known.lapsed_until;
-  if (entry.life == known.entry.life) fresh.warm_since = known.warm_since;
+  if (entry.life == known.entry.life) {
+    fresh.warm_since = known.warm_since;
+    if (entry.leaving && known.entry.leaving) fresh.leaving_since = known.leaving_since;
+  }
   known = fresh;
   return changed;
 }
--- a/src/ownership/upstream_list.h
+++ b/src/ownership/upstream_list.h
@@ -43,13 +43,15 @@
     registered_upstream entry;
     monotonic_time warm_since{};
     std::optional<monotonic_time> lapsed_until;  // gone from the store, kept here until then
+    monotonic_time leaving_since{};              // if it leaves: the notice isn't older than this
     bool operator==(const listed&) const = default;
   };
 
   explicit upstream_list(upstream_list_timing timing = {}) : timing_(timing) {}
 
-  // These three return whether the list has changed.
-  bool on_entry(const registered_upstream& entry, monotonic_time now);
+  // These three return whether the list has changed. `known_at`: when the store's entries were last
+  // known before this one was read.
+  bool on_entry(const registered_upstream& entry, monotonic_time now, monotonic_time known_at = {});
   bool on_removed(const upstream_id& id, monotonic_time now);
   // `present` is the complete list; entries that it lacks were removed.
   bool on_full_list(const std::set<upstream_id>& present, monotonic_time now);
--- a/src/routing/registry_snapshot.h
+++ b/src/routing/registry_snapshot.h
@@ -31,7 +31,7 @@
 range_view update_range_view(const range_view& before, const range_record& record,
                              monotonic_time now);
 
-// `leaving` holds when the notice of each leaving upstream was first seen.
+// `leaving` holds when the grace period of each leaving upstream began.
 routing_snapshot make_registry_snapshot(const desired_state& desired, const upstream_list& list,
                                         const std::map<service_id, range_view>& ranges,
                                         const std::map<upstream_id, monotonic_time>& leaving,
