Send changes of a record instead of the record, one push at a time, and notice lost ones

An assigner sent each record of 13 kB whole to all instances as soon as it was written, several at a time to each, which takes a second of a 10 Mbit/s link; pushes timed out after 300 ms, and a lost one was made up for by the next read of the store.

Each instance now has one push under way, which the next one supersedes; it carries the ranges that have changed since the version that the instance said it has. The assigner's answer to a load report states its version, so that a lost push is noticed within a second, and an instance that hears nothing from the assigner asks the store.

--- a/src/entry/load_report.cc
+++ b/src/entry/load_report.cc
@@ -39,9 +39,13 @@
 }
 
 std::string format_pushed_record(const pushed_record& pushed) {
+  json::array unchanged;
+  for (const auto index : pushed.record.unchanged) unchanged.emplace_back(index);
   return json::serialize(json::object{{"service", pushed.service.value},
                                       {"version", pushed.version},
-                                      {"record", format_range_record(pushed.record)}});
+                                      {"base", pushed.base},
+                                      {"unchanged", std::move(unchanged)},
+                                      {"record", format_range_record(pushed.record.changes)}});
 }
 
 result<pushed_record> parse_pushed_record(std::string_view text) {
@@ -50,15 +54,38 @@
   const auto parsed = read_object(text, step::peer, max_report_bytes, [&](object_reader& reader) {
     pushed.service.value = reader.text("service");
     pushed.version = reader.unsigned_integer("version");
+    pushed.base = reader.unsigned_integer("base");
     record = reader.text("record");
+    const auto* unchanged = reader.array("unchanged", true);
+    if (unchanged == nullptr) return;
+    for (const auto& item : *unchanged) {
+      boost::system::error_code bad_index;
+      const auto index = item.to_number<std::size_t>(bad_index);
+      const bool rises = pushed.record.unchanged.empty() || index > pushed.record.unchanged.back();
+      if (bad_index || !rises) return reader.fail("unchanged", "rising indexes are wanted");
+      pushed.record.unchanged.push_back(index);
+    }
   });
   if (!parsed) return parsed.error();
   auto read = parse_range_record(record);
   if (!read) return read.error();
-  pushed.record = std::move(*read);
+  pushed.record.changes = std::move(*read);
   return pushed;
 }
 
+std::string format_known_version(std::uint64_t version) {
+  return json::serialize(json::object{{"version", version}});
+}
+
+result<std::uint64_t> parse_known_version(std::string_view text) {
+  std::uint64_t version = 0;
+  const auto parsed = read_object(text, step::peer, max_report_bytes, [&](object_reader& reader) {
+    version = reader.unsigned_integer("version");
+  });
+  if (!parsed) return parsed.error();
+  return version;
+}
+
 result<load_report_message> parse_load_report(std::string_view text) {
   load_report_message report;
   const auto parsed = read_object(text, step::peer, max_report_bytes, [&](object_reader& reader) {
--- a/src/entry/load_report.h
+++ b/src/entry/load_report.h
@@ -1,9 +1,11 @@
 // Messages between instances, as JSON: a load report carries an instance's request counts by key to
 // the assigner of a service, and a pushed record carries what the assigner has written to the
-// store.
+// store, as the changes from a version that the receiver is known to have, or whole. The response
+// to either says which version the receiver has.
 //
 //   {"service": "desk", "keys": [[17, 3], [18, 1]]}
-//   {"service": "desk", "version": 812, "record": "..."}
+//   {"service": "desk", "version": 812, "base": 809, "unchanged": [0, 2], "record": "..."}
+//   {"version": 812}
 #pragma once
 
 #include <cstdint>
@@ -27,7 +29,8 @@
 struct pushed_record {
   service_id service;
   std::uint64_t version = 0;  // of the record's key in the store
-  range_record record;
+  std::uint64_t base = 0;     // the version that `record` changes; 0: it is whole
+  range_delta record;
   bool operator==(const pushed_record&) const = default;
 };
 
@@ -36,6 +39,10 @@
 std::string format_pushed_record(const pushed_record& pushed);
 result<pushed_record> parse_pushed_record(std::string_view text);
 
+// The response to a message, 0 if the receiver has no record.
+std::string format_known_version(std::uint64_t version);
+result<std::uint64_t> parse_known_version(std::string_view text);
+
 std::string format_load_report(const load_report_message& report);
 result<load_report_message> parse_load_report(std::string_view text);
 
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -13,6 +13,7 @@
 #include "entry/load_report.h"
 #include "entry/proxy.h"
 #include "entry/range_runner.h"
+#include "entry/record_pusher.h"
 #include "entry/store_view.h"
 #include "entry/traffic_state.h"
 #include "http/client.h"
@@ -57,7 +58,8 @@
     4;  // a quarter of the memory may hold requests and responses
 constexpr std::string_view report_target = "/load";
 constexpr std::string_view record_target = "/record";
-constexpr duration push_timeout = milliseconds(300);  // a lost push is made up for by the next poll
+// Reports to the assigner confirm the record; after so long without an answer the store is read.
+constexpr duration max_unconfirmed_time = milliseconds(1200);
 
 proxy_settings traffic_settings(const entry_settings& settings) {
   proxy_settings traffic{.listen_callers = settings.listen_callers,
@@ -118,6 +120,7 @@
             store, [this](const store_change& changed) { on_store_change(changed); },
             store_view_timing_for(settings)),
         orders(io.get_executor()),
+        pusher(orders, std::string(record_target)),
         operators(io.get_executor()),
         peers(io.get_executor()),
         signals(io, SIGTERM, SIGINT),
@@ -139,9 +142,10 @@
   void register_instance(monotonic_time now);
   void write_instance();
   void report_load(monotonic_time now);
-  void handle_load_report(std::string_view body);
+  std::string handle_load_report(std::string_view body);
+  void on_report_answer(const service_id& service, const result<http_response>& answer);
   void push_record(const service_id& service, const range_record& record, std::uint64_t version);
-  void handle_pushed_record(std::string_view body);
+  std::string handle_pushed_record(std::string_view body);
   void leave();
   void stop();
   void wait_for_reload_signal();
@@ -165,6 +169,7 @@
   store_client store;
   store_view view;
   http_client orders;
+  record_pusher pusher;
   http_server operators;
   http_server peers;
   asio::signal_set signals;
@@ -174,6 +179,12 @@
   std::map<service_id, std::unique_ptr<range_runner>> runners;
   std::map<upstream_id, monotonic_time> leaving_upstreams;
   std::map<service_id, range_view> ranges;
+  // What the assigner said last, or when the store was asked instead.
+  struct confirmed_record {
+    monotonic_time at{};
+    std::uint64_t version = 0;
+  };
+  std::map<service_id, confirmed_record> confirmed_records;
   std::uint64_t instance_lease_id = 0;
   bool registering = false;
   monotonic_time next_registration{};
@@ -401,60 +412,97 @@
     const auto runner = runners.find(name);
     if (runner == runners.end()) continue;
     load_report_message report{.service = name, .keys = current->services[i].counts->take_keys()};
-    if (report.keys.empty()) continue;
     if (runner->second->is_assigner()) {
       for (const auto& [key, count] : report.keys) runner->second->count(key, count);
       continue;
     }
+    // Without a word of the assigner only the store tells whether the record has changed.
+    auto& confirmed = confirmed_records[name];
+    if (now - confirmed.at >= max_unconfirmed_time) {
+      confirmed.at = now;
+      view.refresh();
+    }
     const std::string address(runner->second->assigner_address());
     if (address.empty()) continue;
     orders.send(address, {"POST", std::string(report_target), {}, format_load_report(report)},
-                report_timeout, [address](const result<http_response>& answer) {
-                  if (!answer) log_error(log_level::debug, answer.error());
+                report_timeout, [this, name](const result<http_response>& answer) {
+                  on_report_answer(name, answer);
                 });
   }
 }
 
-void range_instance::impl::handle_load_report(std::string_view body) {
+// Returns the response. An assigner's says which version of the record it has written.
+std::string range_instance::impl::handle_load_report(std::string_view body) {
   const auto report = parse_load_report(body);
-  if (!report) return log_error(log_level::warning, report.error());
+  if (!report) {
+    log_error(log_level::warning, report.error());
+    return format_known_version(0);
+  }
   const auto runner = runners.find(report->service);
-  if (runner == runners.end()) return;
+  if (runner == runners.end()) return format_known_version(0);
   for (const auto& [key, count] : report->keys) runner->second->count(key, count);
+  const auto* known = view.record(report->service);
+  const bool current = runner->second->is_assigner() && known != nullptr;
+  return format_known_version(current ? known->version : 0);
+}
+
+// The assigner's answer to a report shows whether a pushed record was lost: one that it had written
+// before the previous report should have arrived.
+void range_instance::impl::on_report_answer(const service_id& service,
+                                            const result<http_response>& answer) {
+  if (!answer) return log_error(log_level::debug, answer.error());
+  const auto version = parse_known_version(answer->body);
+  if (!version || *version == 0) return;
+  auto& state = confirmed_records[service];
+  state.at = monotonic_now();
+  const auto* known = view.record(service);
+  const auto expected = std::exchange(state.version, *version);
+  if (known == nullptr || known->version < expected) view.refresh();
 }
 
 void range_instance::impl::push_record(const service_id& service, const range_record& record,
                                        std::uint64_t version) {
-  const std::string body = format_pushed_record({service, version, record});
+  std::vector<std::string> addresses;
   for (const auto& [key, address] : view.instance_addresses()) {
-    if (address == settings.listen_peers) continue;
-    orders.send(address, {"POST", std::string(record_target), {}, body}, push_timeout,
-                [](const result<http_response>& answer) {
-                  if (!answer) log_error(log_level::debug, answer.error());
-                });
+    if (address != settings.listen_peers) addresses.push_back(address);
   }
+  pusher.push(service, record, version, addresses);
 }
 
-void range_instance::impl::handle_pushed_record(std::string_view body) {
+// Returns the response, which says which version of the record this instance has then.
+std::string range_instance::impl::handle_pushed_record(std::string_view body) {
   const auto pushed = parse_pushed_record(body);
-  if (!pushed) return log_error(log_level::warning, pushed.error());
-  if (runners.contains(pushed->service)) {
-    view.update_record(pushed->service, pushed->record, pushed->version);
+  if (!pushed) {
+    log_error(log_level::warning, pushed.error());
+    return format_known_version(0);
+  }
+  if (!runners.contains(pushed->service)) return format_known_version(0);
+  const auto* known = view.record(pushed->service);
+  if (pushed->base == 0) {
+    view.update_record(pushed->service, pushed->record.changes, pushed->version);
+  } else if (known != nullptr && known->version == pushed->base) {
+    const auto record = apply_delta(known->record, pushed->record);
+    if (!record) {
+      log_error(log_level::warning, record.error());
+      return format_known_version(0);
+    }
+    view.update_record(pushed->service, *record, pushed->version);
   }
+  known = view.record(pushed->service);
+  return format_known_version(known == nullptr ? 0 : known->version);
 }
 
 asio::awaitable<http_response> range_instance::impl::serve_peers(http_request request) {
   const bool post = request.method == "POST";
   if (post && request.target == report_target) {
-    handle_load_report(request.body);
+    co_return json_response(200, handle_load_report(request.body));
   } else if (post && request.target == record_target) {
-    handle_pushed_record(request.body);
+    co_return json_response(200, handle_pushed_record(request.body));
   } else if (!post && request.target == "/status") {
     co_return json_response(200, status_json());
   } else {
     co_return json_response(404, R"({"error":"no such page"})");
   }
-  co_return json_response(200, "{}");
 }
 
 asio::awaitable<http_response> range_instance::impl::serve_operators(http_request request) {
--- /dev/null
+++ b/src/entry/record_pusher.cc
@@ -0,0 +1,68 @@
+#include "entry/record_pusher.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "entry/load_report.h"
+
+namespace plantainpaddle {
+
+namespace {
+
+constexpr duration push_timeout = milliseconds(300);  // a lost push is made up for by a read
+constexpr std::size_t kept_records = 16;              // that changes can be stated from
+
+}  // namespace
+
+void record_pusher::push(const service_id& service, const range_record& record,
+                         std::uint64_t version, const std::vector<std::string>& addresses) {
+  auto& state = services_[service];
+  state.messages.clear();
+  state.written.push_back({version, record});
+  if (state.written.size() > kept_records) state.written.pop_front();
+  for (const auto& address : addresses) {
+    const receiver_key to{service, address};
+    if (!receivers_[to].under_way) send(to);
+  }
+}
+
+// Returns the message that brings a receiver from the version that it knows to the latest one.
+const std::string& record_pusher::message_for(const service_id& service, std::uint64_t known) {
+  auto& state = services_[service];
+  const auto base = std::find_if(state.written.begin(), state.written.end(),
+                                 [&](const written_record& w) { return w.version == known; });
+  const bool whole = base == state.written.end();
+  auto [it, added] = state.messages.try_emplace(whole ? 0 : known);
+  if (!added) return it->second;
+  const auto& latest = state.written.back();
+  pushed_record pushed{.service = service, .version = latest.version};
+  if (whole) {
+    pushed.record.changes = latest.record;
+  } else {
+    pushed.base = known;
+    pushed.record = make_delta(base->record, latest.record);
+  }
+  it->second = format_pushed_record(pushed);
+  return it->second;
+}
+
+void record_pusher::send(const receiver_key& to) {
+  auto& state = receivers_[to];
+  state.under_way = true;
+  state.sent = services_[to.first].written.back().version;
+  client_.send(to.second, {"POST", target_, {}, message_for(to.first, state.known)}, push_timeout,
+               [this, to](const result<http_response>& answer) { on_answer(to, answer); });
+}
+
+void record_pusher::on_answer(const receiver_key& to, const result<http_response>& answer) {
+  auto& state = receivers_[to];
+  state.under_way = false;
+  const auto known = answer ? parse_known_version(answer->body) : answer.error();
+  if (!known) return log_error(log_level::debug, known.error());
+  const bool advanced = *known != state.known;
+  state.known = *known;
+  // One that has advanced, or that has another version than was assumed, is sent what it lacks.
+  if (*known < services_[to.first].written.back().version && advanced) send(to);
+}
+
+}  // namespace plantainpaddle
--- /dev/null
+++ b/src/entry/record_pusher.h
@@ -0,0 +1,60 @@
+// Sends the records that an assigner has written to the other instances. Each instance has one push
+// under way at a time; records that are written meanwhile are covered by the next one, so that a
+// slow link carries the latest record instead of all of them. An instance that answered which
+// version it has gets only the changes from there.
+//
+//   record_pusher pusher(client, "/record");
+//   pusher.push(service, record, version, addresses);
+//
+// Everything runs on the client's thread. Calls under way refer to the pusher.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "http/client.h"
+#include "ownership/range_record.h"
+
+namespace plantainpaddle {
+
+class record_pusher {
+ public:
+  record_pusher(http_client& client, std::string target)
+      : client_(client), target_(std::move(target)) {}
+
+  void push(const service_id& service, const range_record& record, std::uint64_t version,
+            const std::vector<std::string>& addresses);
+
+ private:
+  struct written_record {
+    std::uint64_t version = 0;
+    range_record record;
+  };
+  struct service_state {
+    std::deque<written_record> written;             // the latest ones, oldest first
+    std::map<std::uint64_t, std::string> messages;  // of the latest, by the version they change
+  };
+  struct receiver {
+    bool under_way = false;
+    std::uint64_t known = 0;  // the version that it said it has
+    std::uint64_t sent = 0;
+  };
+  using receiver_key = std::pair<service_id, std::string>;  // and its address
+
+  const std::string& message_for(const service_id& service, std::uint64_t known);
+  void send(const receiver_key& to);
+  void on_answer(const receiver_key& to, const result<http_response>& answer);
+
+  http_client& client_;
+  std::string target_;
+  std::map<service_id, service_state> services_;
+  std::map<receiver_key, receiver> receivers_;
+};
+
+}  // namespace plantainpaddle
--- a/src/ownership/range_record.cc
+++ b/src/ownership/range_record.cc
@@ -152,6 +152,50 @@
   return record;
 }
 
+range_delta make_delta(const range_record& before, const range_record& after) {
+  range_delta delta{.changes = after};
+  auto& entries = delta.changes.ranges;
+  entries.clear();
+  for (const auto& entry : after.ranges) {
+    if (entry_of(before, entry.first) != entry) {
+      entries.push_back(entry);
+      continue;
+    }
+    const bool follows = !delta.unchanged.empty() && delta.unchanged.back() + 1 == entries.size();
+    if (follows) {
+      entries.back().last = entry.last;
+      continue;
+    }
+    delta.unchanged.push_back(entries.size());
+    entries.push_back({.first = entry.first, .last = entry.last});
+  }
+  return delta;
+}
+
+result<range_record> apply_delta(const range_record& before, const range_delta& delta) {
+  range_record after = delta.changes;
+  after.ranges.clear();
+  auto unchanged = delta.unchanged.begin();
+  for (std::size_t i = 0; i < delta.changes.ranges.size(); ++i) {
+    const auto& entry = delta.changes.ranges[i];
+    if (unchanged == delta.unchanged.end() || *unchanged != i) {
+      after.ranges.push_back(entry);
+      continue;
+    }
+    ++unchanged;
+    auto it = std::lower_bound(
+        before.ranges.begin(), before.ranges.end(), entry.first,
+        [](const range_entry& known, std::uint32_t first) { return known.first < first; });
+    if (it == before.ranges.end() || it->first != entry.first)
+      return bad_record("unchanged ranges begin elsewhere");
+    for (; it != before.ranges.end() && it->last <= entry.last; ++it) after.ranges.push_back(*it);
+    if (after.ranges.empty() || after.ranges.back().last != entry.last)
+      return bad_record("unchanged ranges end elsewhere");
+  }
+  if (unchanged != delta.unchanged.end()) return bad_record("an unchanged range isn't there");
+  return after;
+}
+
 const range_entry& entry_of(const range_record& record, std::uint32_t key) {
   const auto next =
       std::upper_bound(record.ranges.begin(), record.ranges.end(), key,
--- a/src/ownership/range_record.h
+++ b/src/ownership/range_record.h
@@ -59,6 +59,17 @@
 // bounds, if the ranges aren't sorted or don't cover all keys, or if a fence exceeds last_fence.
 result<range_record> parse_range_record(std::string_view text);
 
+// What has changed from one record to the next.
+struct range_delta {
+  range_record changes;  // the next record, in which each run of unchanged ranges is one entry
+  std::vector<std::size_t> unchanged;  // the indexes of these entries, rising
+  bool operator==(const range_delta&) const = default;
+};
+range_delta make_delta(const range_record& before, const range_record& after);
+// Returns the record `after` of make_delta(), or errc::bad_input if the delta wasn't made from
+// `before`, as far as the bounds of the ranges tell.
+result<range_record> apply_delta(const range_record& before, const range_delta& delta);
+
 // Returns the entry whose range contains `key`, which must not exceed last_numbered_key.
 const range_entry& entry_of(const range_record& record, std::uint32_t key);
 
--- a/src/ownership/testing/range_record_test.cc
+++ b/src/ownership/testing/range_record_test.cc
@@ -107,6 +107,49 @@
   }
 }
 
+// Guards against records that are sent whole to all instances although a few ranges have changed.
+BOOST_AUTO_TEST_CASE(a_delta_states_the_changes_and_nothing_else) {
+  std::mt19937_64 random(5);
+  const auto below = [&](std::uint32_t n) {
+    return std::uniform_int_distribution<std::uint32_t>(0, n - 1)(random);
+  };
+  auto record = two_owners();
+  for (int i = 0; i < 300; ++i) {
+    const auto before = record;
+    const std::uint32_t changes = below(4);
+    for (std::uint32_t j = 0; j < changes; ++j) {
+      const auto first = below(last_numbered_key);
+      move_range(record, first, first + below(last_numbered_key + 1 - first),
+                 std::vector<upstream_id>{a, b, c}[below(3)]);
+    }
+    if (below(2) == 0) {
+      for (auto& entry : record.ranges) entry.former.clear();
+      merge_ranges(record);
+    }
+    record.mark += 1;
+    const auto delta = make_delta(before, record);
+    const auto applied = apply_delta(before, delta);
+    BOOST_TEST_REQUIRE(applied.has_value());
+    BOOST_TEST((*applied == record));
+    if (changes == 0 && before.ranges == record.ranges)
+      BOOST_TEST(delta.changes.ranges.size() == 1U);
+    // Other bounds than those of the record that it was made from are noticed.
+    if (!delta.unchanged.empty() && before.ranges.size() > 1) {
+      BOOST_TEST((!apply_delta(make_range_record(), delta) || delta.unchanged.size() == 1));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_delta_of_another_record_is_refused) {
+  auto before = two_owners();
+  auto after = before;
+  move_range(after, 1000, 1999, b);
+  auto delta = make_delta(before, after);
+  BOOST_TEST(!apply_delta(make_range_record(), delta).has_value());
+  delta.unchanged.push_back(77);
+  BOOST_TEST(!apply_delta(before, delta).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle
