Send a release once, not again after each write of the record

Its log shows the same release, of one upstream, range and fence, answered a dozen times: each write of the record forgot which releases were under way, and each of them is a new connection that lasts up to 3 s.

A range that a write doesn't change keeps its state as it is. That also makes taking over a record linear in the number of ranges. The new test fails on the former code (the release is sent again).

--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -23,8 +23,7 @@
 // Each new fence is above last_fence of the record in which it is first written, so fences only
 // rise.
 //
-// tick() takes time linear in the number of ranges for each linked upstream, and adopt() quadratic
-// in the number of ranges; the plan's most_ranges bounds that number.
+// tick() and adopt() take time linear in the number of ranges, which the plan's most_ranges bounds.
 #include "ownership/range_assigner.h"
 
 #include <algorithm>
@@ -204,12 +203,25 @@
 // within an old one or merges adjacent entries of one owner.
 void range_assigner::adopt(range_record next) {
   std::vector<range_state> states;
+  std::size_t begin = 0;  // of the old entries that overlap the new one
   for (const auto& entry : next.ranges) {
     range_state made;
     bool first = true;
-    for (std::size_t i = 0; i < record_.ranges.size(); ++i) {
+    while (record_.ranges[begin].last < entry.first) ++begin;
+    const auto& same_place = record_.ranges[begin];
+    if (same_place.first == entry.first && same_place.last == entry.last &&
+        same_place.fence == entry.fence && same_place.owner == entry.owner) {
+      // Nothing has moved, so that a release that is under way still answers for its former owner.
+      made = states_[begin];
+      std::erase_if(made.former, [&](const auto& f) {
+        return std::find(entry.former.begin(), entry.former.end(), f.name) == entry.former.end();
+      });
+      states.push_back(std::move(made));
+      continue;
+    }
+    for (std::size_t i = begin; i < record_.ranges.size(); ++i) {
       const auto& before = record_.ranges[i];
-      if (before.last < entry.first || before.first > entry.last) continue;
+      if (before.first > entry.last) break;
       const auto& old = states_[i];
       if (before.owner == entry.owner) {
         const bool same_fence = before.fence == entry.fence;
--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -114,6 +114,35 @@
   BOOST_TEST(only<write>(world.assigner.tick(world.load, due)).size() == 1U);
 }
 
+// Guards against a release that is sent again with each write of the record, whatever it changes.
+BOOST_AUTO_TEST_CASE(a_release_under_way_is_not_sent_again_after_another_write) {
+  const upstream_id c{"c"};
+  auto record = make_range_record();
+  move_range(record, 0, last_numbered_key, a);
+  move_range(record, 0, 999, c);
+  record.ranges.front().former.clear();
+  record.assigner = {"e@1"};
+  range_assigner assigner{{}};
+  key_load load{seconds(2)};
+  assigner.start(record, 10, {.exists = true}, at(0));
+  assigner.set_upstreams({{a, 6, false}, {b, 6}, {c, 6, false}}, at(0));
+  assigner.on_link(b, 2, at(0));
+  assigner.confirm(at(1));
+  BOOST_TEST_REQUIRE(only<write>(assigner.tick(load, at(2))).size() == 1U);
+  assigner.on_written(11, at(3));
+  const auto releases = only<release>(assigner.tick(load, at(3)));
+  BOOST_TEST_REQUIRE(releases.size() >= 2U);
+  assigner.on_released(releases[0], "", at(4));
+  const auto granted = only<grant>(assigner.tick(load, at(4)));
+  BOOST_TEST_REQUIRE(granted.size() == 1U);
+  assigner.on_granted(granted[0], at(5));
+  // The range that has moved loses its former owner; the other one waits for its release.
+  const auto orders = assigner.tick(load, at(200));
+  BOOST_TEST_REQUIRE(only<write>(orders).size() == 1U);
+  assigner.on_written(12, at(201));
+  BOOST_TEST(only<release>(assigner.tick(load, at(201))).empty());
+}
+
 // Two ranges were merged while the grant of the first was unanswered. Its answer was attributed to
 // another range, and the merged range was never renewed again. The store failure test found this.
 BOOST_AUTO_TEST_CASE(ranges_that_are_joined_while_a_grant_is_under_way_are_renewed) {
