Name the bound of a desired state and the processor share in the settings

The wait of a read of the desired state follows from how soon it must be in force, which was assumed to be 2 s. Instances with under 0.2 cores campaign 300 ms after the others: an assigner of some 150 upstreams uses a tenth of a core up and is late with everything else.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -97,7 +97,7 @@
 }
 
 store_view_timing store_view_timing_for(const entry_settings& settings) {
-  return {.bounds = {.leaving = settings.bounds.drain}};
+  return {.bounds = {.desired = settings.bounds.apply, .leaving = settings.bounds.drain}};
 }
 
 candidacy_timing candidacy_timing_for(const entry_settings& settings) {
@@ -285,11 +285,14 @@
 }
 
 void range_instance::impl::update_services() {
-  // Instances start their candidacies at different times, so that they rarely compete.
+  // Instances start their candidacies at different times, so that they rarely compete. One with
+  // little processor time, which an assigner of many upstreams uses up, lets others go first.
   constexpr duration max_spread = milliseconds(150);
+  constexpr double assigner_cores = 0.2;
   const auto spread =
       duration(static_cast<duration::rep>(std::hash<std::string>{}(self.value)) & 0xffff) *
-      max_spread.count() / 0xffff;
+          max_spread.count() / 0xffff +
+      (settings.bounds.cores < assigner_cores ? 2 * max_spread : duration::zero());
   for (const auto& service : view.desired()->services) {
     if (!service.keyed || runners.contains(service.name)) continue;
     runners[service.name] = std::make_unique<range_runner>(
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -50,6 +50,7 @@
   constexpr std::int64_t max_count = 1 << 30;
   object_reader read(*value, reader.path_of("bounds"), step::settings, errors);
   bounds.drain = read_duration(read, "drain", milliseconds(100), hour, bounds.drain);
+  bounds.apply = read_duration(read, "apply", milliseconds(100), hour, bounds.apply);
   bounds.shutdown = read_duration(read, "shutdown", milliseconds(500), hour, bounds.shutdown);
   bounds.hold_max = read_duration(read, "hold_max", milliseconds(500), hour, bounds.hold_max);
   bounds.lease_min = read_duration(read, "lease_min", milliseconds(1), hour, bounds.lease_min);
@@ -59,6 +60,7 @@
       static_cast<std::uint32_t>(read.integer("memory_mb", 16, max_count, bounds.memory_mb));
   bounds.descriptors =
       static_cast<std::uint32_t>(read.integer("descriptors", 64, max_count, bounds.descriptors));
+  bounds.cores = read.number("cores", 0.001, 1024, bounds.cores);
   read.finish();
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -22,6 +22,7 @@
 // Limits that the platform guarantees or requires. They apply to platform_form::items only.
 struct platform_bounds {
   duration drain = seconds(2);  // from an upstream's notice that it leaves to its last new request
+  duration apply = seconds(2);  // from the acknowledgement of a desired state until it is in force
   // From SIGTERM to the end of the process at the latest. Connections that are still open 500 ms
   // before are aborted.
   duration shutdown = seconds(6);
@@ -31,6 +32,7 @@
   double retry_burst = 64;          // retries on top of that share, over all instances
   std::uint32_t memory_mb = 256;    // MiB, of the process
   std::uint32_t descriptors = 4096;
+  double cores = 1;  // that this instance may use
 
   bool operator==(const platform_bounds&) const = default;
 };
