Give up an upstream whose bytes never end

An upstream that sent interim responses, a late response's body or a body without a declared length without end was read until the request's deadline, or until the caller closed, and a relay between two fast sides never let the event loop run other requests. At most eight responses other than the expected one are skipped, of which a body may have 1 MiB, a body whose length isn't declared may have 256 MiB, and a relay lets others run after 16 parts. A head was bounded already. The new test fails on the former code (over 24 MB read, and out of memory at the caller).

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -21,6 +21,9 @@
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_unavailable = 503;
 constexpr duration dispatcher_response_margin = milliseconds(50);
+// Of an upstream's interim responses, and of those to earlier requests, before the one expected.
+constexpr int max_skipped_responses = 8;
+constexpr std::uint64_t max_skipped_body = 1 << 20;
 
 // The outcome that a dispatcher reported, reduced to the known names. A response that comes from an
 // upstream itself is always complete.
@@ -326,6 +329,7 @@
     return failed(to, step::read_answer, run_state::unknown, "no response in time",
                   silence_first ? failure_kind::silent : failure_kind::timeout);
   };
+  int skipped = 0;   // responses that aren't the one expected
   bool more = true;  // bytes must be read before a head can be complete
   while (true) {
     if (more) {
@@ -368,7 +372,8 @@
     const bool own =
         !names().echoes_request_id || response.find(names().request_id) == messages_.request_id;
     if (final && own) co_return std::nullopt;
-    if (final && !co_await skip_stale_response()) {
+    const bool endless = ++skipped > max_skipped_responses;
+    if (endless || (final && !co_await skip_stale_response())) {
       if (caller_.expired()) co_return no_response();
       auto end = failed(to, step::read_answer, run_state::unknown,
                         "the response belongs to another request", failure_kind::error);
@@ -391,6 +396,7 @@
   response.parse_body(*response_buffer_, code);
   if (code || response.need_eof() || !response.keep_alive()) co_return false;
   while (!response.is_done()) {
+    if (response.body_bytes() > max_skipped_body) co_return false;
     response.clear_body();
     response_buffer_->move_unread(0);
     if (response_buffer_->full()) co_return false;
--- a/src/entry/body_relay.cc
+++ b/src/entry/body_relay.cc
@@ -1,5 +1,7 @@
 #include "entry/body_relay.h"
 
+#include <boost/asio/post.hpp>
+
 #include "entry/worker.h"
 
 namespace plantainpaddle {
@@ -26,6 +28,13 @@
   return watch;
 }
 
+// A relay between two fast sides might never wait.
+constexpr int parts_per_turn = 16;
+
+task<void> let_others_run(tcp_socket& socket) {
+  co_await asio::post(socket.get_executor(), asio::use_awaitable_t<io_executor>{});
+}
+
 template <class Parser>
 void add_body(outgoing& pieces, const Parser& message) {
   const bool chunked = message.chunked() || (!message.content_length() && message.need_eof());
@@ -138,7 +147,12 @@
                                     tcp_socket& upstream, wire_buffer& buffer) {
   const caller_socket_use used(caller);
   progress_window progress(caller, monotonic_time::max());
-  while (!response.is_done()) {
+  const auto& limits = caller.owning_worker().settings().limits;
+  for (int parts = 1; !response.is_done(); ++parts) {
+    const bool too_long =
+        !response.content_length() && response.body_bytes() > limits.undeclared_body;
+    if (too_long) co_return relay_end::upstream_failed;
+    if (parts % parts_per_turn == 0) co_await let_others_run(upstream);
     response.clear_body();
     buffer.move_unread(0);
     if (buffer.full()) co_return relay_end::upstream_failed;
--- a/src/entry/proxy_settings.h
+++ b/src/entry/proxy_settings.h
@@ -34,6 +34,8 @@
   // Whether an answer is buffered until it is complete or fills the buffer, so that one that is cut
   // off can be replaced by a retry's. Otherwise answers are passed on as they arrive.
   bool buffer_answers = false;
+  // Most bytes of a response's body whose length isn't declared, in chunks or up to the close.
+  std::uint64_t undeclared_body = std::uint64_t{256} << 20;
   // Longest wait until a key has an owner; the request's deadline ends it too.
   duration owner_wait = seconds(3600);
   // Delay before an upstream that answered that it doesn't own a key is sent the request again. A
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -1,7 +1,10 @@
 // Tests the data path with proxy_settings::shared_upstreams, where upstreams register themselves
 // and several instances send to them: numbered keys, responses matched to requests by id, refusals
 // marked as not executed, and responses buffered until they are complete.
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <thread>
 
 #include "entry/load_report.h"
 #include "entry/testing/proxy_fixture.h"
@@ -45,6 +48,7 @@
     settings.limits.misdirected_wait = milliseconds(30);
     settings.limits.retry_after = milliseconds(250);
     settings.limits.first_byte_timeout.fill(seconds(60));
+    settings.limits.undeclared_body = 1 << 20;
     desired.version = 3;
     desired.services.push_back({.name = {"desk"}, .keyed = keyed});
     declared_route route{.row = {.name = "r", .host = "h", .path_prefix = "/desk/"},
@@ -182,6 +186,58 @@
   }
 }
 
+// Guards against an upstream whose bytes never end: each connection is closed after a bounded
+// number of them, and other requests are served meanwhile.
+BOOST_AUTO_TEST_CASE(bytes_without_end_are_given_up) {
+  const std::string junk(4000, 'x');
+  const std::string chunk = "fa0\r\n" + junk + "\r\n";
+  const std::string endless_body = "Transfer-Encoding: chunked\r\n\r\n";
+  struct kind {
+    const char* name;
+    std::function<std::string(const std::string& head)> start;
+    std::string more;
+  };
+  const std::vector<kind> kinds{
+      {"no response", [](const auto&) { return ""; }, junk},
+      {"a head", [](const auto&) { return "HTTP/1.1 200 OK\r\nX-Junk: "; }, junk},
+      {"interim responses", [](const auto&) { return ""; }, "HTTP/1.1 103 X\r\nA: b\r\n\r\n"},
+      {"another request's body",
+       [&](const auto&) {
+         return "HTTP/1.1 200 OK\r\n" + id_header + ": other\r\n" + endless_body;
+       },
+       chunk},
+      {"the body",
+       [&](const auto& head) { return "HTTP/1.1 200 OK\r\n" + echo_id(head) + endless_body; },
+       chunk},
+      {"a body up to the close",
+       [](const auto& head) { return "HTTP/1.1 200 OK\r\n" + echo_id(head) + "\r\n"; }, junk}};
+  for (const auto& one : kinds) {
+    std::atomic<std::size_t> ended{0};
+    std::atomic<std::size_t> sent{0};
+    scripted_upstream upstream([&](scripted_connection& side) {
+      const auto head = side.read_request();
+      if (head.find("quick") != std::string::npos) return side.answer("ok", echo_id(head));
+      side.send(one.start(head));
+      while (side.send(one.more)) sent += one.more.size();
+      ++ended;
+    });
+    shared_fixture shared({upstream.address()});
+    shared.set_idempotent(false);
+    BOOST_TEST_CONTEXT(one.name) {
+      auto slow = shared.caller();
+      slow.send(request("POST", "endless", "x"));
+      BOOST_TEST(shared.caller().ask(request("POST", "quick", "x")).body == "ok");
+      const auto head = slow.read_head();
+      slow.read_body(head);
+      BOOST_TEST((head.find(" 502 ") != std::string::npos || !slow.whole_body));
+      for (int i = 0; i < 500 && ended == 0; ++i) std::this_thread::sleep_for(milliseconds(10));
+      BOOST_TEST(ended == 1U);
+      constexpr std::size_t limit_and_socket_buffers = 24 << 20;
+      BOOST_TEST(sent < limit_and_socket_buffers);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_response_is_retried_only_if_idempotent) {
   for (const bool idempotent : {true, false}) {
     std::atomic<int> received{0};
