Push records to the instances that report, and send one what its report shows to be missing

The assigner knew too few instances to push its records to, and the others sent requests to former owners until their next read of the store.

A load report now names the sender's address and the version of its record.

--- a/src/apps/testing/docs_test.cc
+++ b/src/apps/testing/docs_test.cc
@@ -115,13 +115,15 @@
   const std::map<std::string, std::string> written{
       {"platform.form", "etcd"},
       {"platform.bounds.drain", format_duration(defaults.drain)},
+      {"platform.bounds.apply", format_duration(defaults.apply)},
       {"platform.bounds.shutdown", format_duration(defaults.shutdown)},
       {"platform.bounds.hold_max", format_duration(defaults.hold_max)},
       {"platform.bounds.lease_min", format_duration(defaults.lease_min)},
       {"platform.bounds.retry_share", number_text(defaults.retry_share)},
       {"platform.bounds.retry_burst", number_text(defaults.retry_burst)},
       {"platform.bounds.memory_mb", std::to_string(defaults.memory_mb)},
-      {"platform.bounds.descriptors", std::to_string(defaults.descriptors)}};
+      {"platform.bounds.descriptors", std::to_string(defaults.descriptors)},
+      {"platform.bounds.cores", number_text(defaults.cores)}};
   BOOST_TEST(described.size() == written.size());
   for (const auto& [name, value] : written) {
     BOOST_TEST_REQUIRE(described.contains(name), name);
--- a/src/entry/load_report.cc
+++ b/src/entry/load_report.cc
@@ -34,8 +34,10 @@
 std::string format_load_report(const load_report_message& report) {
   json::array keys;
   for (const auto& [key, count] : report.keys) keys.push_back(json::array{key, count});
-  return json::serialize(
-      json::object{{"service", report.service.value}, {"keys", std::move(keys)}});
+  return json::serialize(json::object{{"service", report.service.value},
+                                      {"address", report.address},
+                                      {"version", report.version},
+                                      {"keys", std::move(keys)}});
 }
 
 std::string format_pushed_record(const pushed_record& pushed) {
@@ -90,6 +92,8 @@
   load_report_message report;
   const auto parsed = read_object(text, step::peer, max_report_bytes, [&](object_reader& reader) {
     report.service.value = reader.text("service");
+    report.address = reader.text("address");
+    report.version = reader.unsigned_integer("version");
     const auto* keys = reader.array("keys", true);
     if (keys != nullptr && !read_counts(*keys, report)) {
       reader.fail("keys", "pairs of key and count are wanted");
--- a/src/entry/load_report.h
+++ b/src/entry/load_report.h
@@ -3,7 +3,7 @@
 // store, as the changes from a version that the receiver is known to have, or whole. The response
 // to either says which version the receiver has.
 //
-//   {"service": "desk", "keys": [[17, 3], [18, 1]]}
+//   {"service": "desk", "address": "10.1.0.18:7200", "version": 809, "keys": [[17, 3], [18, 1]]}
 //   {"service": "desk", "version": 812, "base": 809, "unchanged": [0, 2], "record": "..."}
 //   {"version": 812}
 #pragma once
@@ -22,6 +22,8 @@
 
 struct load_report_message {
   service_id service;
+  std::string address;        // where the sender takes pushed records
+  std::uint64_t version = 0;  // of the record that it has
   std::vector<std::pair<std::uint32_t, std::uint32_t>> keys;  // key, requests
   bool operator==(const load_report_message&) const = default;
 };
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <map>
+#include <set>
 
 #include "base/json.h"
 #include "base/log.h"
@@ -58,6 +59,7 @@
     4;  // a quarter of the memory may hold requests and responses
 constexpr std::string_view report_target = "/load";
 constexpr std::string_view record_target = "/record";
+constexpr duration reporter_time = seconds(2);  // for which records are pushed after a report
 // Reports to the assigner confirm the record; after so long without an answer the store is read.
 constexpr duration max_unconfirmed_time = milliseconds(1200);
 
@@ -179,12 +181,9 @@
   std::map<service_id, std::unique_ptr<range_runner>> runners;
   std::map<upstream_id, monotonic_time> leaving_upstreams;
   std::map<service_id, range_view> ranges;
-  // What the assigner said last, or when the store was asked instead.
-  struct confirmed_record {
-    monotonic_time at{};
-    std::uint64_t version = 0;
-  };
-  std::map<service_id, confirmed_record> confirmed_records;
+  // When the assigner last answered a report, or the store was asked instead.
+  std::map<service_id, monotonic_time> record_confirmed;
+  std::map<std::string, monotonic_time> reporters;  // by address, when the last report came
   std::uint64_t instance_lease_id = 0;
   bool registering = false;
   monotonic_time next_registration{};
@@ -414,15 +413,19 @@
     const auto& name = current->snapshot->services[i].service.name;
     const auto runner = runners.find(name);
     if (runner == runners.end()) continue;
-    load_report_message report{.service = name, .keys = current->services[i].counts->take_keys()};
+    const auto* known = view.record(name);
+    load_report_message report{.service = name,
+                               .address = settings.listen_peers,
+                               .version = known == nullptr ? 0 : known->version,
+                               .keys = current->services[i].counts->take_keys()};
     if (runner->second->is_assigner()) {
       for (const auto& [key, count] : report.keys) runner->second->count(key, count);
       continue;
     }
     // Without a word of the assigner only the store tells whether the record has changed.
-    auto& confirmed = confirmed_records[name];
-    if (now - confirmed.at >= max_unconfirmed_time) {
-      confirmed.at = now;
+    auto& confirmed = record_confirmed[name];
+    if (now - confirmed >= max_unconfirmed_time) {
+      confirmed = now;
       view.refresh();
     }
     const std::string address(runner->second->assigner_address());
@@ -445,31 +448,29 @@
   if (runner == runners.end()) return format_known_version(0);
   for (const auto& [key, count] : report->keys) runner->second->count(key, count);
   const auto* known = view.record(report->service);
-  const bool current = runner->second->is_assigner() && known != nullptr;
-  return format_known_version(current ? known->version : 0);
+  if (!runner->second->is_assigner() || known == nullptr) return format_known_version(0);
+  reporters[report->address] = monotonic_now();
+  pusher.on_report(report->service, report->address, report->version);
+  return format_known_version(known->version);
 }
 
-// The assigner's answer to a report shows whether a pushed record was lost: one that it had written
-// before the previous report should have arrived.
+// An assigner's answer confirms that its pushes come from the present assigner.
 void range_instance::impl::on_report_answer(const service_id& service,
                                             const result<http_response>& answer) {
   if (!answer) return log_error(log_level::debug, answer.error());
   const auto version = parse_known_version(answer->body);
-  if (!version || *version == 0) return;
-  auto& state = confirmed_records[service];
-  state.at = monotonic_now();
-  const auto* known = view.record(service);
-  const auto expected = std::exchange(state.version, *version);
-  if (known == nullptr || known->version < expected) view.refresh();
+  if (version && *version != 0) record_confirmed[service] = monotonic_now();
 }
 
 void range_instance::impl::push_record(const service_id& service, const range_record& record,
                                        std::uint64_t version) {
-  std::vector<std::string> addresses;
-  for (const auto& [key, address] : view.instance_addresses()) {
-    if (address != settings.listen_peers) addresses.push_back(address);
-  }
-  pusher.push(service, record, version, addresses);
+  std::set<std::string> addresses;
+  for (const auto& [key, address] : view.instance_addresses()) addresses.insert(address);
+  const auto oldest = monotonic_now() - reporter_time;
+  std::erase_if(reporters, [&](const auto& reporter) { return reporter.second < oldest; });
+  for (const auto& [address, seen] : reporters) addresses.insert(address);
+  addresses.erase(settings.listen_peers);
+  pusher.push(service, record, version, {addresses.begin(), addresses.end()});
 }
 
 // Returns the response, which says which version of the record this instance has then.
--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -205,6 +205,7 @@
   assigner_->start(record, version, predecessor, monotonic_now());
   links_.clear();
   assigner_->set_upstreams(listed_upstreams(), monotonic_now());
+  context_.view.refresh();  // for the instances that records are pushed to
 }
 
 void range_runner::step_down(std::string_view why) {
--- a/src/entry/record_pusher.cc
+++ b/src/entry/record_pusher.cc
@@ -26,6 +26,17 @@
   }
 }
 
+void record_pusher::on_report(const service_id& service, const std::string& address,
+                              std::uint64_t known) {
+  const auto it = services_.find(service);
+  if (it == services_.end() || known >= it->second.written.back().version) return;
+  const receiver_key to{service, address};
+  auto& state = receivers_[to];
+  if (state.under_way) return;
+  state.known = known;
+  send(to);
+}
+
 // Returns the message that brings a receiver from the version that it knows to the latest one.
 const std::string& record_pusher::message_for(const service_id& service, std::uint64_t known) {
   auto& state = services_[service];
--- a/src/entry/record_pusher.h
+++ b/src/entry/record_pusher.h
@@ -5,6 +5,7 @@
 //
 //   record_pusher pusher(client, "/record");
 //   pusher.push(service, record, version, addresses);
+//   pusher.on_report(service, address, version);  // an instance said which version it has
 //
 // Everything runs on the client's thread. Calls under way refer to the pusher.
 #pragma once
@@ -31,6 +32,9 @@
   void push(const service_id& service, const range_record& record, std::uint64_t version,
             const std::vector<std::string>& addresses);
 
+  // Sends the latest record to an instance that lacks it. A push to it may have been lost.
+  void on_report(const service_id& service, const std::string& address, std::uint64_t known);
+
  private:
   struct written_record {
     std::uint64_t version = 0;
--- a/src/entry/testing/record_pusher_test.cc
+++ b/src/entry/testing/record_pusher_test.cc
@@ -61,6 +61,29 @@
   BOOST_TEST((*applied == record));
 }
 
+// Guards against an instance that keeps an old record because a push to it was lost, or because it
+// isn't in the list of instances yet.
+BOOST_AUTO_TEST_CASE(an_instance_that_reports_an_older_version_is_sent_the_latest) {
+  asio::io_context io;
+  slow_instance instance(io);
+  http_client client(io.get_executor());
+  record_pusher pusher(client, "/record");
+  auto record = make_range_record();
+  pusher.push(desk, record, 1, {});
+  move_range(record, 100, 199, {"u1"});
+  pusher.push(desk, record, 2, {});
+  pusher.on_report(desk, instance.address, 1);
+  pusher.on_report(desk, instance.address, 1);  // while the push is under way
+  io.run_for(milliseconds(200));
+  BOOST_TEST_REQUIRE(instance.taken.size() == 1U);
+  BOOST_TEST(instance.taken[0].base == 1U);
+  BOOST_TEST(instance.taken[0].version == 2U);
+  pusher.on_report(desk, instance.address, 2);
+  io.restart();
+  io.run_for(milliseconds(100));
+  BOOST_TEST(instance.taken.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -427,7 +427,10 @@
 BOOST_AUTO_TEST_SUITE(messages_between_instances)
 
 BOOST_AUTO_TEST_CASE(load_reports_and_records_survive_a_round_trip) {
-  const load_report_message report{.service = {"desk"}, .keys = {{17, 3}, {65535, 1}}};
+  const load_report_message report{.service = {"desk"},
+                                   .address = "127.0.0.1:7200",
+                                   .version = 812,
+                                   .keys = {{17, 3}, {65535, 1}}};
   BOOST_TEST((*parse_load_report(format_load_report(report)) == report));
   pushed_record pushed{{"desk"}, 812, 809, {make_range_record(), {0}}};
   move_range(pushed.record.changes, 5, 9, {"u1"});
