Derive the timing of an instance's parts in range_settings, and show the age of what it believes

The metrics have, for each part of the store, up to when its changes are known, and for each service when the assigner last confirmed its record.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -14,6 +14,7 @@
 #include "entry/load_report.h"
 #include "entry/proxy.h"
 #include "entry/range_runner.h"
+#include "entry/range_settings.h"
 #include "entry/record_pusher.h"
 #include "entry/store_view.h"
 #include "entry/traffic_state.h"
@@ -44,8 +45,6 @@
 constexpr double leaving_grace_share = 0.35;
 constexpr double leaving_limit_share = 0.85;
 constexpr duration report_timeout = milliseconds(400);
-// The load balancer removes an instance after two readiness checks, a second apart, that fail.
-constexpr duration balancer_removal_time = milliseconds(2600);
 constexpr duration exit_margin = milliseconds(500);  // kept free before SIGKILL
 // Instances register under a lease, so that each knows how many there are.
 constexpr duration instance_lease = seconds(8);
@@ -54,60 +53,12 @@
 // are not spread evenly over the instances.
 constexpr double instance_retry_share = 0.7;
 constexpr double instance_retry_burst_share = 0.7;
-constexpr std::size_t upstream_descriptors = 1000;  // not available to callers
-constexpr std::size_t held_memory_divisor =
-    4;  // a quarter of the memory may hold requests and responses
 constexpr std::string_view report_target = "/load";
 constexpr std::string_view record_target = "/record";
 constexpr duration reporter_time = seconds(2);  // for which records are pushed after a report
 // Reports to the assigner confirm the record; after so long without an answer the store is read.
 constexpr duration max_unconfirmed_time = milliseconds(1200);
 
-proxy_settings traffic_settings(const entry_settings& settings) {
-  proxy_settings traffic{.listen_callers = settings.listen_callers,
-                         .threads = 1,
-                         .instance = settings.name,
-                         .domain = settings.domain,
-                         .names = platform_header_names,
-                         .shared_upstreams = true,
-                         .own_thread = false};
-  auto& limits = traffic.limits;
-  limits.buffer_answers = true;
-  limits.held_total = (std::size_t{settings.bounds.memory_mb} << 20) / held_memory_divisor;
-  limits.owner_wait = milliseconds(400);
-  limits.misdirected_wait = milliseconds(60);
-  limits.retry_after = milliseconds(150);
-  limits.first_byte_timeout.fill(seconds(3600));
-  limits.tcp_user_timeout = milliseconds(500);
-  limits.sweep_period = milliseconds(20);
-  limits.drain_idle_time = balancer_removal_time;
-  const std::size_t descriptors = settings.bounds.descriptors;
-  limits.connections =
-      descriptors > 2 * upstream_descriptors ? descriptors - upstream_descriptors : descriptors / 2;
-  return traffic;
-}
-
-range_timing range_timing_for(const entry_settings& settings) {
-  range_timing timing;
-  timing.hold = std::min<duration>(timing.hold, settings.bounds.hold_max);
-  timing.outage_hold = std::min<duration>(timing.outage_hold, settings.bounds.hold_max);
-  return timing;
-}
-
-duration share_of(duration whole, double share) {
-  return std::chrono::duration_cast<duration>(whole * share);
-}
-
-store_view_timing store_view_timing_for(const entry_settings& settings) {
-  return {.bounds = {.desired = settings.bounds.apply, .leaving = settings.bounds.drain}};
-}
-
-candidacy_timing candidacy_timing_for(const entry_settings& settings) {
-  candidacy_timing timing;
-  timing.lease = std::max<duration>(timing.lease, settings.bounds.lease_min);
-  return timing;
-}
-
 }  // namespace
 
 struct range_instance::impl {
@@ -284,14 +235,7 @@
 }
 
 void range_instance::impl::update_services() {
-  // Instances start their candidacies at different times, so that they rarely compete. One with
-  // little processor time, which an assigner of many upstreams uses up, lets others go first.
-  constexpr duration max_spread = milliseconds(150);
-  constexpr double assigner_cores = 0.2;
-  const auto spread =
-      duration(static_cast<duration::rep>(std::hash<std::string>{}(self.value)) & 0xffff) *
-          max_spread.count() / 0xffff +
-      (settings.bounds.cores < assigner_cores ? 2 * max_spread : duration::zero());
+  const auto spread = candidacy_spread(settings, self);
   for (const auto& service : view.desired()->services) {
     if (!service.keyed || runners.contains(service.name)) continue;
     runners[service.name] = std::make_unique<range_runner>(
@@ -522,13 +466,20 @@
 }
 
 std::string range_instance::impl::format_metrics() const {
-  const auto age = std::chrono::duration<double>(monotonic_now() - view.last_contact()).count();
+  const auto age_of = [](monotonic_time at) {
+    return std::chrono::duration<double>(monotonic_now() - at).count();
+  };
+  const auto age = age_of(view.last_contact());
   std::string text;
   const auto add = [&](const std::string& name, double value) {
     text += "plantainpaddle_" + name + " " + number_text(value) + "\n";
   };
   add("store_calls_total", static_cast<double>(store.calls()));
   add("store_view_age_seconds", age);
+  for (const auto& [prefix, at] : view.known_at())
+    add("store_feed_age_seconds{prefix=\"" + prefix + "\"}", age_of(at));
+  for (const auto& [service, at] : record_confirmed)
+    add("record_age_seconds{service=\"" + service.value + "\"}", age_of(at));
   add("worst_tick_lag_seconds", std::chrono::duration<double>(worst_tick_lag).count());
   add("desired_state_version", view.desired() ? static_cast<double>(view.desired()->version) : 0);
   add("upstreams", static_cast<double>(view.upstreams().all().size()));
--- /dev/null
+++ b/src/entry/range_settings.cc
@@ -0,0 +1,72 @@
+#include "entry/range_settings.h"
+
+#include <algorithm>
+
+#include "platform/platform_headers.h"
+
+namespace plantainpaddle {
+
+namespace {
+
+constexpr std::size_t upstream_descriptors = 1000;  // not available to callers
+constexpr std::size_t held_memory_divisor =
+    4;  // a quarter of the memory may hold requests and responses
+
+}  // namespace
+
+proxy_settings traffic_settings(const entry_settings& settings) {
+  proxy_settings traffic{.listen_callers = settings.listen_callers,
+                         .threads = 1,
+                         .instance = settings.name,
+                         .domain = settings.domain,
+                         .names = platform_header_names,
+                         .shared_upstreams = true,
+                         .own_thread = false};
+  auto& limits = traffic.limits;
+  limits.buffer_answers = true;
+  limits.held_total = (std::size_t{settings.bounds.memory_mb} << 20) / held_memory_divisor;
+  limits.owner_wait = milliseconds(400);
+  limits.misdirected_wait = milliseconds(60);
+  limits.retry_after = milliseconds(150);
+  limits.first_byte_timeout.fill(seconds(3600));
+  limits.tcp_user_timeout = milliseconds(500);
+  limits.sweep_period = milliseconds(20);
+  limits.drain_idle_time = balancer_removal_time;
+  const std::size_t descriptors = settings.bounds.descriptors;
+  limits.connections =
+      descriptors > 2 * upstream_descriptors ? descriptors - upstream_descriptors : descriptors / 2;
+  return traffic;
+}
+
+range_timing range_timing_for(const entry_settings& settings) {
+  range_timing timing;
+  timing.hold = std::min<duration>(timing.hold, settings.bounds.hold_max);
+  timing.outage_hold = std::min<duration>(timing.outage_hold, settings.bounds.hold_max);
+  return timing;
+}
+
+duration share_of(duration whole, double share) {
+  return std::chrono::duration_cast<duration>(whole * share);
+}
+
+store_view_timing store_view_timing_for(const entry_settings& settings) {
+  return {.bounds = {.desired = settings.bounds.apply, .leaving = settings.bounds.drain}};
+}
+
+candidacy_timing candidacy_timing_for(const entry_settings& settings) {
+  candidacy_timing timing;
+  timing.lease = std::max<duration>(timing.lease, settings.bounds.lease_min);
+  return timing;
+}
+
+// Instances start at different times, so that they rarely compete. One with little processor time,
+// which an assigner of many upstreams uses up, lets others go first.
+duration candidacy_spread(const entry_settings& settings, const instance_id& self) {
+  constexpr duration max_spread = milliseconds(150);
+  constexpr double assigner_cores = 0.2;
+  const auto hash = static_cast<duration::rep>(std::hash<std::string>{}(self.value)) & 0xffff;
+  const auto own = duration(hash) * max_spread.count() / 0xffff;
+  return settings.bounds.cores < assigner_cores ? own + 2 * max_spread : own;
+}
+
+}  // namespace plantainpaddle
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -63,6 +63,12 @@
   return assigners_.contains(key);
 }
 
+std::map<std::string, monotonic_time> store_view::known_at() const {
+  std::map<std::string, monotonic_time> times;
+  for (std::size_t i = 0; i < feeds_.size(); ++i) times[feeds_[i].prefix()] = feeds_[i].known_at();
+  return times;
+}
+
 void store_view::update_record(const service_id& service, const range_record& record,
                                std::uint64_t version) {
   auto& known = versions_[record_key(service)];
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -67,6 +67,8 @@
   std::optional<bool> has_assigner(const service_id& service) const;
   std::size_t instances() const { return instances_.size(); }
   monotonic_time last_contact() const { return last_contact_; }
+  // Returns, by prefix, up to when the changes of the keys under it are known.
+  std::map<std::string, monotonic_time> known_at() const;
   // Returns, by store key, the addresses at which instances accept pushed records and load reports.
   const std::map<std::string, std::string>& instance_addresses() const { return instances_; }
   // Takes in a record that the store is known to hold. An older version is ignored.
