--- a/src/ownership/testing/feed_simulation.cc
+++ b/src/ownership/testing/feed_simulation.cc
@@ -1,6 +1,7 @@
 #include "ownership/testing/feed_simulation.h"
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <utility>
 
@@ -24,10 +25,57 @@
 
 std::size_t wire_bytes(std::size_t bytes) { return bytes * 4 / 3 + item_overhead; }
 
+feed_fault fault(feed_fault_kind kind, int from_ms, int until_ms, std::size_t first = 0,
+                 std::size_t instances = 0) {
+  return {kind, milliseconds(from_ms), milliseconds(until_ms), first, instances};
+}
+
+std::string to_string(const feed_fault& f) {
+  static constexpr std::array<const char*, feed_fault_kinds> names{
+      "refused", "cut", "frozen", "silent", "lost", "late", "compacted"};
+  return std::string(names[static_cast<std::size_t>(f.kind)]) + " " +
+         std::to_string(f.from.count() / 1000) + "-" + std::to_string(f.until.count() / 1000) +
+         " ms, " + std::to_string(f.instances) + " from " + std::to_string(f.first_instance);
+}
+
 std::string upstream_key(std::size_t index) { return upstream_prefix + std::to_string(index); }
 
 }  // namespace
 
+std::vector<feed_scenario> known_feed_scenarios() {
+  using enum feed_fault_kind;
+  return {
+      {"a large record is written often", {}},
+      {"instances are turned away by the store", {fault(refused, 2500, 11'500, 0, 25)}},
+      {"instances are cut off or frozen",
+       {fault(cut, 4000, 9500, 0, 20), fault(frozen, 12'000, 17'000, 10, 20),
+        fault(cut, 20'000, 26'000, 40, 20)}},
+      {"connections go silent",
+       {fault(silent, 5000, 5000, 0, 80), fault(silent, 11'700, 11'700, 0, 40),
+        fault(silent, 21'200, 21'200, 20, 60)}},
+      {"answers are lost or late, and the history is compacted",
+       {fault(lost, 3000, 7500), fault(compacted, 9000, 14'000), fault(late, 17'000, 21'000)}},
+      // An upstream that failed during the cut was kept too long after it.
+      {"a cut late in the day", {fault(late, 11'584, 17'673), fault(cut, 26'035, 31'898, 34, 43)}}};
+}
+
+feed_scenario random_feed_scenario(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  const auto below = [&](int n) { return std::uniform_int_distribution<>(0, n - 1)(random); };
+  feed_scenario made{"seed " + std::to_string(seed), {}};
+  const int count = 2 + below(4);
+  for (int i = 0; i < count; ++i) {
+    const auto kind = static_cast<feed_fault_kind>(below(feed_fault_kinds));
+    const bool whole_store = kind >= feed_fault_kind::lost;
+    const int from = 1000 + below(28'000);
+    const int until = kind == feed_fault_kind::silent ? from : from + 500 + below(8000);
+    const auto instances = static_cast<std::size_t>(whole_store ? 0 : 1 + below(80));
+    made.faults.push_back(fault(kind, from, until, static_cast<std::size_t>(below(40)), instances));
+    made.name += ", " + to_string(made.faults.back());
+  }
+  return made;
+}
+
 feed_simulation::feed_simulation(feed_load load, std::vector<feed_fault> faults, std::uint64_t seed)
     : load_(load), faults_(std::move(faults)), random_(seed), now_(start) {
   const store_layout layout{.desired = desired_key,
--- a/src/ownership/testing/feed_simulation.h
+++ b/src/ownership/testing/feed_simulation.h
@@ -44,6 +44,14 @@
   std::size_t instances = 0;  // 0: the fault is the store's own
 };
 
+// Faults that this found news to be late under, each with what it guards against, and others.
+struct feed_scenario {
+  std::string name;
+  std::vector<feed_fault> faults;
+};
+std::vector<feed_scenario> known_feed_scenarios();
+feed_scenario random_feed_scenario(std::uint64_t seed);
+
 struct feed_load {
   std::size_t instances = 80;
   std::size_t upstreams = 400;
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -20,6 +20,10 @@
 set_tests_properties(range_fuzz PROPERTIES TIMEOUT 300
   ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1500")
 
+# Instances that read the store.
+add_model(feed feed_simulation.cc)
+target_link_libraries(ownership_test PRIVATE feed_model)
+
 # Mutants: each is the fuzzer with one guard of the protocol removed. The test of a mutant passes if the
 # oracle reports a violation. scripts/mutants prints after how many steps it does.
 file(GLOB mutants CONFIGURE_DEPENDS ${testing}/mutants/*.txt)
@@ -38,7 +42,9 @@
     RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/mutants)
   # Removing a guard may leave names unused, which would be a warning.
   target_compile_options(ownership_mutant_${name} PRIVATE -w)
-  if(source_name MATCHES "^range_")
+  if(source_name MATCHES "^store_feed")
+    set(model feed_fuzz_main feed_model)
+  elseif(source_name MATCHES "^range_")
     set(model range_fuzz_main range_model)
   else()
     set(model ownership_fuzz_main ownership_model)
@@ -48,8 +54,3 @@
   set_tests_properties(ownership_mutant_${name} PROPERTIES TIMEOUT 300
     ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=5000")
 endforeach()
-
-# Instances that read the store, for store_feed_test.cc.
-add_library(feed_model OBJECT ${testing}/feed_simulation.cc)
-target_link_libraries(feed_model PUBLIC warnings ownership)
-target_link_libraries(ownership_test PRIVATE feed_model)
