--- a/src/ownership/store_feed.h
+++ b/src/ownership/store_feed.h
@@ -63,10 +63,10 @@
   const std::string& prefix() const { return config_.prefix; }
   // Returns the read that is due, which counts as sent at `now`.
   std::optional<store_read> next(monotonic_time now);
-  // Returns whether the values are to be taken in. They aren't if a later read was answered before,
-  // or if the store doesn't have the changes any more.
   // A part of the answer has come.
   void on_progress(const store_read& read, monotonic_time now);
+  // Returns whether the values are to be taken in. They aren't if a later read was answered before,
+  // or if the store doesn't have the changes any more.
   bool on_answer(const store_read& read, const read_result& answer, monotonic_time now);
   void on_failure(const store_read& read, monotonic_time now);
   // Reads at once, or again after the read in progress.
