--- a/src/platform/testing/store_client_test.cc
+++ b/src/platform/testing/store_client_test.cc
@@ -1,5 +1,6 @@
 #include "platform/store_client.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -283,4 +284,54 @@
   BOOST_TEST((watch(io, store).ended->code == errc::timed_out));
 }
 
+// Guards against answers that are given up and asked for again although they are arriving.
+BOOST_AUTO_TEST_CASE(a_slow_answer_is_waited_for_and_a_needless_one_is_cancelled) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  const std::string body = R"({"store-revision":7,"events":[]})";
+  const auto trickle = [&]() -> asio::awaitable<void> {
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::string request;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                                    asio::use_awaitable);
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+    asio::steady_timer timer(io);
+    for (const char c : body) {
+      timer.expires_after(milliseconds(40));
+      co_await timer.async_wait(asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(&c, 1), asio::use_awaitable);
+    }
+  };
+  const auto ignored = [](const std::exception_ptr&) {};
+  store_client store(io.get_executor(), {.addresses = {address}, .protocol = item_protocol{}});
+  // The body takes 32 pieces of 40 ms each, which is longer than the time-out.
+  constexpr duration timeout = milliseconds(700);
+  int parts = 0;
+  auto call = std::make_shared<http_call>();
+  call->on_progress = [&] { ++parts; };
+  std::optional<result<poll_answer>> slow;
+  asio::co_spawn(io, trickle(), ignored);
+  store.poll(
+      "", 1, duration::zero(), [&](auto answer) { slow = std::move(answer); }, timeout, call);
+  while (!slow) io.run_one();
+  BOOST_TEST_REQUIRE((slow && slow->has_value()));
+  BOOST_TEST((*slow)->revision == 7U);
+  BOOST_TEST(parts > 10);
+
+  std::optional<result<poll_answer>> needless;
+  auto cancelled = std::make_shared<http_call>();
+  cancelled->on_progress = [&] { cancelled->cancel(); };
+  asio::co_spawn(io, trickle(), ignored);
+  store.poll(
+      "", 1, duration::zero(), [&](auto answer) { needless = std::move(answer); }, timeout,
+      cancelled);
+  while (!needless) io.run_one();
+  BOOST_TEST_REQUIRE(needless.has_value());
+  BOOST_TEST(!needless->has_value());
+  cancelled->on_progress = nullptr;
+}
+
 BOOST_AUTO_TEST_SUITE_END()
