Take no request behind another once the drain has begun

A draining instance doesn't read requests behind one in progress, as the connection ends with that one's response. The check stood before the wait for the next head only, and that wait has usually begun when the drain does. So the request was passed on, and its response waited behind the first one's until the process closed everything. The check is made again once the head has come; the caller sends such a request again. The new test fails on the former code (two requests arrive, and the first response keeps the connection open).

--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -95,6 +95,10 @@
       co_await reject_head(read);
       break;
     }
+    // The drain may have begun while the head was awaited. The connection ends with the responses
+    // to earlier requests, and this one counts as not received.
+    while (!closing_ && must_pause_reading()) co_await wait_for_change();
+    if (closing_) break;
     co_await start_exchange(read.size);
   }
   const bool closed_by_caller = !closing_;
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -186,6 +186,34 @@
   }
 }
 
+// Guards against a request that is sent to an upstream during a drain although it waits behind
+// another one on its connection, which may take longer than the process has.
+BOOST_AUTO_TEST_CASE(a_request_behind_another_is_not_taken_once_the_drain_has_begun) {
+  std::atomic<int> arrived{0};
+  std::atomic<bool> release{false};
+  scripted_upstream upstream([&](scripted_connection& side) {
+    for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
+      ++arrived;
+      while (!release) std::this_thread::sleep_for(milliseconds(2));
+      side.answer("done", echo_id(head));
+    }
+  });
+  shared_fixture shared({upstream.address()});
+  auto caller = shared.caller();
+  caller.send(request("GET", "first"));
+  while (arrived == 0) std::this_thread::sleep_for(milliseconds(2));
+  shared.traffic->begin_drain(true);
+  std::this_thread::sleep_for(milliseconds(50));
+  caller.send(request("GET", "second"));
+  std::this_thread::sleep_for(milliseconds(200));
+  release = true;
+  const auto head = caller.read_head();
+  BOOST_TEST(caller.read_body(head) == "done");
+  BOOST_TEST(head.find("Connection: close") != std::string::npos);
+  BOOST_TEST(caller.at_end());
+  BOOST_TEST(arrived == 1);
+}
+
 // Guards against an upstream whose bytes never end: each connection is closed after a bounded
 // number of them, and other requests are served meanwhile.
 BOOST_AUTO_TEST_CASE(bytes_without_end_are_given_up) {
