Log and count the limits that upstreams name

An upstream in need names in its responses the requests a second that it takes from all instances together. Nothing showed when an instance heard of it, nor what was sent since.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <charconv>
 
+#include "base/log.h"
 #include "entry/exchange.h"
 #include "entry/heads.h"
 #include "entry/worker.h"
@@ -82,7 +83,11 @@
   identity_mismatch_ = false;
   auto& state = *traffic().upstreams[to.upstream];
   state.outstanding.fetch_add(1, std::memory_order_relaxed);
-  if (traffic().placed) traffic().placed->on_sent(service().upstreams[to.upstream].name);
+  if (traffic().placed) {
+    const auto& name = service().upstreams[to.upstream].name;
+    traffic().placed->on_sent(name);
+    worker_.shared().named_limits.on_sent(name, monotonic_now());
+  }
   attempt_end end = co_await attempt_admitted(to);
   state.outstanding.fetch_sub(1, std::memory_order_relaxed);
   caller_.set_active_socket(nullptr);
@@ -101,6 +106,7 @@
   if (auto end = co_await connect(to)) co_return *end;
   if (auto end = co_await send_request(to)) co_return *end;
   if (auto end = co_await read_response_head(to)) co_return *end;
+  read_named_limit(to);
   if (auto end = refused_by_upstream(to)) co_return *end;
   co_return co_await relay_response(to);
 }
@@ -407,6 +413,29 @@
   co_return true;
 }
 
+// Takes in the limit that the response names. A refusal that names none doesn't end a limit, as not
+// every upstream's refusals come from where its limit is known.
+void exchange::read_named_limit(const destination& to) {
+  if (names().limit.empty() || !traffic().placed) return;
+  const auto& response = *messages_.response;
+  const auto rate = parse_named_limit(response.find_single(names().limit));
+  const bool refused = !response.find(names().refusal).empty();
+  if (!rate && refused) return;
+  const auto& upstream = service().upstreams[to.upstream].name;
+  auto& limits = worker_.shared().named_limits;
+  const auto before = limits.rate_of(upstream);
+  const auto now = monotonic_now();
+  const auto sent = limits.sent(upstream, now);
+  if (!limits.on_response(upstream, rate, now)) return;
+  log_event(log_level::info, rate ? "upstream names a limit" : "upstream's limit has ended",
+            {{"upstream", upstream.value},
+             {"service", service().service.name.value},
+             {"rate", rate.value_or(0)},
+             {"rate_before", before.value_or(0)},
+             {"sent_in_window", sent},
+             {"status", response.status()}});
+}
+
 // Recognizes a response with which the upstream states that it didn't run the request; it isn't
 // relayed. Returns nullopt for any other response.
 std::optional<exchange::attempt_end> exchange::refused_by_upstream(const destination& to) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -93,6 +93,7 @@
   task<std::optional<attempt_end>> read_response_head(const destination& to);
   task<bool> skip_stale_response();
   task<std::optional<attempt_end>> buffer_response(const destination& to);
+  void read_named_limit(const destination& to);
   std::optional<attempt_end> refused_by_upstream(const destination& to);
   task<attempt_end> relay_response(const destination& to);
   void release_connection(bool reusable);
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <thread>
 
+#include "base/json.h"
 #include "entry/acceptor.h"
 #include "entry/traffic_state.h"
 #include "entry/worker.h"
@@ -49,6 +50,12 @@
   for (const auto& one : workers) one->add_stats(sum);
   std::string text = sum.prometheus_text();
   text += "plantainpaddle_connections " + std::to_string(shared.connections.load()) + "\n";
+  for (const auto& [name, limited] : shared.named_limits.all()) {
+    const std::string label = "{upstream=\"" + escape_label(name.value) + "\"} ";
+    text += "plantainpaddle_upstream_limit" + label + number_text(limited.rate) + "\n";
+    text += "plantainpaddle_upstream_limit_sent" + label +
+            std::to_string(shared.named_limits.sent(name, monotonic_now())) + "\n";
+  }
   const auto view = shared.view();
   for (std::size_t i = 0; i < view->services.size(); ++i) {
     const auto& service = view->snapshot->services[i];
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -27,6 +27,7 @@
 #include "routing/placement.h"
 #include "routing/retry.h"
 #include "routing/snapshot.h"
+#include "routing/upstream_limits.h"
 
 namespace plantainpaddle {
 
@@ -127,6 +128,10 @@
   // Leases for the services whose upstreams don't check fencing tokens.
   dispatcher_leases leases{random_number(), random_number()};
 
+  // Limits that upstreams name. Used with proxy_settings::shared_upstreams only, and so by the one
+  // traffic thread.
+  upstream_limits named_limits;
+
   std::atomic<std::size_t> connections{0};  // open ones of callers and other instances
 
  private:
--- a/src/platform/platform_headers.h
+++ b/src/platform/platform_headers.h
@@ -12,6 +12,7 @@
     .answering_upstream = "X-Plantainpaddle-Instance-Id",
     .refusal = "X-Plantainpaddle-Not-Executed",
     .load = "X-Plantainpaddle-Server-Load",
+    .limit = "Server-Limit",
     .echoes_request_id = true,
     .allows_unframed = true,
     .adds_forwarded = false,
--- a/src/upstream/message_parser.h
+++ b/src/upstream/message_parser.h
@@ -76,6 +76,17 @@
     }
     return {};
   }
+  // Returns an empty value if the field occurs twice, too.
+  std::string_view find_single(std::string_view name) const {
+    std::string_view found;
+    int occurrences = 0;
+    for (const auto& field : fields()) {
+      if (!boost::beast::iequals(field.name, name)) continue;
+      found = field.value;
+      ++occurrences;
+    }
+    return occurrences == 1 ? found : std::string_view();
+  }
 
   boost::beast::http::verb method() const { return method_; }
   std::string_view method_text() const { return method_text_; }
