--- a/src/harness/testing/registered_cluster_test.cc
+++ b/src/harness/testing/registered_cluster_test.cc
@@ -1,5 +1,6 @@
 // Whole instances as processes in the form of the users' platform, against its stand-in: what
 // callers and upstreams saw is held together after each kind of trouble.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -92,6 +93,23 @@
 
 void pause(duration length) { std::this_thread::sleep_for(length); }
 
+// Returns the most requests that began to run at an upstream within any span of that length.
+std::size_t most_within(const std::vector<run_record>& runs, const std::string& upstream,
+                        duration from, duration span) {
+  std::vector<duration> starts;
+  for (const auto& run : runs) {
+    if (run.upstream == upstream && run.start >= from) starts.push_back(run.start);
+  }
+  std::sort(starts.begin(), starts.end());
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < starts.size(); ++last) {
+    while (starts[first] < starts[last] - span) ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(registered_system)
@@ -207,6 +225,35 @@
   BOOST_TEST(ask("/new/") == std::vector<unsigned>(6, 200U), boost::test_tools::per_element());
 }
 
+// Guards against an upstream that gets more than one and a half times the requests per second that
+// it has named as its limit, since no instance heeds it or each heeds it alone. One upstream's
+// limit binds requests for its keys, the other's those of a service without keys.
+BOOST_FIXTURE_TEST_CASE(a_limit_that_an_upstream_names_holds_over_all_instances, fixture) {
+  constexpr duration heard_after = seconds(1);
+  constexpr duration span = seconds(4);
+  const std::map<std::string, int> limits{{"counter-desk-north-0", 12}, {"order-book-east-1", 1}};
+  duration from{0};
+  play(seconds(12), [&] {
+    pause(seconds(2));
+    for (const auto& [name, limit] : limits) {
+      const auto set = web_post(system->upstreams.at(name).address, "/control/settings",
+                                R"({"limit":)" + std::to_string(limit) + "}");
+      BOOST_TEST(set.has_value());
+    }
+    from = monotonic_now().time_since_epoch() + heard_after;
+    pause(seconds(5));
+    system->entries.at("south-0").process->signal(SIGTERM);
+  });
+  const auto runs = system->runs();
+  BOOST_REQUIRE(runs.has_value());
+  for (const auto& [name, limit] : limits) {
+    const auto most = most_within(*runs, name, from, span);
+    BOOST_TEST_MESSAGE(name << ": " << most << " within 4 s at a limit of " << limit);
+    BOOST_TEST(most <= 1.5 * limit * 4 + 5);
+    BOOST_TEST(most > 0U);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(settings_are_read_again_without_a_cut, fixture) {
   const auto seen = play(seconds(4), [&] {
     for (auto& [name, entry] : system->entries) {
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -22,6 +22,7 @@
 #include <random>
 #include <set>
 
+#include "base/json.h"
 #include "http/listen.h"
 #include "http/message.h"
 #include "ownership/cell_record.h"
@@ -459,6 +460,9 @@
   std::vector<http_header> state_fields(const request_facts& facts) const {
     std::vector<http_header> fields;
     if (names.echoes_request_id) fields.push_back({std::string(names.request_id), facts.id});
+    if (!names.limit.empty() && options.limit > 0) {
+      fields.push_back({std::string(names.limit), number_text(options.limit)});
+    }
     if (!names.load.empty()) {
       const load_report now = report(monotonic_now());
       fields.push_back({std::string(names.load), std::to_string(now.busy_slots) + "," +
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -44,6 +44,7 @@
   duration late = milliseconds(2000);     // by so much
   bool drain = false;                     // refuses new work
   bool shed = false;                      // the same, and says so
+  double limit = 0;  // requests a second that it says it takes; it runs more all the same. 0: none
   std::optional<load_report> misleading;  // reported instead of the truth
 };
 
--- a/src/standin/upstream_settings.cc
+++ b/src/standin/upstream_settings.cc
@@ -58,6 +58,7 @@
   changed.check_fence = reader.boolean("check_fence", options.check_fence);
   changed.drain = reader.boolean("drain", options.drain);
   changed.shed = reader.boolean("shed", options.shed);
+  changed.limit = reader.number("limit", 0, 1e6, options.limit);
   read_misleading(reader, changed, errors);
   if (reader.boolean("truthful", false)) changed.misleading.reset();
   reader.finish();
@@ -78,7 +79,8 @@
                                       {"slowness", options.slowness},
                                       {"check_fence", options.check_fence},
                                       {"drain", options.drain},
-                                      {"shed", options.shed}});
+                                      {"shed", options.shed},
+                                      {"limit", options.limit}});
 }
 
 }  // namespace plantainpaddle
