range_fuzz: the store comes back from an older copy; known red

The simulated store takes copies of itself and comes back from one of them, with its revisions and leases.

--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -21,6 +21,10 @@
 add_test(NAME range_fuzz COMMAND range_fuzz)
 set_tests_properties(range_fuzz PROPERTIES TIMEOUT 300
   ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1500")
+# A store that comes back from an older copy. KNOWN-RED.txt says why it is passed over.
+add_test(NAME range_fuzz_restored COMMAND range_fuzz --restored)
+set_tests_properties(range_fuzz_restored PROPERTIES TIMEOUT 300 DISABLED ON
+  ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1500")
 
 # Instances that read the store.
 add_model(ownership feed feed_simulation.cc)
--- a/src/ownership/testing/range_model.h
+++ b/src/ownership/testing/range_model.h
@@ -34,8 +34,10 @@
   break_links,       // all connections between instances and upstreams are reset; takes no time
   shift_load,        // the keys from sample `argument` on become the busiest; takes no time
   concede,           // the assigner gives up its right in an orderly way; takes no time
+  // The store is down, and comes back as it was some seconds before: `argument` says how many.
+  restore_store,
 };
-inline constexpr int fault_kinds = static_cast<int>(fault_kind::concede) + 1;
+inline constexpr int fault_kinds = static_cast<int>(fault_kind::restore_store) + 1;
 
 std::string fault_name(fault_kind kind);
 
@@ -70,5 +72,7 @@
 std::string to_string(const scenario& s);
 // Regression scenarios, each aimed at one guard of the protocol.
 std::vector<std::vector<fault>> known_scenarios();
+// The same with a store that comes back from an older copy.
+std::vector<std::vector<fault>> restored_scenarios();
 
 }  // namespace plantainpaddle::range_model
--- a/src/ownership/testing/range_scenarios.cc
+++ b/src/ownership/testing/range_scenarios.cc
@@ -11,7 +11,7 @@
 constexpr std::array<const char*, fault_kinds> kind_names{
     "kill_instance", "freeze_instance",  "cut_store",      "store_down",    "lose_answers",
     "cut_upstream",  "isolate_upstream", "crash_upstream", "lose_upstream", "drain_upstream",
-    "late_grants",   "break_links",      "shift_load",     "concede"};
+    "late_grants",   "break_links",      "shift_load",     "concede",       "restore_store"};
 
 }  // namespace
 
@@ -74,4 +74,27 @@
   };
 }
 
+std::vector<std::vector<fault>> restored_scenarios() {
+  using enum fault_kind;
+  return {
+      // The store comes back from a copy in which keys have other owners: with the assigner that
+      // moved them, with another one, and once more while that is being sorted out.
+      {{shift_load, 8000, 0, 0, 20}, {restore_store, 12000, 2000, 0, 9}},
+      {{drain_upstream, 8000, 9000, 0, 1},
+       {shift_load, 9500, 0, 0, 11},
+       {restore_store, 11000, 1500, 0, 5},
+       {kill_instance, 11200, 6000, 0, 0}},
+      {{drain_upstream, 7000, 20000, 0, 2},
+       {kill_instance, 9000, 3000, 0, 0},
+       {restore_store, 11000, 1000, 0, 8},
+       {cut_store, 11500, 6000, 0, 0},
+       {isolate_upstream, 11500, 9000, 0, 1},
+       {restore_store, 14500, 1000, 0, 4}},
+      {{lose_answers, 7000, 9000, 0, 0},
+       {shift_load, 8000, 0, 0, 28},
+       {restore_store, 11000, 500, 0, 3},
+       {crash_upstream, 12500, 200, 0, 3}},
+  };
+}
+
 }  // namespace plantainpaddle::range_model
--- a/src/ownership/testing/range_simulation.cc
+++ b/src/ownership/testing/range_simulation.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <vector>
 
 // The simulation behind run() of range_model.h: a queue of timed events, executed one at a time.
 // All randomness comes from the seed of the scenario, so a run is reproducible.
@@ -17,6 +18,9 @@
 
 namespace {
 
+constexpr duration copy_period = milliseconds(250);
+constexpr std::uint32_t max_copy_age_s = 12;
+
 class simulation {
  public:
   simulation(const scenario& s, bool with_trace) : with_trace_(with_trace), random_(s.seed) {
@@ -36,6 +40,7 @@
   verdict run() {
     const monotonic_time end{run_time};
     run_at(monotonic_time(seconds(3)), [this] { sample_served_share(); });
+    run_at(monotonic_time(copy_period), [this] { copy_store(); });
     while (!events_.empty() && !result_.violation) {
       const auto next = events_.top();
       if (next.when > end) break;
@@ -132,6 +137,28 @@
     if (lost) run_after(milliseconds(800), [answer] { answer(std::nullopt); });
   }
 
+  void copy_store() {
+    copies_.push_back({now_, store_});
+    run_after(copy_period, [this] { copy_store(); });
+  }
+
+  // Brings back the store as it was `age` ago. Leases run on from there.
+  void restore_store(duration age) {
+    const auto copy = std::find_if(copies_.rbegin(), copies_.rend(),
+                                   [&](const store_copy& c) { return c.taken + age <= now_; });
+    if (copy == copies_.rend()) return;
+    const auto era = store_.era + 1;
+    const auto since = now_ - copy->taken;
+    const auto down_until = store_.down_until;
+    const auto losing_answers_until = store_.losing_answers_until;
+    store_ = copy->state;
+    store_.era = era;
+    for (auto& [lease, expires] : store_.leases) expires += since;
+    store_.down_until = down_until;
+    store_.losing_answers_until = losing_answers_until;
+    add_trace("the store is as it was " + std::to_string(since / milliseconds(1)) + " ms ago");
+  }
+
   void expire_leases() {
     std::erase_if(store_.leases, [&](const auto& lease) { return lease.second <= now_; });
     if (store_.holder_lease && !store_.leases.contains(*store_.holder_lease)) {
@@ -541,6 +568,7 @@
   std::uint64_t sequence_ = 0;
   monotonic_time now_{};
   store_state store_;
+  std::vector<store_copy> copies_;
   std::vector<std::unique_ptr<instance>> instances_;
   std::vector<upstream> upstreams_;
   link_number last_link_ = 0;
@@ -624,6 +652,11 @@
     case fault_kind::shift_load:
       first_hot_sample_ = static_cast<int>(f.argument % sample_count);
       return;
+    case fault_kind::restore_store:
+      store_.down_until = std::max(store_.down_until, now_ + length);
+      run_at(store_.down_until,
+             [this, age = seconds(1 + f.argument % max_copy_age_s)] { restore_store(age); });
+      return;
     case fault_kind::concede:
       if (self.alive && self.assigner && now_ >= self.frozen_until) concede_right(self);
       return;
--- a/src/ownership/testing/range_simulation_state.h
+++ b/src/ownership/testing/range_simulation_state.h
@@ -91,6 +91,13 @@
   std::uint64_t last_lease = 0;
   monotonic_time down_until{};
   monotonic_time losing_answers_until{};
+  std::uint64_t era = 1;  // rises with each return from an older copy
+};
+
+// What the store was at a time.
+struct store_copy {
+  monotonic_time taken{};
+  store_state state;
 };
 
 }  // namespace plantainpaddle::range_model
