Log and count the store's history and the values that are passed over in a new one

A value whose revision isn't above the known one was passed over without a word, which is ordinary while the store keeps its history, and loses a change once it has another one.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -498,6 +498,8 @@
   for (const auto& [service, at] : record_confirmed)
     add("record_age_seconds{service=\"" + service.value + "\"}", age_of(at));
   add("worst_tick_lag_seconds", std::chrono::duration<double>(worst_tick_lag).count());
+  add("store_era", static_cast<double>(store.era()));
+  add("store_values_passed_over_total", static_cast<double>(view.passed_over()));
   add("desired_state_version", view.desired() ? static_cast<double>(view.desired()->version) : 0);
   add("upstreams", static_cast<double>(view.upstreams().all().size()));
   add("instances", static_cast<double>(view.instances()));
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -206,8 +206,21 @@
   const auto& key = event.value.key;
   // Pages of a full read are newer than its revision, so that changes come a second time.
   auto& version = versions_[key];
-  if (event.value.version != 0 && event.value.version <= version) return;
+  auto& era = eras_[key];
+  if (event.value.version != 0 && event.value.version <= version) {
+    if (era != store_.era()) {
+      ++passed_over_;
+      log_event(log_level::warning, "value passed over",
+                {{"key", key},
+                 {"revision", event.value.version},
+                 {"era", store_.era()},
+                 {"known_revision", version},
+                 {"known_era", era}});
+    }
+    return;
+  }
   version = std::max(version, event.value.version);
+  era = store_.era();
   if (key == desired_state_key) {
     if (!event.removed) apply_desired(event.value, changed);
   } else if (key.starts_with(upstream_key_prefix)) {
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -67,6 +67,9 @@
   std::optional<bool> has_assigner(const service_id& service) const;
   std::size_t instances() const { return instances_.size(); }
   monotonic_time last_contact() const { return last_contact_; }
+  // Returns how many values of changed keys were passed over as older than known ones although the
+  // store has another history than when those were read.
+  std::uint64_t passed_over() const { return passed_over_; }
   // Returns, by prefix, up to when the changes of the keys under it are known.
   std::map<std::string, monotonic_time> known_at() const;
   // Returns, by store key, the addresses at which instances accept pushed records and load reports.
@@ -101,6 +104,8 @@
   upstream_list upstreams_;
   // By key, including keys whose removal no complete list has confirmed yet.
   std::map<std::string, std::uint64_t, std::less<>> versions_;
+  std::map<std::string, std::uint64_t, std::less<>> eras_;  // of the store when versions_ was set
+  std::uint64_t passed_over_ = 0;
   std::map<service_id, versioned_record> records_;
   std::map<std::string, std::string> assigners_;  // by key
   std::map<std::string, std::string> instances_;  // by key
--- a/src/platform/item_protocol.cc
+++ b/src/platform/item_protocol.cc
@@ -1,9 +1,12 @@
+#include <charconv>
+
 #include "platform/item_codec.h"
 #include "platform/store_protocol.h"
 
 namespace plantainpaddle {
 namespace {
 
+constexpr std::string_view era_header = "Store-Era";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_absent = 404;
 constexpr unsigned status_compacted = 410;
@@ -20,6 +23,14 @@
 
 }  // namespace
 
+std::uint64_t item_protocol::read_era(const http_response& response) const {
+  const auto text = find_header(response.headers, era_header);
+  std::uint64_t era = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), era);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+  return whole ? era : 0;
+}
+
 store_request item_protocol::range(const std::string& prefix, const std::string& after_key) const {
   std::string path = "/api/kv-range?prefix=" + escape_query(prefix);
   if (!after_key.empty()) path += "&after=" + escape_query(after_key);
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/log.h"
+
 namespace plantainpaddle {
 
 struct store_client::rotation {
@@ -47,7 +49,11 @@
       used, to_http(std::move(request)), timeout,
       [this, done = std::move(done), used, rotation = rotation_,
        alive = std::weak_ptr(alive_)](result<http_response> answer) {
-        if (answer) return done(std::move(answer));
+        if (answer) {
+          const auto* items = std::get_if<item_protocol>(&settings_.protocol);
+          if (!alive.expired() && items != nullptr) note_era(items->read_era(*answer), used);
+          return done(std::move(answer));
+        }
         if (!alive.expired()) http_.forget(used);
         rotation->leave(used);
         error e = answer.error();
@@ -57,6 +63,13 @@
       false, std::move(call));
 }
 
+void store_client::note_era(std::uint64_t era, const std::string& address) {
+  if (era <= *era_) return;
+  log_event(*era_ == 0 ? log_level::info : log_level::warning, "the store has a new history",
+            {{"peer", address}, {"era", era}, {"era_before", *era_}});
+  *era_ = era;
+}
+
 void store_client::call(store_request request, std::function<void(result<std::string>)> done) {
   send(std::move(request), settings_.timeout,
        [done = std::move(done), used = rotation_->address(),
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -64,6 +64,8 @@
   // False: the lease has ended.
   void renew_lease(std::uint64_t lease, std::function<void(result<bool>)> done);
   void end_lease(std::uint64_t lease, std::function<void(result<bool>)> done);
+  // The highest number of the store's history that a response has stated; 0: none has.
+  std::uint64_t era() const { return *era_; }
   // Calls made so far.
   std::uint64_t calls() const { return *calls_; }
 
@@ -88,6 +90,9 @@
                    std::shared_ptr<http_call> handle);
 
   store_settings settings_;
+  void note_era(std::uint64_t era, const std::string& address);
+
+  std::shared_ptr<std::uint64_t> era_ = std::make_shared<std::uint64_t>(0);
   std::shared_ptr<std::uint64_t> calls_ = std::make_shared<std::uint64_t>(0);
   std::shared_ptr<rotation> rotation_;
   http_client http_;
--- a/src/platform/store_protocol.h
+++ b/src/platform/store_protocol.h
@@ -11,6 +11,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "http/message.h"
 
 namespace plantainpaddle {
 
@@ -101,6 +102,10 @@
 
 // The platform's metadata store: pages, polls that wait, transactions and leases.
 struct item_protocol {
+  // Returns the number of the store's history, which rises when the store comes back from an older
+  // copy of itself; 0 if the response doesn't state it.
+  std::uint64_t read_era(const http_response& response) const;
+
   store_request range(const std::string& prefix, const std::string& after_key = {}) const;
   store_request get(const std::string& key) const;
   store_request poll(const std::string& prefix, std::uint64_t after_revision, duration wait) const;
