--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -40,10 +40,10 @@
   std::string registry;  // control address of the platform stand-in; empty: the product's own form
   std::string domain;    // failure domain, for the registration
   duration warm_up{0};   // keys that come without a handover are slow for so long; with a registry
-  double late_orders = 0;                 // share of orders without an answer, carried out late
-  duration late = milliseconds(2000);     // by so much
-  bool drain = false;                     // refuses new work
-  bool shed = false;                      // the same, and says so
+  double late_orders = 0;              // share of orders without an answer, carried out late
+  duration late = milliseconds(2000);  // by so much
+  bool drain = false;                  // refuses new work
+  bool shed = false;                   // the same, and says so
   double limit = 0;  // requests a second that it says it takes; it runs more all the same. 0: none
   std::optional<load_report> misleading;  // reported instead of the truth
 };
