Wait for an owner's last grant also if its range was moved away and back

Two upstreams could hold a key, without any trouble of the store: a range moved away from an owner that can't be reached, back to it before it had released the range, and away once more was granted to the next owner at once.

Cause: when the record makes a former owner the owner again, the time until which its last grant may last stood in the list of former owners only, and was dropped with it. The next move took the owner for one that had never been granted anything.

The time now goes over to the owner's state.

--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -288,6 +288,12 @@
         }
         // The answer to a grant in flight doesn't cover the merged range.
         if (before.last < entry.last) made.under_way = false;
+      } else if (entry.owner) {
+        // A former owner that gets the range back may still hold it by its last grant.
+        const auto again = std::find_if(old.former.begin(), old.former.end(),
+                                        [&](const auto& f) { return f.name == *entry.owner; });
+        if (again != old.former.end() && !again->released)
+          made.held_until = std::max(made.held_until, again->expires_at);
       }
       made.doubt = doubt;
       for (const auto& name : entry.former) {
--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -200,6 +200,31 @@
 
 // If an assigner relinquishes leadership shortly before an upstream is lost, its successor waits no
 // longer for the upstream than it would have waited itself.
+// Guards against two owners: a range that goes to another upstream and back before its owner
+// released it, and away once more, waits for the grant that the owner had at first.
+BOOST_AUTO_TEST_CASE(a_range_that_came_back_to_an_owner_that_holds_it_is_still_waited_for) {
+  one_owner world;
+  const range_timing timing;
+  world.assigner.on_granted(only<grant>(world.assigner.tick(world.load, at(2)))[0], at(3));
+  const std::vector<range_upstream> listed[] = {
+      {{a, 6, false}, {b, 6}}, {{a, 6}, {b, 6, false}}, {{a, 6, false}, {b, 6}}};
+  std::int64_t ms = 10;
+  for (const auto& upstreams : listed) {
+    world.assigner.set_upstreams(upstreams, at(ms));
+    const auto orders = world.assigner.tick(world.load, at(ms));
+    BOOST_TEST_REQUIRE(only<write>(orders).size() == 1U);
+    for (const auto& order : only<release>(orders)) world.assigner.on_release_failed(order, at(ms));
+    world.assigner.on_written(static_cast<std::uint64_t>(ms), at(ms + 1));
+    ms += 110;
+  }
+  const auto held_until = at(2) + longest_hold(timing, timing.hold);
+  BOOST_TEST(only<grant>(world.assigner.tick(world.load, held_until - milliseconds(10))).empty());
+  world.assigner.confirm(held_until);
+  const auto after = only<grant>(world.assigner.tick(world.load, held_until + milliseconds(10)));
+  BOOST_TEST_REQUIRE(after.size() == 1U);
+  BOOST_TEST((after[0].upstream == b));
+}
+
 // Guards against two owners after the store has come back from an older copy: the answer to a
 // renewal that was sent before doesn't show that no other assigner has moved the keys since.
 BOOST_AUTO_TEST_CASE(a_renewal_sent_before_the_store_was_lost_confirms_nothing) {
--- a/src/ownership/testing/range_scenarios.cc
+++ b/src/ownership/testing/range_scenarios.cc
@@ -71,6 +71,13 @@
        {isolate_upstream, 8300, 5000, 0, 2},
        {drain_upstream, 8500, 3000, 0, 3},
        {kill_instance, 9000, 100, 0, 0}},
+      // Keys go back to an owner that can't be reached, before it has released them, and away
+      // again.
+      {{kill_instance, 1200, 1454, 0, 0},
+       {lose_upstream, 1280, 20, 0, 0},
+       {drain_upstream, 13780, 6250, 0, 5},
+       {cut_upstream, 19531, 1449, 0, 11},
+       {drain_upstream, 19980, 50, 0, 14}},
       // The store comes back from a copy in which keys have other owners: with the assigner that
       // moved them, with another one, and once more while that is being sorted out.
       {{shift_load, 8000, 0, 0, 20}, {restore_store, 12000, 2000, 0, 9}},
