--- a/src/ownership/testing/upstream_list_test.cc
+++ b/src/ownership/testing/upstream_list_test.cc
@@ -75,6 +75,36 @@
   BOOST_TEST(list.all().contains({"a"}));
 }
 
+// Guards against upstreams that are taken to serve again, and against ones that are taken to be
+// gone, after the store has come back from an older copy: it shows older entries, and lacks newer
+// ones, until their upstreams have written them again.
+BOOST_AUTO_TEST_CASE(an_older_copy_of_the_store_neither_revives_nor_removes_upstreams) {
+  upstream_list list;
+  list.on_contact(at(0));
+  auto leaving = entry("leaving", true);
+  auto gone = entry("gone");
+  auto joined = entry("joined");
+  leaving.sequence = gone.sequence = joined.sequence = 7;
+  for (const auto& one : {leaving, gone, joined}) list.on_entry(one, at(0));
+  list.on_removed({"gone"}, at(3000));
+  list.on_store_restored(at(5000));
+  auto older = entry("leaving");
+  older.sequence = 4;
+  BOOST_TEST(!list.on_entry(older, at(5100)));
+  BOOST_TEST(list.all().at({"leaving"}).entry.leaving);
+  older.id = {"gone"};
+  BOOST_TEST(!list.on_entry(older, at(5100)));
+  BOOST_TEST(!list.all().contains({"gone"}));
+  list.on_full_list({{"leaving"}, {"gone"}}, at(5100));
+  BOOST_TEST(!list.expire(at(7100)));
+  BOOST_TEST(list.all().contains({"joined"}));
+  BOOST_TEST(list.expire(at(7300)));
+  BOOST_TEST(!list.all().contains({"joined"}));
+  // Another start under the id is news at any time.
+  older.life = 6;
+  BOOST_TEST(list.on_entry(older, at(7000)));
+}
+
 // A grant for a crashed upstream reached its successor at the same address, of the same service,
 // which accepted it. Those keys must be released like any others.
 BOOST_AUTO_TEST_CASE(an_upstream_is_replaced_only_by_one_of_another_service) {
--- a/src/platform/testing/store_client_test.cc
+++ b/src/platform/testing/store_client_test.cc
@@ -231,6 +231,38 @@
   BOOST_TEST(server.last.body == format_watch_request("a", 6));
 }
 
+// Guards against numbers of a store that are compared with those from before it came back from an
+// older copy: a call that is answered in another era than it was made in fails, as does a late
+// answer of an earlier era.
+BOOST_AUTO_TEST_CASE(an_answer_of_another_era_is_an_error) {
+  asio::io_context io;
+  scripted_store server(io);
+  store_client store(io.get_executor(),
+                     {.addresses = {server.address}, .protocol = item_protocol{}});
+  int changes = 0;
+  store.set_era_handler([&] { ++changes; });
+  const auto written_in = [&](const std::string& era) {
+    server.response = json_response(200, R"({"revision":8})");
+    if (!era.empty()) server.response.headers.push_back({"Store-Era", era});
+    return swap(io, store).has_value();
+  };
+  BOOST_TEST(written_in(""));  // a store that states no era has one history
+  BOOST_TEST(written_in("1"));
+  BOOST_TEST(changes == 0);  // the first era that is seen is no change
+  BOOST_TEST(!written_in("2"));
+  BOOST_TEST(changes == 1);
+  BOOST_TEST(store.era() == 2U);
+  BOOST_TEST(written_in("2"));
+  BOOST_TEST(!written_in("1"));
+  BOOST_TEST(changes == 1);
+  BOOST_TEST(store.era() == 2U);
+  // Numbers that can't be read, or that no store can have reached, state nothing.
+  for (const char* era : {"x", "-3", "3.5", "99999999999999999999", "1048577"}) {
+    BOOST_TEST(written_in(era), era);
+  }
+  BOOST_TEST(changes == 1);
+}
+
 // The watcher of a failure domain starts a new watch as long as it holds no token: one that looked
 // empty made it read the whole state and watch anew each second.
 BOOST_AUTO_TEST_CASE(the_token_of_a_watch_is_not_empty) {
