--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -170,15 +170,11 @@
   if (era != 0) change.conditions.push_back({era_key(service_, era), era_version_});
 }
 
-// Writes the assigner key and the record with the new term in one transaction, so that any write
-// that an earlier assigner still has in flight fails its version check. The first one in an era of
-// the store replaces the key of the era before, so that writes of that era fail, too.
-//
-// The record is made of the latest one that this instance knows, which the store may have lost.
-void range_runner::campaign() {
+// Returns the record of a term of this instance. It is made of the latest one that the instance
+// knows, which the store may have lost.
+range_runner::new_term range_runner::make_term() const {
   const auto era = context_.store.era();
   const auto* seen = context_.view.record(service_);
-  const bool goes_on = assigner_ && assigner_->is_suspended();
   range_record before = seen == nullptr ? make_range_record() : *seen;
   // The store has lost nothing in its first era.
   if (seen == nullptr && era <= 1) before.era = era;
@@ -189,9 +185,16 @@
           same_era && (before.assigner.value.empty() || before.assigner == context_.self),
       .lapses_in = before.lapses_in,
       .era_seen = era_seen_};
-  const auto record = goes_on ? carry_over(assigner_->record(), era)
-                              : take_over(before, context_.self, context_.address, era);
-  const auto sent = monotonic_now();
+  const bool goes_on = assigner_ && assigner_->is_suspended();
+  return {goes_on ? carry_over(assigner_->record(), era)
+                  : take_over(std::move(before), context_.self, context_.address, era),
+          predecessor};
+}
+
+// Writes the assigner key and the record with the new term in one transaction, so that any write
+// that an earlier assigner still has in flight fails its version check. The first one in an era of
+// the store replaces the key of the era before, so that writes of that era fail, too.
+store_transaction range_runner::make_campaign(const range_record& record) const {
   const auto* held = context_.view.assigner(service_);
   store_transaction change{
       .conditions = {{assigner_key(service_), held == nullptr ? 0 : held->version},
@@ -200,16 +203,23 @@
                {record_key(service_), format_range_record(record), 0}}};
   const auto eras = context_.view.era_keys(service_);
   for (const auto& [key, version] : eras) change.conditions.push_back({key, version});
-  const auto present = era_key(service_, era);
-  if (era != 0 && !eras.contains(present)) {
+  const auto present = era_key(service_, record.era);
+  if (record.era != 0 && !eras.contains(present)) {
     change.conditions.push_back({present, 0});
     change.puts.push_back({present, context_.self.value, 0});
     for (const auto& [key, version] : eras) change.removals.push_back(key);
   }
-  const auto known_era = eras.find(present);
-  const std::uint64_t era_version = known_era == eras.end() ? 0 : known_era->second;
+  return change;
+}
+
+void range_runner::campaign() {
+  const auto term = make_term();
+  const auto eras = context_.view.era_keys(service_);
+  const auto present = eras.find(era_key(service_, term.record.era));
+  const std::uint64_t era_version = present == eras.end() ? 0 : present->second;
+  const auto sent = monotonic_now();
   context_.store.transact(
-      change, [this, record, predecessor, sent, era_version](const auto& answer) {
+      make_campaign(term.record), [this, term, sent, era_version](const auto& answer) {
         const auto now = monotonic_now();
         if (!answer) {
           // The transaction may have taken effect. Then the view shows it, or the key ends with its
@@ -226,21 +236,22 @@
         }
         candidacy_.on_won(sent);
         era_version_ = era_version == 0 ? answer->version : era_version;
-        on_campaign_won(record, answer->version, predecessor, sent);
+        on_campaign_won(term, answer->version, sent);
       });
 }
 
-void range_runner::on_campaign_won(const range_record& record, std::uint64_t version,
-                                   const range_predecessor& predecessor, monotonic_time sent) {
+void range_runner::on_campaign_won(const new_term& term, std::uint64_t version,
+                                   monotonic_time sent) {
+  const auto& record = term.record;
   if (assigner_ && assigner_->is_suspended()) {
     log_event(log_level::info, "goes on as assigner",
               {{"service", service_.value},
                {"term", record.term.value},
                {"era", record.era},
                {"version", version}});
-    assigner_->regain(record, version, monotonic_now());
+    assigner_->regain(record, version);
   } else {
-    become_assigner(record, version, predecessor);
+    become_assigner(record, version, term.predecessor);
   }
   assigner_->confirm(sent);
   publish(record, version);
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -85,8 +85,13 @@
   void stop_assigning(std::string_view why);
   void write_relinquished_record(const range_record& record, std::uint64_t version, int attempts);
   bool is_held_by_another() const;
-  void on_campaign_won(const range_record& record, std::uint64_t version,
-                       const range_predecessor& predecessor, monotonic_time sent);
+  struct new_term {
+    range_record record;
+    range_predecessor predecessor;  // unless this instance goes on as assigner
+  };
+  new_term make_term() const;
+  store_transaction make_campaign(const range_record& record) const;
+  void on_campaign_won(const new_term& term, std::uint64_t version, monotonic_time sent);
   // Adds to a write of the record that it is of the store's present era.
   void add_era(store_transaction& change) const;
   void run_actions();
--- a/src/harness/testing/registered_cluster_test.cc
+++ b/src/harness/testing/registered_cluster_test.cc
@@ -232,20 +232,18 @@
   constexpr duration apply_bound = seconds(2);
   desired_state next = *make_registered_layout(2).desired;
   next.version = 9;
-  next.routes[1].row.path_prefix = "/new/";
-  next.routes[1].row.once = false;
-  next.routes[1].row.klass = request_class::counter;
+  next.routes.push_back(next.routes[1]);
+  next.routes.back().row.path_prefix = "/new/";
+  next.routes.back().row.once = false;
+  next.routes.back().row.klass = request_class::counter;
   return self.play(seconds(14), [&] {
     pause(seconds(1));
     self.platform_fault(R"({"copy":true})");
     pause(milliseconds(500));
-    const auto drain = [&](const std::string& name) {
-      const auto& address = self.system->upstreams.at(name).address;
-      BOOST_TEST(web_post(address, "/control/settings", R"({"drain":true})").has_value());
-      pause(seconds(2));
-    };
-    drain("counter-desk-north-0");
-    if (kills_upstream) self.system->upstreams.at("counter-desk-north-0").process->kill();
+    auto& leaving = self.system->upstreams.at("counter-desk-north-0");
+    BOOST_TEST(web_post(leaving.address, "/control/settings", R"({"drain":true})").has_value());
+    pause(seconds(2));
+    if (kills_upstream) leaving.process->kill();
     const auto assigner = self.system->assigner_of("counter-desk");
     self.platform_fault(R"({"down":"hang"})");
     pause(seconds(1));
@@ -258,14 +256,14 @@
     BOOST_TEST(std::count(statuses.begin(), statuses.end(), 200U) == (kills_assigner ? 5 : 6));
     // Once more, without a moment of absence.
     self.platform_fault(R"({"copy":true})");
-    drain("counter-desk-east-0");
+    pause(seconds(2));
     self.platform_fault(R"({"restore":true})");
   });
 }
 
 BOOST_FIXTURE_TEST_CASE(the_store_comes_back_from_an_older_copy, fixture) {
   const auto seen = come_back_from_an_older_copy(*this, false, true);
-  BOOST_TEST(seen.share() > 0.9);
+  BOOST_TEST(seen.share() > 0.98);
 }
 
 BOOST_FIXTURE_TEST_CASE(the_store_comes_back_from_an_older_copy_without_its_assigner, fixture) {
--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -19,15 +19,9 @@
 //    incarnation a fence that its next one would have forgotten.
 // 5. A proof of leadership expires `proof_validity` after its request was sent. A process that was
 //    paused finds it expired before it sends.
-//
-// 6. When the store comes back from an older copy (another era), later records are lost, and an
-//    upstream may hold keys that no record assigns to it. A takeover from a record of another era
-//    therefore has every upstream release all keys that aren't its own, and waits for those that
-//    don't answer. An assigner that goes on needn't, as its own memory is newer than the copy,
-//    unless a successor took over unseen before the store was lost. Such a successor gets a range
-//    only by a release of its owner, which then refuses this assigner's renewals. So a range is in
-//    doubt until its owner has taken a renewal that was sent after the loss; until then it isn't
-//    granted to another. Ranges that stay in doubt are released by every upstream.
+// 6. When the store comes back from an older copy, ranges are in doubt until it is known that
+// nobody
+//    else holds them: range_assigner_doubts.cc.
 //
 // Each new fence is above last_fence of the record in which it is first written, and the fences of
 // an era are above those of earlier eras, so fences only rise.
@@ -40,13 +34,6 @@
 
 namespace plantainpaddle {
 
-namespace {
-
-// Releases of a sweep that are under way at once. A silent upstream's take seconds.
-constexpr std::size_t max_pending_sweeps = 64;
-
-}  // namespace
-
 duration longest_hold(const range_timing& timing, duration hold) {
   const auto length = static_cast<double>(hold.count());
   return duration(static_cast<duration::rep>(length * (1 + timing.clock_drift))) + timing.margin;
@@ -75,30 +62,7 @@
       state.former.push_back({name, predecessors_expire_at_});
     }
   }
-  if (!record_.unsettled) return;
-  ++last_doubt_;
-  for (auto& state : states_) state.doubt = last_doubt_;
-  sweep_after_ = now;
-  in_doubt_since_ = predecessor.era_seen.value_or(now);
-  doubt_ends_ = in_doubt_since_ + timing_.proof_validity + longest_predecessor_hold();
-}
-
-void range_assigner::on_store_restored(monotonic_time now) {
-  suspended_ = true;
-  sweep_.reset();
-  ++last_doubt_;
-  for (auto& state : states_) state.doubt = last_doubt_;
-  in_doubt_since_ = now;
-  sweep_after_ = now + timing_.confirm_within;
-  doubt_ends_ = in_doubt_since_ + timing_.proof_validity + longest_predecessor_hold();
-}
-
-void range_assigner::regain(range_record record, std::uint64_t version, monotonic_time) {
-  // Owners, fences and former owners are those of record_, so that the states remain.
-  record_ = std::move(record);
-  version_ = version;
-  write_ = write_state::idle;
-  suspended_ = false;
+  if (record_.unsettled) begin_doubts(predecessor.era_seen.value_or(now), now);
 }
 
 void range_assigner::set_upstreams(const std::vector<range_upstream>& listed, monotonic_time now) {
@@ -453,89 +417,6 @@
   return out;
 }
 
-bool range_assigner::has_doubt() const {
-  return std::any_of(states_.begin(), states_.end(), [](const auto& s) { return s.doubt != 0; });
-}
-
-// A range in doubt may only be renewed for the owner that has it from this assigner.
-bool range_assigner::may_grant(const range_state& state, link_number link,
-                               monotonic_time now) const {
-  const bool renewal = state.link == link;
-  return state.doubt == 0 || renewal || now >= doubt_ends_;
-}
-
-// Returns the keys in doubt that the upstream doesn't own, as few runs.
-std::vector<range_assigner::key_run> range_assigner::runs_in_doubt(
-    const upstream_id& upstream) const {
-  std::vector<key_run> runs;
-  for (std::size_t i = 0; i < states_.size(); ++i) {
-    const auto& entry = record_.ranges[i];
-    if (states_[i].doubt == 0 || entry.owner == upstream) continue;
-    const bool follows = !runs.empty() && runs.back().last + 1 == entry.first;
-    if (follows) {
-      runs.back().last = entry.last;
-    } else {
-      runs.push_back({entry.first, entry.last});
-    }
-  }
-  return runs;
-}
-
-// Has the upstreams release the keys in doubt, under a fence above those of all earlier eras.
-// Upstreams that register meanwhile are included. Doubts end when all have answered and none can be
-// missing, or when all that they may hold has expired.
-void range_assigner::step_sweep(std::vector<range_order>& out, monotonic_time now) {
-  if (!has_doubt() || now < sweep_after_) return;
-  if (now >= doubt_ends_) {
-    for (auto& state : states_) state.doubt = 0;
-    sweep_.reset();
-    return;
-  }
-  if (!sweep_) {
-    sweep_ = key_sweep{last_doubt_, record_.last_fence, in_doubt_since_ + timing_.entries_return};
-  }
-  for (const auto& [name, state] : upstreams_) {
-    if (state.listed && !sweep_->runs.contains(name)) sweep_->runs[name] = runs_in_doubt(name);
-  }
-  bool done = now >= sweep_->earliest_end;
-  std::size_t pending = 0;
-  for (const auto& [name, runs] : sweep_->runs) {
-    for (const auto& run : runs) {
-      pending += run.pending ? 1 : 0;
-      done = done && run.released;
-    }
-  }
-  if (done) {
-    for (auto& state : states_) {
-      if (state.doubt <= sweep_->doubt) state.doubt = 0;
-    }
-    sweep_.reset();
-    return;
-  }
-  for (auto& [name, runs] : sweep_->runs) {
-    for (auto& run : runs) {
-      if (run.released || run.pending || now < run.retry_at) continue;
-      if (++pending > max_pending_sweeps) return;
-      run.pending = true;
-      out.emplace_back(
-          range_action::release{name, run.first, run.last, sweep_->fence, /*sweep=*/true});
-    }
-  }
-}
-
-void range_assigner::end_sweep_run(const range_action::release& order, bool released,
-                                   monotonic_time now) {
-  if (!sweep_ || sweep_->fence != order.fence) return;
-  const auto it = sweep_->runs.find(order.upstream);
-  if (it == sweep_->runs.end()) return;
-  for (auto& run : it->second) {
-    if (run.first != order.first || run.last != order.last) continue;
-    run.pending = false;
-    run.released = run.released || released;
-    run.retry_at = now + timing_.release_retry;
-  }
-}
-
 void range_assigner::emit_releases(std::vector<range_order>& out, monotonic_time now) {
   for (std::size_t i = 0; i < states_.size(); ++i) {
     const auto& entry = record_.ranges[i];
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -145,7 +145,7 @@
   // owners' grants are only renewed. To be called only while may_renew().
   void on_store_restored(monotonic_time now);
   // Leadership was won again by writing the carry_over() of this assigner's record.
-  void regain(range_record record, std::uint64_t version, monotonic_time now);
+  void regain(range_record record, std::uint64_t version);
   bool is_suspended() const { return suspended_; }
 
   // Plans moves that balance the load. tick() itself moves the keys of upstreams that leave or
@@ -227,6 +227,8 @@
   void stage(const key_load& load, monotonic_time now);
   void clear_former(range_record& next, monotonic_time now) const;
   void stage_fences(range_record& next) const;
+  // All that earlier eras' assigners have granted was granted on proofs from before `since`.
+  void begin_doubts(monotonic_time since, monotonic_time sweep_after);
   bool has_doubt() const;
   bool may_grant(const range_state& state, link_number link, monotonic_time now) const;
   std::vector<key_run> runs_in_doubt(const upstream_id& upstream) const;
--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -237,7 +237,7 @@
   world.assigner.on_store_restored(lost_at);
   world.assigner.on_granted(renewal[0], lost_at + milliseconds(1));
   auto record = carry_over(world.assigner.record(), 2);
-  world.assigner.regain(record, 4, lost_at + milliseconds(2));
+  world.assigner.regain(record, 4);
   world.assigner.confirm(lost_at + milliseconds(2));
   BOOST_TEST(record.unsettled);
   const auto no_write = only<write>(world.assigner.tick(world.load, lost_at + milliseconds(200)));
--- a/src/ownership/testing/range_simulation.cc
+++ b/src/ownership/testing/range_simulation.cc
@@ -380,7 +380,7 @@
           if (goes_on) {
             if (!self.assigner) return;
             add_trace("i" + std::to_string(self.number) + " goes on as assigner");
-            self.assigner->regain(record, answer->version, now_);
+            self.assigner->regain(record, answer->version);
             return self.assigner->confirm(sent);
           }
           add_trace("i" + std::to_string(self.number) + " becomes assigner, term " +
