Send responses that are ready before a drain closes the connections

Requests that keep nothing back go on, and so do responses that have begun.

Test: a_response_that_is_ready_is_sent_before_connections_are_closed; without the step its first response never comes.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -104,7 +104,10 @@
   }
   if (auto end = co_await connect(to)) co_return *end;
   if (auto end = co_await send_request(to)) co_return *end;
-  if (auto end = co_await read_response_head(to)) co_return *end;
+  awaits_response_ = true;
+  const auto no_head = co_await read_response_head(to);
+  awaits_response_ = false;
+  if (no_head) co_return *no_head;
   read_named_limit(to);
   if (auto end = refused_by_upstream(to)) co_return *end;
   co_return co_await relay_response(to);
@@ -314,6 +317,12 @@
   }
 }
 
+void exchange::give_up() {
+  if (!awaits_response_) return;
+  deadline_ = std::min(deadline_, monotonic_now());
+  caller_.set_deadline(deadline_);
+}
+
 // Reads the head of the final response, skipping interim responses and responses to other requests.
 // The wait ends at the deadline or after the class's silence limit, whichever is earlier.
 task<std::optional<exchange::attempt_end>> exchange::read_response_head(const destination& to) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -35,6 +35,11 @@
   task<bool> run();
   request_scope& scope() { return caller_; }
   const request_scope& scope() const { return caller_; }
+  // Whether the response can be relayed, once it is its turn.
+  bool is_ready() const { return response_ready_at_ != monotonic_time{}; }
+  // Ends the wait for the upstream's response as the deadline would. A response that has begun is
+  // relayed all the same.
+  void give_up();
 
  private:
   // The upstream that an attempt sends the request to.
@@ -155,6 +160,7 @@
   bool continue_sent_ = false;
   bool body_streamed_ = false;          // body bytes were discarded after sending: no retry
   bool request_sent_ = false;           // the last attempt sent the whole request
+  bool awaits_response_ = false;        // the last attempt waits for the response's head
   monotonic_time response_ready_at_{};  // when the last attempt's response could be relayed
   bool request_read_ = false;           // the request was read to its end
   std::size_t held_bytes_ = 0;          // body bytes charged to the worker's memory budget
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -108,6 +108,10 @@
   for (const auto& one : impl_->workers) one->begin_drain();
 }
 
+void proxy::release_ready_responses() {
+  for (const auto& one : impl_->workers) one->release_ready_responses();
+}
+
 void proxy::set_retry_config(const retry_config& config) { impl_->shared.set_retry_config(config); }
 
 std::shared_ptr<const traffic_view> proxy::view() const { return impl_->shared.view(); }
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -57,6 +57,9 @@
   // Closes idle connections after drain_idle_time, and the others after their last answer. With
   // accept_more, callers may still connect.
   void begin_drain(bool accept_more);
+  // Gives up pipelined requests whose responses keep back others that are ready. To be called
+  // before connections are aborted.
+  void release_ready_responses();
   // Replaces the retry budgets' configuration for all services.
   void set_retry_config(const retry_config& config);
   std::shared_ptr<const traffic_view> view() const;
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -46,6 +46,8 @@
 constexpr double leaving_limit_share = 0.85;
 constexpr duration report_timeout = milliseconds(400);
 constexpr duration exit_margin = milliseconds(500);  // kept free before SIGKILL
+// From when responses that are kept back by slower ones are sent to the end of all connections.
+constexpr duration last_responses_time = milliseconds(400);
 // Instances register under a lease, so that each knows how many there are.
 constexpr duration instance_lease = seconds(8);
 constexpr duration instance_renewal = milliseconds(2500);
@@ -103,6 +105,7 @@
   void push_record(const service_id& service, const range_record& record, std::uint64_t version);
   std::string handle_pushed_record(std::string_view body);
   void leave();
+  void send_last_responses();
   void stop();
   void wait_for_reload_signal();
   void reload_settings(std::string_view why);
@@ -547,9 +550,10 @@
   leave_timer.async_wait([this](const boost::system::error_code& code) {
     if (code) return;
     traffic.finish();
-    leave_timer.expires_after(settings.bounds.shutdown - balancer_removal_time - exit_margin);
+    leave_timer.expires_after(settings.bounds.shutdown - balancer_removal_time - exit_margin -
+                              last_responses_time);
     leave_timer.async_wait([this](const boost::system::error_code& late) {
-      if (!late) stop();
+      if (!late) send_last_responses();
     });
   });
   signals.async_wait([this](const boost::system::error_code& code, int) {
@@ -557,6 +561,15 @@
   });
 }
 
+// Responses that are ready go out before the connections are closed.
+void range_instance::impl::send_last_responses() {
+  traffic.release_ready_responses();
+  leave_timer.expires_after(last_responses_time);
+  leave_timer.async_wait([this](const boost::system::error_code& code) {
+    if (!code) stop();
+  });
+}
+
 void range_instance::impl::stop() {
   if (traffic.connections() != 0) {
     log_event(log_level::warning, "closing connections that have not drained",
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -58,6 +58,12 @@
   deadline_.set_idle(false);
 }
 
+void session::release_ready_responses() {
+  const auto last_ready = std::find_if(exchanges_.rbegin(), exchanges_.rend(),
+                                       [](const auto& one) { return one->is_ready(); });
+  for (auto it = exchanges_.begin(); it != last_ready.base(); ++it) (*it)->give_up();
+}
+
 bool session::has_turn(std::uint64_t number) const {
   return !exchanges_.empty() && exchanges_.front()->scope().number() == number;
 }
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -41,6 +41,8 @@
   // Closes the connection at close_idle_at if it is idle now. Otherwise the requests in progress
   // are its last ones.
   void begin_drain(monotonic_time close_idle_at);
+  // Gives up the requests whose responses keep back others that are ready.
+  void release_ready_responses();
   // Cancels all requests and closes, as if the caller had closed the connection.
   void abort();
   // Applies the worker's current idle time to an idle connection.
--- a/src/entry/testing/outcome_test.cc
+++ b/src/entry/testing/outcome_test.cc
@@ -444,6 +444,40 @@
   BOOST_TEST(drained);
 }
 
+// Guards against a response that is ready but goes down with the connection at the end of a drain,
+// since the response before it is still awaited.
+BOOST_AUTO_TEST_CASE(a_response_that_is_ready_is_sent_before_connections_are_closed) {
+  std::atomic<bool> may_answer{false};
+  std::atomic<int> answered{0};
+  scripted_upstream upstream([&](scripted_connection& connection) {
+    for (auto head = connection.read_request(); !head.empty(); head = connection.read_request()) {
+      while (head.find("/stock/slow") != std::string::npos && !may_answer)
+        std::this_thread::yield();
+      connection.answer("ok");
+      ++answered;
+    }
+  });
+  proxy_fixture proxy({upstream.address()});
+  auto caller = proxy.caller();
+  const auto request = [](const std::string& key) {
+    return "GET /stock/" + key + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  };
+  caller.send(request("slow") + request("1"));
+  while (answered == 0) std::this_thread::yield();
+  std::this_thread::sleep_for(milliseconds(50));  // for the response to arrive
+  proxy.traffic->release_ready_responses();
+  BOOST_TEST(caller.read_answer().status() == 504);
+  const auto kept_back = caller.read_answer();
+  BOOST_TEST(kept_back.status() == 200);
+  BOOST_TEST(kept_back.body == "ok");
+  // A request that keeps nothing back goes on.
+  caller.send(request("slow"));
+  std::this_thread::sleep_for(milliseconds(50));
+  proxy.traffic->release_ready_responses();
+  may_answer = true;
+  BOOST_TEST(caller.read_answer().status() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle::testing
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -142,6 +142,12 @@
   });
 }
 
+void worker::release_ready_responses() {
+  asio::post(io_, [this] {
+    for (auto& [id, open] : sessions_) open->release_ready_responses();
+  });
+}
+
 void worker::decide(std::uint64_t scope, admission_id id, bool admitted) {
   asio::post(io_, [this, scope, id, admitted] {
     if (auto* waiting = find(scope)) waiting->decide(id, admitted);
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -58,6 +58,8 @@
   // Closes idle connections after drain_idle_time and the others after their last answer. Any
   // thread.
   void begin_drain();
+  // See session::release_ready_responses(). Any thread.
+  void release_ready_responses();
   // Adds this thread's statistics to `sum`. Any thread.
   void add_stats(traffic_stats& sum) const;
   // Tells the request of this scope whether its admission got a slot. A request that has ended is
