Heed what upstreams say of themselves: that they leave, and for how long they want no requests

Cause: src/ read neither field. Only Server-Limit was read from responses.

One type, upstream_statement, now holds what a response states of its upstream; the data path reads it before anything of the response is passed on. A notice goes into upstream_list, where it holds for the upstream's life, whatever entries of the store say, and is reported to the assigner with the load. A pause goes into placement: an upstream that pauses is not chosen, not for its own keys, nor as the last resort; keyed requests are refused at once with the rest of the pause, spread. A pause is no failure.

429 is served like 503, as the measurements found it there. Unreadable values are ignored, counted, and logged once in ten seconds for an upstream.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -80,6 +80,7 @@
   ++attempts_;
   reported_load_.reset();
   identity_mismatch_ = false;
+  pause_.reset();
   auto& state = *traffic().upstreams[to.upstream];
   state.outstanding.fetch_add(1, std::memory_order_relaxed);
   if (traffic().placed) {
@@ -103,12 +104,13 @@
     if (auto end = enter_lease(to)) co_return *end;
   }
   if (auto end = co_await connect(to)) co_return *end;
+  if (auto end = check_pause(to)) co_return *end;
   if (auto end = co_await send_request(to)) co_return *end;
   awaits_response_ = true;
   const auto no_head = co_await read_response_head(to);
   awaits_response_ = false;
   if (no_head) co_return *no_head;
-  read_named_limit(to);
+  read_statement(to);
   if (auto end = refused_by_upstream(to)) co_return *end;
   co_return co_await relay_response(to);
 }
@@ -183,6 +185,18 @@
   gated_upstream_.reset();
 }
 
+// While the request waited for a connection, the upstream may have asked for a pause.
+std::optional<exchange::attempt_end> exchange::check_pause(const destination& to) {
+  if (!traffic().placed) return std::nullopt;
+  const auto& name = service().upstreams[to.upstream].name;
+  const auto left = traffic().placed->pause_left(name, monotonic_now());
+  if (left <= duration::zero()) return std::nullopt;
+  release_connection(true);
+  pause_ = left;
+  return failed(to, step::send_request, run_state::not_run, "the upstream asked for a pause",
+                std::nullopt);
+}
+
 // Sets connection_ to an idle or a new connection. Waits for one until the deadline if the limit of
 // connections is reached, and fails at once if too many requests wait already.
 task<std::optional<exchange::attempt_end>> exchange::connect(const destination& to) {
@@ -551,7 +565,8 @@
 void exchange::report_placement(const destination& to, const attempt_end& end) {
   constexpr unsigned first_failure = 500;
   const auto now = monotonic_now();
-  attempt_report report{.work = match_.route->name, .load = reported_load_};
+  attempt_report report{
+      .work = match_.route->name, .load = reported_load_, .asked_for_pause = pause_.has_value()};
   if (end.answered && messages_.response->status() < first_failure) {
     report.ended = attempt_outcome::answered;
     report.latency = (response_ready_at_ == monotonic_time{} ? now : response_ready_at_) - sent_at_;
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -375,6 +375,12 @@
     chosen = traffic().placed->choose(question, worker_.random());
   }
   if (!chosen.upstream) {
+    if (chosen.why == placement_refusal::paused) {
+      local_response refusal = unavailable_response("the upstream asked for a pause",
+                                                    question.only.value_or(upstream_id{}).value);
+      refusal.retry_after = spread_retry_after(chosen.retry_after);
+      return refusal;
+    }
     const bool late = chosen.why == placement_refusal::too_late;
     if (!late) return unavailable_response("no upstream is available", "");
     local_response refusal =
@@ -461,6 +467,12 @@
     give_up.retry_after = worker_.settings().limits.retry_after;
   }
   if (body_streamed_) co_return give_up;
+  // Only the key's owner can be asked again, so it gets time for a slot to become free.
+  const bool same_again = traffic().placed && service().service.keyed;
+  if (same_again && pause_) {
+    if (end.known == run_state::not_run) give_up.retry_after = spread_retry_after(*pause_);
+    co_return give_up;
+  }
   const auto now = monotonic_now();
   const auto decision = traffic().retries->decide(
       {.attempts = attempts_,
@@ -477,8 +489,6 @@
   worker_.counters().add("retries_total",
                          {{"class", std::string(class_name(match_.route->klass))}});
   caller_.set_deadline(deadline_);
-  // Only the key's owner can be asked again, so it gets time for a slot to become free.
-  const bool same_again = traffic().placed && service().service.keyed;
   const duration pause =
       same_again ? worker_.settings().limits.owner_retry_delay : duration::zero();
   co_await caller_.pause_until(now + pause + decision.delay);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -99,17 +99,21 @@
   task<permit_outcome> take_permit(const destination& to);
   task<std::optional<permit_decision>> ask_permit(const permit_request& request);
   permit_outcome refuse_permit(const destination& to, const permit_decision& decision);
+  duration spread_retry_after(duration wait);
 
   // Steps of an attempt. An attempt_end means that the attempt is over.
   task<attempt_end> attempt(const destination& to);
   task<attempt_end> attempt_admitted(const destination& to);
   task<std::optional<attempt_end>> enter_gate(const destination& to);
   task<std::optional<attempt_end>> connect(const destination& to);
+  std::optional<attempt_end> check_pause(const destination& to);
   task<std::optional<attempt_end>> send_request(const destination& to);
   task<std::optional<attempt_end>> read_response_head(const destination& to);
   task<bool> skip_stale_response();
   task<std::optional<attempt_end>> buffer_response(const destination& to);
-  void read_named_limit(const destination& to);
+  void read_statement(const destination& to);
+  void note_pause(const upstream_id& upstream, duration length);
+  void note_limit(const upstream_id& upstream, std::optional<double> rate);
   std::optional<attempt_end> refused_by_upstream(const destination& to);
   task<attempt_end> relay_response(const destination& to);
   void release_connection(bool reusable);
@@ -173,6 +177,7 @@
   monotonic_time owner_wait_end_{};    // end of all waits for an owner, set by the first
   std::optional<upstream_id> permit_;  // the upstream that a permit is held for
   std::uint32_t permits_asked_ = 0;
+  std::optional<duration> pause_;               // that the last attempt's response asked for
   bool identity_mismatch_ = false;              // another upstream responded at the address
   std::optional<reported_load> reported_load_;  // load that the last attempt's upstream reported
 };
--- a/src/entry/exchange_limit.cc
+++ b/src/entry/exchange_limit.cc
@@ -1,10 +1,11 @@
-// Limits that upstreams name: reads them from responses, and gets a permit for each request to an
-// upstream that has named one.
+// What upstreams state about themselves in their responses: limits, pauses, and that they leave.
+// Gets a permit for each request to an upstream that has named a limit.
 #include <algorithm>
 
 #include "base/log.h"
 #include "entry/exchange.h"
 #include "entry/worker.h"
+#include "routing/upstream_statement.h"
 
 namespace plantainpaddle {
 
@@ -20,15 +21,57 @@
 
 }  // namespace
 
-// Takes in the limit that the response names. A refusal that names none doesn't end a limit, as not
-// every upstream's refusals come from where its limit is known.
-void exchange::read_named_limit(const destination& to) {
-  if (names().limit.empty() || !traffic().placed) return;
+// Takes in what the response states about its upstream, before any of it is passed on. A response
+// in which another upstream identifies itself states nothing about the one that was asked.
+void exchange::read_statement(const destination& to) {
+  pause_.reset();
+  if (!traffic().placed) return;
+  const auto& response = *messages_.response;
+  const auto there = response.find(names().answering_upstream);
+  const auto& upstream = service().upstreams[to.upstream].name;
+  if (!there.empty() && there != upstream.value) return;
+  const auto field = [&](std::string_view name) {
+    return name.empty() ? std::string_view() : response.find_single(name);
+  };
+  const bool turned_away = is_turned_away(response.status());
+  const auto stated = parse_upstream_statement(
+      {.limit = field(names().limit),
+       .leaving = field(names().leaving),
+       .retry_after = turned_away ? field(names().pause) : std::string_view()});
+  if (!stated.unreadable.empty()) {
+    worker_.shared().note_unreadable(upstream, stated.unreadable, monotonic_now());
+    worker_.counters().add("unreadable_statements_total",
+                           {{"field", std::string(stated.unreadable)}});
+  }
+  if (stated.leaving && worker_.shared().on_leaving) {
+    const auto& lives = service().lives;
+    worker_.shared().on_leaving(upstream, lives.empty() ? 0 : lives[to.upstream]);
+  }
+  if (stated.pause) note_pause(upstream, *stated.pause);
+  if (!names().limit.empty()) note_limit(upstream, stated.limit);
+}
+
+void exchange::note_pause(const upstream_id& upstream, duration length) {
+  const auto now = monotonic_now();
+  const bool paused = traffic().placed->pause_left(upstream, now) > duration::zero();
+  pause_ = length;
+  traffic().placed->on_pause(upstream, length, now);
+  worker_.counters().add("upstream_pauses_total", {});
+  if (paused) return;
+  log_event(log_level::info, "upstream asks for a pause",
+            {{"upstream", upstream.value},
+             {"service", service().service.name.value},
+             {"request", messages_.request_id},
+             {"status", messages_.response->status()},
+             {"pause_ms", length}});
+}
+
+// A refusal that names no limit doesn't end one, as not every upstream's refusals come from where
+// its limit is known.
+void exchange::note_limit(const upstream_id& upstream, std::optional<double> rate) {
   const auto& response = *messages_.response;
-  const auto rate = parse_named_limit(response.find_single(names().limit));
   const bool refused = !response.find(names().refusal).empty();
   if (!rate && refused) return;
-  const auto& upstream = service().upstreams[to.upstream].name;
   auto& limits = worker_.shared().named_limits;
   const auto before = limits.rate_of(upstream);
   const auto now = monotonic_now();
@@ -97,17 +140,22 @@
     traffic().placed->on_limit_used_up(name, decision.wait, monotonic_now());
     return {false, route_request()};
   }
-  const auto& retry_after = worker_.settings().limits.retry_after;
   local_response refusal{
       status_unavailable,
       {errc::limit_exceeded, step::admit, name.value, "the upstream takes no more requests now"},
       run_outcome::not_run};
-  // Spread, since a fixed time would bring the callers back together.
+  refusal.retry_after = spread_retry_after(decision.wait);
+  return {false, std::move(refusal)};
+}
+
+// Returns a time between `wait` and that plus twice the usual time, as a fixed one would bring the
+// callers back together.
+duration exchange::spread_retry_after(duration wait) {
+  const auto& retry_after = worker_.settings().limits.retry_after;
   constexpr std::uint64_t spread_steps = 1000;
   const auto spread = static_cast<duration::rep>(worker_.random() % (2 * spread_steps));
-  refusal.retry_after = std::max(retry_after, decision.wait) +
-                        retry_after * spread / static_cast<duration::rep>(spread_steps);
-  return {false, std::move(refusal)};
+  return std::max(retry_after, wait) +
+         retry_after * spread / static_cast<duration::rep>(spread_steps);
 }
 
 }  // namespace plantainpaddle
--- a/src/entry/load_report.cc
+++ b/src/entry/load_report.cc
@@ -48,18 +48,27 @@
   return position;
 }
 
-bool read_limits(const json::array& pairs, load_report_message& report) {
+// Reads pairs of an upstream and a positive number.
+template <class Number>
+bool read_by_upstream(const json::array& pairs, std::map<upstream_id, Number>& values) {
   for (const auto& item : pairs) {
     const auto* pair = item.if_array();
     if (pair == nullptr || pair->size() != 2 || !pair->at(0).is_string()) return false;
-    boost::system::error_code bad_rate;
-    const auto rate = pair->at(1).to_number<double>(bad_rate);
-    if (bad_rate || !(rate > 0)) return false;
-    report.limits[{std::string(pair->at(0).get_string())}] = rate;
+    boost::system::error_code code;
+    const auto value = pair->at(1).to_number<Number>(code);
+    if (code || !(value > 0)) return false;
+    values[{std::string(pair->at(0).get_string())}] = value;
   }
   return true;
 }
 
+template <class Number>
+json::array format_by_upstream(const std::map<upstream_id, Number>& values) {
+  json::array pairs;
+  for (const auto& [name, value] : values) pairs.push_back(json::array{name.value, value});
+  return pairs;
+}
+
 }  // namespace
 
 std::string format_load_report(const load_report_message& report) {
@@ -69,11 +78,8 @@
                        {"address", report.address},
                        {"known", format_position(report.known)},
                        {"keys", std::move(keys)}};
-  if (!report.limits.empty()) {
-    json::array limits;
-    for (const auto& [name, rate] : report.limits) limits.push_back(json::array{name.value, rate});
-    message["limits"] = std::move(limits);
-  }
+  if (!report.limits.empty()) message["limits"] = format_by_upstream(report.limits);
+  if (!report.leaving.empty()) message["leaving"] = format_by_upstream(report.leaving);
   return json::serialize(message);
 }
 
@@ -136,9 +142,13 @@
       reader.fail("keys", "pairs of key and count are wanted");
     }
     const auto* limits = reader.array("limits", false);
-    if (limits != nullptr && !read_limits(*limits, report)) {
+    if (limits != nullptr && !read_by_upstream(*limits, report.limits)) {
       reader.fail("limits", "pairs of upstream and rate are wanted");
     }
+    const auto* leaving = reader.array("leaving", false);
+    if (leaving != nullptr && !read_by_upstream(*leaving, report.leaving)) {
+      reader.fail("leaving", "pairs of upstream and life are wanted");
+    }
   });
   if (!parsed) return parsed.error();
   return report;
--- a/src/entry/load_report.h
+++ b/src/entry/load_report.h
@@ -4,7 +4,7 @@
 // to either says which record the receiver has, by its position.
 //
 //   {"service": "desk", "address": "10.1.0.18:7200", "known": [1, 3, 14], "keys": [[17, 3]],
-//    "limits": [["desk-1", 14.9]]}
+//    "limits": [["desk-1", 14.9]], "leaving": [["desk-2", 1764942000123]]}
 //   {"service": "desk", "version": 812, "base": [1, 3, 14], "unchanged": [0, 2], "record": "..."}
 //   {"known": [1, 3, 17]}
 #pragma once
@@ -30,6 +30,8 @@
   // Limits that upstreams of the service name, in requests per second, if the sender issues the
   // permits for them.
   std::map<upstream_id, double> limits;
+  // Lives of upstreams of the service that have said in a response that they leave.
+  std::map<upstream_id, std::uint64_t> leaving;
   bool operator==(const load_report_message&) const = default;
 };
 
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -189,6 +189,11 @@
   impl_->shared.ask_permit = std::move(ask);
 }
 
+void proxy::set_leaving_handler(
+    std::function<void(const upstream_id& upstream, std::uint64_t life)> on_leaving) {
+  impl_->shared.on_leaving = std::move(on_leaving);
+}
+
 void proxy::on_load_report(const service_id& service, const upstream_id& upstream,
                            const load_report& report) {
   impl_->shared.on_load_report(service, upstream, report, monotonic_now());
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -93,6 +93,10 @@
   // Sets how permits are asked for (traffic_state::ask_permit). To be called before start().
   void set_permit_source(
       std::function<void(const permit_request&, std::function<void(permit_decision)>)> ask);
+  // Sets what is called when an upstream leaves (traffic_state::on_leaving). To be called before
+  // start().
+  void set_leaving_handler(
+      std::function<void(const upstream_id& upstream, std::uint64_t life)> on_leaving);
   // Takes in the load that an upstream reported.
   void on_load_report(const service_id& service, const upstream_id& upstream,
                       const load_report& report);
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -100,6 +100,8 @@
   void write_instance();
   void report_load(monotonic_time now);
   std::map<upstream_id, double> limits_of(const service_id& service) const;
+  template <class Value>
+  void keep_service(std::map<upstream_id, Value>& values, const service_id& service) const;
   std::string handle_load_report(std::string_view body);
   void on_report_answer(const service_id& service, const result<http_response>& answer);
   void push_record(const service_id& service, const range_record& record, std::uint64_t version);
@@ -174,6 +176,9 @@
   traffic.set_snapshot(std::move(unknown));
   traffic.set_permit_source(
       [this](const permit_request& request, auto done) { permits.ask(request, std::move(done)); });
+  traffic.set_leaving_handler([this](const upstream_id& upstream, std::uint64_t life) {
+    view.note_leaving(upstream, life);
+  });
   auto listening = operators.listen(settings.listen_operators, [this](http_request request) {
     return serve_operators(std::move(request));
   });
@@ -376,7 +381,9 @@
                                .address = settings.listen_peers,
                                .known = known == nullptr ? record_position{} : position_of(*known),
                                .keys = current->services[i].counts->take_keys(),
-                               .limits = limits_of(name)};
+                               .limits = limits_of(name),
+                               .leaving = view.upstreams().noticed()};
+    keep_service(report.leaving, name);
     if (runner->second->is_assigner()) {
       for (const auto& [key, count] : report.keys) runner->second->count(key, count);
       runner->second->note_limits(report.limits);
@@ -400,11 +407,18 @@
 // Returns the limits of the service's upstreams for which this instance issues permits.
 std::map<upstream_id, double> range_instance::impl::limits_of(const service_id& service) const {
   auto limits = permits.limits_asked_for();
-  std::erase_if(limits, [&](const auto& limit) {
-    const auto known = view.upstreams().all().find(limit.first);
+  keep_service(limits, service);
+  return limits;
+}
+
+// Removes the values of upstreams that aren't listed in the service.
+template <class Value>
+void range_instance::impl::keep_service(std::map<upstream_id, Value>& values,
+                                        const service_id& service) const {
+  std::erase_if(values, [&](const auto& value) {
+    const auto known = view.upstreams().all().find(value.first);
     return known == view.upstreams().all().end() || known->second.entry.service != service;
   });
-  return limits;
 }
 
 // Returns the response. An assigner's says which version of the record it has written.
@@ -418,6 +432,9 @@
   if (runner == runners.end()) return format_known_record({});
   for (const auto& [key, count] : report->keys) runner->second->count(key, count);
   runner->second->note_limits(report->limits);
+  for (const auto& [upstream, life] : report->leaving) {
+    view.note_leaving(upstream, life, report->address);
+  }
   const auto* known = view.record(report->service);
   if (!runner->second->is_assigner() || known == nullptr) return format_known_record({});
   reporters[report->address] = monotonic_now();
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -88,6 +88,14 @@
   notify({.records = true});
 }
 
+void store_view::note_leaving(const upstream_id& upstream, std::uint64_t life,
+                              std::string_view reporter) {
+  if (!upstreams_.on_notice(upstream, life, monotonic_now())) return;
+  log_event(log_level::info, "upstream leaves, as its response says",
+            {{"upstream", upstream.value}, {"life", life}, {"reporter", reporter}});
+  notify({.upstreams = true});
+}
+
 void store_view::on_store_restored() {
   const auto now = monotonic_now();
   versions_.restart();
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -87,6 +87,9 @@
   // Takes in a record that the store is known to hold at a version of its key. One that isn't newer
   // than the known one is ignored.
   void update_record(const service_id& service, const range_record& record, std::uint64_t version);
+  // An upstream has said in a response, to this instance or to `reporter`, that it leaves.
+  void note_leaving(const upstream_id& upstream, std::uint64_t life,
+                    std::string_view reporter = {});
   // The store has come back from an older copy: everything is read anew.
   void on_store_restored();
 
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <mutex>
 #include <thread>
 
 #include "entry/load_report.h"
@@ -256,6 +257,84 @@
   }
 }
 
+// Guards against requests to an upstream that has turned one away and said for how long: those for
+// its keys are refused at once with a time that fits, others go to another upstream. Both statuses
+// are served, marked as not executed or not.
+BOOST_AUTO_TEST_CASE(an_upstream_that_asks_for_a_pause_gets_no_requests_during_it) {
+  const std::string refusal_header(platform_header_names.refusal);
+  for (const bool keyed : {true, false}) {
+    for (const std::string start : {"HTTP/1.1 503 Busy\r\n", "HTTP/1.1 429 Busy\r\n"}) {
+      std::atomic<int> arrivals{0};
+      scripted_upstream pausing([&](scripted_connection& side) {
+        for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
+          ++arrivals;
+          side.send(start + echo_id(head) + refusal_header +
+                    ": 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n");
+        }
+      });
+      scripted_upstream other([&](scripted_connection& side) {
+        for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
+          side.answer("other", echo_id(head));
+        }
+      });
+      shared_fixture shared({pausing.address(), other.address()}, keyed);
+      if (keyed) shared.set_owner("u0");
+      auto caller = shared.caller();
+      int number = 0;
+      const auto ask = [&] { return caller.ask(request("GET", "r" + std::to_string(++number))); };
+      const auto give_up = monotonic_now() + seconds(8);
+      while (arrivals == 0 && monotonic_now() < give_up) ask();
+      const auto paused_at = monotonic_now();
+      int asked = 0;
+      while (monotonic_now() - paused_at < milliseconds(1000)) {
+        const auto got = ask();
+        ++asked;
+        BOOST_TEST(got.status() == (keyed ? 503 : 200));
+        BOOST_TEST(got.has("Retry-After") == keyed);
+        BOOST_TEST((monotonic_now() - paused_at < milliseconds(1400)));
+      }
+      BOOST_TEST(asked > 5);
+      BOOST_TEST(arrivals == 1);
+    }
+  }
+}
+
+// Guards against a notice in a response that nobody takes in: the handler gets the upstream's life
+// before the caller gets the response. An unreadable notice, or one of another upstream that
+// answers at the address, is none.
+BOOST_AUTO_TEST_CASE(a_response_that_says_that_its_upstream_leaves_is_reported) {
+  std::atomic<int> answered{0};
+  const std::vector<std::string> fields{
+      "Server-Leaving: 0\r\n", "Server-Leaving: 1\r\nServer-Leaving: 1\r\n",
+      "Server-Leaving: 1\r\nX-Plantainpaddle-Instance-Id: u9\r\n", "",
+      "Server-Leaving: 1\r\nX-Plantainpaddle-Instance-Id: u0\r\n"};
+  scripted_upstream upstream([&](scripted_connection& side) {
+    for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
+      side.answer("x", echo_id(head) + fields[static_cast<std::size_t>(answered++)]);
+    }
+  });
+  shared_fixture shared({upstream.address()});
+  std::vector<std::pair<upstream_id, std::uint64_t>> notices;
+  std::mutex mutex;
+  shared.traffic->set_leaving_handler([&](const upstream_id& name, std::uint64_t life) {
+    const std::lock_guard lock(mutex);
+    notices.emplace_back(name, life);
+  });
+  auto restarted = shared.upstreams_seen.all().at({"u0"}).entry;
+  restarted.life = 42;
+  shared.upstreams_seen.on_entry(restarted, monotonic_now());
+  shared.publish();
+  auto caller = shared.caller();
+  for (std::size_t i = 0; i < fields.size(); ++i) {
+    BOOST_TEST(caller.ask(request("GET", "r" + std::to_string(i))).status() == 200);
+    const std::lock_guard lock(mutex);
+    BOOST_TEST(notices.size() == (i + 1 == fields.size() ? 1U : 0U));
+  }
+  const std::lock_guard lock(mutex);
+  BOOST_REQUIRE(notices.size() == 1U);
+  BOOST_TEST((notices.front() == std::pair{upstream_id{"u0"}, std::uint64_t{42}}));
+}
+
 // Guards against a limit that is named twice, differently, or unreadably and is heeded all the
 // same.
 BOOST_AUTO_TEST_CASE(an_unreadable_limit_is_none) {
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/log.h"
+
 namespace plantainpaddle {
 
 std::vector<std::string> traffic_class_names() {
@@ -144,7 +146,9 @@
   for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
     const auto& row = service.upstreams[i];
     const auto warm = service.warm_since.empty() ? monotonic_time{} : service.warm_since[i];
-    facts.push_back({row.name, row.domain, row.slots, row.state == upstream_state::active, warm});
+    const auto life = service.lives.empty() ? 0 : service.lives[i];
+    facts.push_back(
+        {row.name, row.domain, row.slots, row.state == upstream_state::active, warm, life});
   }
   made.placed->set_upstreams(facts, now);
   return made;
@@ -173,6 +177,15 @@
   limiter_.on_usage(from, entries, now);
 }
 
+void traffic_state::note_unreadable(const upstream_id& upstream, std::string_view field,
+                                    monotonic_time now) {
+  constexpr duration log_period = seconds(10);
+  std::erase_if(unreadable_logged_, [&](const auto& at) { return now - at.second >= log_period; });
+  if (!unreadable_logged_.try_emplace(upstream, now).second) return;
+  log_event(log_level::warning, "a field of the upstream's response can't be read",
+            {{"upstream", upstream.value}, {"field", field}});
+}
+
 bool traffic_state::is_usable(const service_id& service, const upstream_id& upstream,
                               monotonic_time now) const {
   const auto current = view();
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -137,6 +137,13 @@
   // before the call returns. Without it, limits aren't held.
   std::function<void(const permit_request&, std::function<void(permit_decision)>)> ask_permit;
 
+  // Called with an upstream's life when the upstream says in a response that it leaves. Used with
+  // proxy_settings::shared_upstreams only.
+  std::function<void(const upstream_id&, std::uint64_t life)> on_leaving;
+  // Logs that a field of an upstream's response can't be read, at a bounded rate for each upstream.
+  // To be called on the one traffic thread.
+  void note_unreadable(const upstream_id& upstream, std::string_view field, monotonic_time now);
+
   std::atomic<std::size_t> connections{0};  // open ones of callers and other instances
 
  private:
@@ -145,7 +152,8 @@
 
   proxy_settings settings_;
   retry_config retry_config_;
-  mutable std::mutex mutex_;  // guards view_
+  std::map<upstream_id, monotonic_time> unreadable_logged_;  // when note_unreadable() last logged
+  mutable std::mutex mutex_;                                 // guards view_
   std::shared_ptr<const traffic_view> view_;
   std::mutex limits_mutex_;
   limiter limiter_;
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -59,12 +59,17 @@
   file(STRINGS ${mutant} test_line REGEX "^test " LIMIT_COUNT 1)
   if(test_line)
     string(REPLACE "test " "" test_source "${test_line}")
-    set(test_source ${testing}/${test_source})
+    # A test of another package is named with its folder.
+    if(test_source MATCHES "/")
+      set(test_source ${CMAKE_SOURCE_DIR}/src/${test_source})
+    else()
+      set(test_source ${testing}/${test_source})
+    endif()
     target_sources(ownership_mutant_${name}
       PRIVATE ${test_source} ${CMAKE_SOURCE_DIR}/src/base/testing/test_main.cc)
     target_compile_definitions(ownership_mutant_${name} PRIVATE BOOST_TEST_DYN_LINK)
     target_link_libraries(ownership_mutant_${name}
-      PRIVATE range_model ownership Boost::unit_test_framework rapidcheck)
+      PRIVATE range_model routing ownership Boost::unit_test_framework rapidcheck)
     add_test(NAME ownership_mutant_${name} COMMAND ownership_mutant_${name} --color_output=no)
     set_tests_properties(ownership_mutant_${name} PROPERTIES
       TIMEOUT 300 PASS_REGULAR_EXPRESSION "failures? (is|are) detected")
--- a/src/ownership/testing/upstream_list_test.cc
+++ b/src/ownership/testing/upstream_list_test.cc
@@ -125,6 +125,60 @@
   BOOST_TEST(!listed.is_replaced({"old"}, {"desk"}, address));
 }
 
+// Guards against an entry of the store that undoes what the upstream said of itself: it may have
+// been written before, or come from an older copy of the store.
+BOOST_AUTO_TEST_CASE(an_entry_that_says_ready_does_not_undo_an_upstreams_notice) {
+  upstream_list list;
+  list.on_contact(at(0));
+  list.on_entry(entry("a"), at(0));
+  BOOST_TEST(list.on_notice({"a"}, 5, at(100)));
+  BOOST_TEST(!list.on_notice({"a"}, 5, at(150)));
+  BOOST_TEST(list.all().at({"a"}).entry.leaving);
+  BOOST_TEST((list.all().at({"a"}).leaving_since == at(100)));
+  auto heartbeat = entry("a");
+  heartbeat.sequence = 9;
+  BOOST_TEST(!list.on_entry(heartbeat, at(900), at(800)));
+  BOOST_TEST(list.all().at({"a"}).entry.leaving);
+  BOOST_TEST((list.all().at({"a"}).leaving_since == at(100)));
+  list.on_lost_contact();
+  list.on_store_restored(at(2000));
+  list.on_entry(entry("a"), at(2100));
+  BOOST_TEST(list.all().at({"a"}).entry.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_notice_survives_the_removal_and_return_of_the_entry) {
+  upstream_list list;
+  list.on_contact(at(0));
+  list.on_entry(entry("a"), at(0));
+  list.on_notice({"a"}, 5, at(100));
+  BOOST_TEST(list.on_removed({"a"}, at(200)));
+  list.on_entry(entry("a"), at(300));
+  BOOST_TEST(list.all().at({"a"}).entry.leaving);
+  BOOST_TEST(list.noticed().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_notice_holds_for_one_life) {
+  upstream_list list;
+  list.on_contact(at(0));
+  list.on_entry(entry("a"), at(0));
+  BOOST_TEST(!list.on_notice({"a"}, 4, at(50)));  // a late response of its former life
+  BOOST_TEST(!list.all().at({"a"}).entry.leaving);
+  list.on_notice({"a"}, 5, at(100));
+  auto restarted = entry("a");
+  restarted.life = 6;
+  BOOST_TEST(list.on_entry(restarted, at(900)));
+  BOOST_TEST(!list.all().at({"a"}).entry.leaving);
+  BOOST_TEST(list.noticed().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_notice_of_an_unknown_upstream_is_not_kept) {
+  upstream_list list;
+  list.on_contact(at(0));
+  BOOST_TEST(!list.on_notice({"a"}, 5, at(0)));
+  list.on_entry(entry("a"), at(100));
+  BOOST_TEST(!list.all().at({"a"}).entry.leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle
--- a/src/ownership/upstream_list.cc
+++ b/src/ownership/upstream_list.cc
@@ -32,11 +32,42 @@
   upstreams_.erase(it);
   std::erase_if(departed_,
                 [&](const auto& gone) { return now - gone.second.at >= timing_.departed_memory; });
+  std::erase_if(notices_, [&](const auto& given) {
+    return !upstreams_.contains(given.first) && !departed_.contains(given.first);
+  });
 }
 
-bool upstream_list::on_entry(const registered_upstream& entry, monotonic_time now,
+bool upstream_list::has_notice(const upstream_id& id, std::uint64_t life) const {
+  const auto it = notices_.find(id);
+  return it != notices_.end() && it->second == life;
+}
+
+bool upstream_list::on_notice(const upstream_id& id, std::uint64_t life, monotonic_time now) {
+  const auto it = upstreams_.find(id);
+  if (it == upstreams_.end() && !departed_.contains(id)) return false;
+  auto& given = notices_[id];
+  given = std::max(given, life);
+  if (it == upstreams_.end() || it->second.entry.life != life) return false;
+  if (it->second.entry.leaving) return false;
+  it->second.entry.leaving = true;
+  it->second.leaving_since = now;
+  return true;
+}
+
+std::map<upstream_id, std::uint64_t> upstream_list::noticed() const {
+  std::map<upstream_id, std::uint64_t> lives;
+  for (const auto& [id, life] : notices_) {
+    const auto it = upstreams_.find(id);
+    if (it != upstreams_.end() && it->second.entry.life == life) lives[id] = life;
+  }
+  return lives;
+}
+
+bool upstream_list::on_entry(const registered_upstream& stored, monotonic_time now,
                              monotonic_time known_at) {
-  if (is_outdated(entry, now)) return false;
+  if (is_outdated(stored, now)) return false;
+  auto entry = stored;
+  entry.leaving = entry.leaving || has_notice(entry.id, entry.life);
   listed fresh{entry, now + entry.warm_up_left, std::nullopt};
   if (entry.leaving) fresh.leaving_since = known_at;
   auto [it, added] = upstreams_.try_emplace(entry.id, fresh);
--- a/src/ownership/upstream_list.h
+++ b/src/ownership/upstream_list.h
@@ -3,6 +3,7 @@
 //   upstream_list list(timing);
 //   list.on_entry(entry, now);   // the store has this entry
 //   list.on_removed(id, now);    // the entry is gone from the store
+//   list.on_notice(id, life, now);  // the upstream itself has said that it leaves
 //   list.on_contact(now);        // a read of the store succeeded
 //   list.on_lost_contact();      // it failed
 //   list.expire(now);            // regularly
@@ -56,6 +57,9 @@
   // known before this one was read.
   bool on_entry(const registered_upstream& entry, monotonic_time now, monotonic_time known_at = {});
   bool on_removed(const upstream_id& id, monotonic_time now);
+  // The upstream has said that it leaves, in a response. This holds for its present life, whatever
+  // entries of the store say.
+  bool on_notice(const upstream_id& id, std::uint64_t life, monotonic_time now);
   // `present` is the complete list; entries that it lacks were removed.
   bool on_full_list(const std::set<upstream_id>& present, monotonic_time now);
   void on_contact(monotonic_time now);
@@ -66,6 +70,8 @@
   bool expire(monotonic_time now);
 
   const std::map<upstream_id, listed>& all() const { return upstreams_; }
+  // Returns the lives of the listed upstreams that have said in a response that they leave.
+  std::map<upstream_id, std::uint64_t> noticed() const;
   // Returns true if the upstream isn't listed and its last address belongs to an upstream of
   // another service, so that nothing it held is left there. An upstream of its own service at that
   // address may have accepted grants that were meant for it, in which case the result is false.
@@ -79,11 +85,14 @@
     std::uint64_t sequence = 0;
     monotonic_time at{};
   };
+  bool has_notice(const upstream_id& id, std::uint64_t life) const;
   bool is_outdated(const registered_upstream& entry, monotonic_time now) const;
   void erase(const upstream_id& id, monotonic_time now);
 
   upstream_list_timing timing_;
   std::map<upstream_id, departed> departed_;
+  // The lives that have said that they leave, of listed upstreams and of those in departed_.
+  std::map<upstream_id, std::uint64_t> notices_;
   monotonic_time restored_{};
   std::map<upstream_id, listed> upstreams_;
   std::optional<monotonic_time> next_lapse_;  // no upstream's lapsed_until is earlier
--- a/src/platform/platform_headers.h
+++ b/src/platform/platform_headers.h
@@ -13,6 +13,8 @@
     .refusal = "X-Plantainpaddle-Not-Executed",
     .load = "X-Plantainpaddle-Server-Load",
     .limit = "Server-Limit",
+    .leaving = "Server-Leaving",
+    .pause = "Retry-After",
     .echoes_request_id = true,
     .allows_unframed = true,
     .adds_forwarded = false,
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -54,7 +54,11 @@
   std::map<upstream_id, upstream_observations> observations;
   for (const auto& upstream : upstreams_) {
     const auto it = observations_.find(upstream.name);
-    observations[upstream.name] = it == observations_.end() ? upstream_observations{} : it->second;
+    auto& kept = observations[upstream.name];
+    if (it != observations_.end()) kept = it->second;
+    // A pause was asked for by one life of the upstream and doesn't bind the next.
+    if (kept.life != upstream.life) kept.paused_until = {};
+    kept.life = upstream.life;
   }
   observations_ = std::move(observations);
 }
@@ -113,6 +117,28 @@
   it->second.limit_seen = now;
 }
 
+void placement::on_pause(const upstream_id& upstream, duration length, monotonic_time now) {
+  const auto it = observations_.find(upstream);
+  if (it == observations_.end()) return;
+  it->second.paused_until = std::max(it->second.paused_until, now + length);
+}
+
+duration placement::pause_left(const upstream_id& upstream, monotonic_time now) const {
+  return std::max(duration::zero(), observations_of(upstream).paused_until - now);
+}
+
+// Returns the shortest pause that is left of the upstreams that could serve the request; nullopt if
+// none of them pauses.
+std::optional<duration> placement::shortest_pause(const placement_request& request) const {
+  std::optional<duration> shortest;
+  for (const auto& upstream : upstreams_) {
+    if (!upstream.usable || request.only.value_or(upstream.name) != upstream.name) continue;
+    const auto left = pause_left(upstream.name, request.now);
+    if (left > duration::zero()) shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest;
+}
+
 std::vector<upstream_id> placement::probes_due(monotonic_time now) {
   std::vector<upstream_id> due;
   for (auto& [name, state] : observations_) {
@@ -167,7 +193,7 @@
 bool placement::has_free_slot(const placement_upstream& upstream, monotonic_time now) const {
   const auto& state = observations_of(upstream.name);
   return upstream.usable && !state.unreachable && now >= state.refusing_until &&
-         now >= state.limited_until && now >= upstream.warm_since &&
+         now >= state.limited_until && now >= state.paused_until && now >= upstream.warm_since &&
          estimated_load(state, config_, now) + 1 <= config_.local_max_load * upstream.slots &&
          slowness_of(state, now) < config_.local_max_slowness &&
          state.failure_share < config_.local_max_failure_share;
@@ -200,7 +226,8 @@
           .outstanding = estimated_load(state, config_, now),
           .share = (now < upstream.warm_since ? config_.cold_speed : 1) / state.slowness *
                    (1 - state.failure_share) * share_within_limit(upstream, state, request),
-          .usable = upstream.usable && wanted && accepting && !state.unreachable};
+          .usable = upstream.usable && wanted && accepting && now >= state.paused_until &&
+                    !state.unreachable};
       any = any || (candidates[i].usable && except != i);
     }
   };
@@ -208,7 +235,11 @@
   // All of them have refused lately. Trying one is better than refusing the request.
   if (!any) fill_candidates(true);
   const auto chosen = choose_upstream(candidates, random, except);
-  if (!chosen) return {.why = placement_refusal::no_usable_upstream};
+  if (!chosen) {
+    const auto pause = shortest_pause(request);
+    if (pause) return {.why = placement_refusal::paused, .retry_after = *pause};
+    return {.why = placement_refusal::no_usable_upstream};
+  }
   const auto& upstream = upstreams_[*chosen];
   placement_decision decision{
       .upstream = upstream.name,
@@ -276,10 +307,12 @@
       break;
     }
     case attempt_outcome::failed:
-      smooth_failures(1);
+      if (!report.asked_for_pause) smooth_failures(1);
       break;
     case attempt_outcome::refused:
       state.failures = 0;
+      // The upstream has said how it wants to be treated, which is no failure.
+      if (report.asked_for_pause) break;
       state.refusing_until = now + config_.refusal_backoff;
       smooth_failures(1);
       break;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -68,6 +68,7 @@
   std::uint32_t slots = 1;
   bool usable = true;           // false: no new requests, as it is leaving or lost
   monotonic_time warm_since{};  // end of its cold start
+  std::uint64_t life = 0;       // incarnation: rises with each start under the same name
   bool operator==(const placement_upstream&) const = default;
 };
 
@@ -80,14 +81,16 @@
   monotonic_time now;
 };
 
-enum class placement_refusal { none, no_usable_upstream, too_late };
+enum class placement_refusal { none, no_usable_upstream, too_late, paused };
 
 // The chosen upstream, or the reason why there is none.
 struct placement_decision {
   std::optional<upstream_id> upstream;
   placement_refusal why = placement_refusal::none;
-  duration expected{0};     // estimated time until the answer; with too_late: if it were sent
-  duration retry_after{0};  // with too_late: time for the backlog to shrink
+  duration expected{0};  // estimated time until the answer; with too_late: if it were sent
+  // With too_late: time for the backlog to shrink. With paused: until the first upstream that could
+  // serve the request takes requests again.
+  duration retry_after{0};
 };
 
 // The load that an upstream reports in an answer.
@@ -118,6 +121,7 @@
   duration latency{0};  // used for answered attempts only
   attempt_outcome ended = attempt_outcome::answered;
   std::optional<reported_load> load;
+  bool asked_for_pause = false;  // the answer turned the request away and stated for how long
 };
 
 class placement {
@@ -139,6 +143,12 @@
   // The upstream's limit is used up: it isn't chosen for so long, unless it owns the request's key.
   void on_limit_used_up(const upstream_id& upstream, duration wait, monotonic_time now);
 
+  // The upstream wants no requests from this instance for so long: choose() doesn't return it. A
+  // pause that was stated before and lasts longer stays.
+  void on_pause(const upstream_id& upstream, duration length, monotonic_time now);
+  // Returns what is left of the upstream's pause; zero if there is none.
+  duration pause_left(const upstream_id& upstream, monotonic_time now) const;
+
   // Returns the estimated number of requests that run or wait in the upstream.
   double load(const upstream_id& upstream, monotonic_time now) const;
   // Returns the upstream's speed relative to the mean of the service's upstreams.
@@ -175,6 +185,8 @@
     std::optional<double> limit;  // requests per second
     monotonic_time limit_seen{};
     monotonic_time limited_until{};
+    std::uint64_t life = 0;
+    monotonic_time paused_until{};
   };
 
   const upstream_observations& observations_of(const upstream_id& upstream) const;
@@ -185,6 +197,7 @@
                          std::string_view work, monotonic_time now) const;
   double share_within_limit(const placement_upstream& upstream, const upstream_observations& state,
                             const placement_request& request) const;
+  std::optional<duration> shortest_pause(const placement_request& request) const;
   bool has_free_slot(const placement_upstream& upstream, monotonic_time now) const;
   void update_times(upstream_observations& state, const placement_upstream& upstream,
                     const attempt_report& report, monotonic_time now);
--- a/src/routing/registry_snapshot.cc
+++ b/src/routing/registry_snapshot.cc
@@ -31,6 +31,7 @@
          .connections = connection_share(declared, config),
          .state = known.entry.leaving ? upstream_state::drain : upstream_state::active});
     snapshot.warm_since.push_back(known.warm_since);
+    snapshot.lives.push_back(known.entry.life);
   }
   snapshot.dispatchers.resize(snapshot.upstreams.size());
   return snapshot;
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -50,6 +50,8 @@
   std::vector<std::string> dispatchers;
   // For each upstream, the end of its cold start. Empty if that isn't known.
   std::vector<monotonic_time> warm_since;
+  // For each upstream, its incarnation, which rises with each start. Empty if that isn't known.
+  std::vector<std::uint64_t> lives;
   bool operator==(const service_snapshot&) const = default;
 };
 
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -451,6 +451,10 @@
     if (!names.refusal.empty() && outcome == "not-run") {
       answer.headers.push_back({std::string(names.refusal), "1"});
     }
+    const bool pauses = status == 503 && outcome == "not-run" && options.pause_s > 0;
+    if (!names.pause.empty() && pauses) {
+      answer.headers.push_back({std::string(names.pause), number_text(options.pause_s)});
+    }
     for (auto& field : state_fields(facts)) answer.headers.push_back(std::move(field));
     co_return co_await write_whole(s, answer, facts.keep_alive && parser.is_done(),
                                    facts.method == "HEAD");
@@ -463,6 +467,9 @@
     if (!names.limit.empty() && options.limit > 0) {
       fields.push_back({std::string(names.limit), number_text(options.limit)});
     }
+    if (!names.leaving.empty() && options.leaving) {
+      fields.push_back({std::string(names.leaving), "1"});
+    }
     if (!names.load.empty()) {
       const load_report now = report(monotonic_now());
       fields.push_back({std::string(names.load), std::to_string(now.busy_slots) + "," +
@@ -479,7 +486,7 @@
     }
     // One that is registered serves on until its callers know that it leaves.
     const bool drains = options.drain && options.registry.empty();
-    if (drains || options.shed) {
+    if (drains || options.shed || options.pause_s > 0) {
       co_return co_await refuse(s, parser, facts, 503, "not-run", drains ? "draining" : "shedding");
     }
     slot_queue::ticket ticket(slots);
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -45,6 +45,9 @@
   bool drain = false;                  // refuses new work
   bool shed = false;                   // the same, and says so
   double limit = 0;  // requests a second that it says it takes; it runs more all the same. 0: none
+  bool leaving = false;  // says in all answers that it leaves; it runs requests all the same
+  // It turns all requests away and says that it wants none for so many seconds. 0: it doesn't.
+  double pause_s = 0;
   std::optional<load_report> misleading;  // reported instead of the truth
 };
 
--- a/src/standin/upstream_settings.cc
+++ b/src/standin/upstream_settings.cc
@@ -59,6 +59,8 @@
   changed.drain = reader.boolean("drain", options.drain);
   changed.shed = reader.boolean("shed", options.shed);
   changed.limit = reader.number("limit", 0, 1e6, options.limit);
+  changed.leaving = reader.boolean("leaving", options.leaving);
+  changed.pause_s = reader.number("pause_s", 0, 1e6, options.pause_s);
   read_misleading(reader, changed, errors);
   if (reader.boolean("truthful", false)) changed.misleading.reset();
   reader.finish();
@@ -80,7 +82,9 @@
                                       {"check_fence", options.check_fence},
                                       {"drain", options.drain},
                                       {"shed", options.shed},
-                                      {"limit", options.limit}});
+                                      {"limit", options.limit},
+                                      {"leaving", options.leaving},
+                                      {"pause_s", options.pause_s}});
 }
 
 }  // namespace plantainpaddle
--- a/src/upstream/header_names.h
+++ b/src/upstream/header_names.h
@@ -25,6 +25,8 @@
   std::string_view refusal;        // its presence says that the upstream didn't run the request
   std::string_view load;           // "running,waiting,slots" at the upstream
   std::string_view limit;          // requests a second that the upstream takes from all instances
+  std::string_view leaving;        // "1": the upstream leaves and wants no new requests
+  std::string_view pause;          // in refusals: seconds for which it wants no requests
   bool echoes_request_id = false;  // an answer with another id belongs to another request
   bool allows_unframed = false;    // an answer may end with its connection
   bool adds_forwarded = true;      // upstreams get a Forwarded field
