--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -268,8 +268,11 @@
       scripted_upstream pausing([&](scripted_connection& side) {
         for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
           ++arrivals;
-          side.send(start + echo_id(head) + refusal_header +
-                    ": 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n");
+          std::string refusal = start;
+          refusal += echo_id(head);
+          refusal += refusal_header;
+          refusal += ": 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n";
+          side.send(refusal);
         }
       });
       scripted_upstream other([&](scripted_connection& side) {
--- a/src/ownership/testing/feed_simulation.cc
+++ b/src/ownership/testing/feed_simulation.cc
@@ -105,8 +105,8 @@
     const auto kind = kinds[static_cast<std::size_t>(below(kinds.size()))];
     const int from = 1000 + below(28'000);
     const int until = kind == silent ? from : from + 500 + below(9000);
-    made.faults.push_back(fault(kind, from, until, static_cast<std::size_t>(below(5)),
-                                static_cast<std::size_t>(1 + below(10))));
+    const auto instances = static_cast<std::size_t>(below(10)) + 1;
+    made.faults.push_back(fault(kind, from, until, static_cast<std::size_t>(below(5)), instances));
     made.name += ", " + to_string(made.faults.back());
   }
   return made;
--- a/src/ownership/testing/news_test.cc
+++ b/src/ownership/testing/news_test.cc
@@ -253,8 +253,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_instances_of_a_domain_agree_on_who_reads) {
+  constexpr std::size_t instances = 12;
   std::vector<instance_registration> all;
-  for (int i = 0; i < 12; ++i) {
+  all.reserve(instances);
+  for (std::size_t i = 0; i < instances; ++i) {
     all.push_back({.name = "i" + std::to_string(i),
                    .address = "a" + std::to_string(i),
                    .domain = {"d" + std::to_string(i % 2)},
