Don't take in news that are older than the feed that they belong to

Cause: a full read had confirmed the removal, after which its key's version is forgotten; 38 ms later the answer of a log that was behind, to a request whose sequence was from before that log's first read, handed on the upstream's first entry, which no version outdated any more.

An item at a version that a covering feed's revision includes is known already, and is passed over.

--- a/src/ownership/news.cc
+++ b/src/ownership/news.cc
@@ -13,6 +13,16 @@
   return asked_at + answer.held - feed.age;
 }
 
+// Whether a feed that covers the key is known at a revision that includes the item. The log that it
+// comes from may be behind, and what a full read has shown to be gone isn't remembered by key.
+bool is_known(const news_item& item, const store_reader& feeds) {
+  for (std::size_t i = 0; i < feeds.size(); ++i) {
+    const bool covers = item.key.starts_with(feeds[i].prefix());
+    if (covers && item.version <= feeds[i].revision()) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 bool is_news_due(const news_request& request, monotonic_time arrived, const news_log& log,
@@ -46,6 +56,7 @@
   std::vector<news_item> items;
   std::set<std::string> unsent;  // keys whose values have to be read from the store
   for (const auto& item : answer.items) {
+    if (is_known(item, feeds)) continue;
     if (item.removed || item.value) {
       items.push_back(item);
     } else if (versions.version_of(item.key) < item.version) {
--- a/src/ownership/testing/news_test.cc
+++ b/src/ownership/testing/news_test.cc
@@ -210,6 +210,21 @@
   BOOST_TEST(!feeds.next(at(500)).has_value());
 }
 
+// Guards against an upstream that is gone and is listed again for good: a full read has confirmed
+// its removal, so that its key's version is forgotten, and then a log that is behind hands it on.
+BOOST_AUTO_TEST_CASE(an_item_that_is_older_than_the_feed_is_not_taken_in) {
+  auto feeds = read_feeds(20, at(0));
+  auto behind = complete_answer(18, seconds(1));
+  behind.items = {{.key = "up/gone", .version = 9, .value = "x"},
+                  {.key = "up/new", .version = 21, .value = "y"},
+                  {.key = "desired", .version = 20, .value = std::nullopt}};
+  const auto items = take_news(behind, at(100), feeds, {}, at(100));
+  BOOST_REQUIRE(items->size() == 1U);
+  BOOST_TEST(items->front().key == "up/new");
+  feeds.set_role(feed_role::follower);
+  BOOST_TEST(!feeds.next(at(100)).has_value());
+}
+
 // Guards against a feed that is never read again: another one failed, and gets news since.
 BOOST_AUTO_TEST_CASE(a_failed_feed_that_gets_news_does_not_keep_the_others_from_reading) {
   auto feeds = read_feeds(9, at(0));
