Answer requests that have no response before a drain closes their connections

Cause, by reading: at that moment whatever waits goes down with its connection, be it for an upstream's response that never comes, for a connection, a permit or an owner. Only responses that were ready were sent before.

The test had no answer to read before.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -337,6 +337,12 @@
   caller_.set_deadline(deadline_);
 }
 
+void exchange::end_waits() {
+  if (is_ready()) return;
+  deadline_ = std::min(deadline_, monotonic_now());
+  caller_.set_deadline(deadline_);
+}
+
 // Reads the head of the final response, skipping interim responses and responses to other requests.
 // The wait ends at the deadline or after the class's silence limit, whichever is earlier.
 task<std::optional<exchange::attempt_end>> exchange::read_response_head(const destination& to) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -40,6 +40,9 @@
   // Ends the wait for the upstream's response as the deadline would. A response that has begun is
   // relayed all the same.
   void give_up();
+  // Ends the request as its deadline would, whatever it waits for. A response that can be relayed
+  // is relayed all the same.
+  void end_waits();
 
  private:
   // The upstream that an attempt sends the request to.
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -112,6 +112,10 @@
   for (const auto& one : impl_->workers) one->release_ready_responses();
 }
 
+void proxy::end_waits() {
+  for (const auto& one : impl_->workers) one->end_waits();
+}
+
 void proxy::set_retry_config(const retry_config& config) { impl_->shared.set_retry_config(config); }
 
 std::shared_ptr<const traffic_view> proxy::view() const { return impl_->shared.view(); }
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -60,6 +60,9 @@
   // Gives up pipelined requests whose responses keep back others that are ready. To be called
   // before connections are aborted.
   void release_ready_responses();
+  // Answers all requests that have no response yet: that they haven't run, where nothing was sent,
+  // else that it isn't known. To be called before connections are aborted.
+  void end_waits();
   // Replaces the retry budgets' configuration for all services.
   void set_retry_config(const retry_config& config);
   std::shared_ptr<const traffic_view> view() const;
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -607,12 +607,18 @@
   });
 }
 
-// Responses that are ready go out before the connections are closed.
+// Before the connections are closed, responses that are ready go out, and then the requests that
+// still wait are told whether they may have run.
 void range_instance::impl::send_last_responses() {
   traffic.release_ready_responses();
-  leave_timer.expires_after(last_responses_time);
+  leave_timer.expires_after(last_responses_time / 2);
   leave_timer.async_wait([this](const boost::system::error_code& code) {
-    if (!code) stop();
+    if (code) return;
+    traffic.end_waits();
+    leave_timer.expires_after(last_responses_time / 2);
+    leave_timer.async_wait([this](const boost::system::error_code& late) {
+      if (!late) stop();
+    });
   });
 }
 
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -64,6 +64,10 @@
   for (auto it = exchanges_.begin(); it != last_ready.base(); ++it) (*it)->give_up();
 }
 
+void session::end_waits() {
+  for (const auto& waiting : exchanges_) waiting->end_waits();
+}
+
 bool session::has_turn(std::uint64_t number) const {
   return !exchanges_.empty() && exchanges_.front()->scope().number() == number;
 }
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -43,6 +43,8 @@
   void begin_drain(monotonic_time close_idle_at);
   // Gives up the requests whose responses keep back others that are ready.
   void release_ready_responses();
+  // Ends all requests that have no response yet, with one of the router's own.
+  void end_waits();
   // Cancels all requests and closes, as if the caller had closed the connection.
   void abort();
   // Applies the worker's current idle time to an idle connection.
--- a/src/entry/testing/outcome_test.cc
+++ b/src/entry/testing/outcome_test.cc
@@ -478,6 +478,32 @@
   BOOST_TEST(caller.read_answer().status() == 200);
 }
 
+// Guards against requests that have been read and go down with their connections at the end of a
+// drain: the caller is told whether its request may have run.
+BOOST_AUTO_TEST_CASE(requests_without_a_response_are_answered_before_connections_are_closed) {
+  std::atomic<int> received{0};
+  scripted_upstream upstream([&](scripted_connection& connection) {
+    connection.read_request();
+    ++received;
+    connection.read_more();
+  });
+  proxy_fixture proxy({upstream.address()});
+  auto sent = proxy.caller();
+  sent.send("GET /stock/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  auto order = proxy.caller();
+  order.send("POST /stock/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+  while (received < 2) std::this_thread::yield();
+  proxy.traffic->begin_drain(true);
+  const auto ended_at = monotonic_now();
+  proxy.traffic->end_waits();
+  BOOST_TEST(sent.read_answer().status() == 504);
+  const auto unknown = order.read_answer();
+  BOOST_TEST(unknown.status() == 504);
+  BOOST_TEST(!unknown.has("Retry-After"));
+  BOOST_TEST((monotonic_now() - ended_at < seconds(1)));
+  BOOST_TEST(sent.at_end());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle::testing
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -148,6 +148,12 @@
   });
 }
 
+void worker::end_waits() {
+  asio::post(io_, [this] {
+    for (auto& [id, open] : sessions_) open->end_waits();
+  });
+}
+
 void worker::decide(std::uint64_t scope, admission_id id, bool admitted) {
   asio::post(io_, [this, scope, id, admitted] {
     if (auto* waiting = find(scope)) waiting->decide(id, admitted);
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -60,6 +60,8 @@
   void begin_drain();
   // See session::release_ready_responses(). Any thread.
   void release_ready_responses();
+  // See session::end_waits(). Any thread.
+  void end_waits();
   // Adds this thread's statistics to `sum`. Any thread.
   void add_stats(traffic_stats& sum) const;
   // Tells the request of this scope whether its admission got a slot. A request that has ended is
