Rank the instances again only when their list has changed; drop an accessor without a caller

The relay sorted and hashed all registered instances at each change of the view, most of which concern upstreams and records. Behaviour is the same: every change of the list sets the flag that is asked now. Checked: entry_test, lint of news_relay.cc, format.

--- a/src/entry/news_relay.cc
+++ b/src/entry/news_relay.cc
@@ -53,8 +53,8 @@
   if (const auto reader = source_.reader(now)) ask(*reader, now);
 }
 
-void news_relay::on_store_change() {
-  source_.set_instances(view_.instances_by_name());
+void news_relay::on_store_change(bool instances) {
+  if (instances) source_.set_instances(view_.instances_by_name());
   wake_due();
 }
 
--- a/src/entry/news_relay.h
+++ b/src/entry/news_relay.h
@@ -3,7 +3,7 @@
 //
 //   news_relay relay(io.get_executor(), client, store, view, self);
 //   relay.tick();                                      // several times a second
-//   relay.on_store_change();                           // the view has changed
+//   relay.on_store_change(changed.instances);          // the view has changed
 //   co_return co_await relay.serve(request.body);      // another instance asks for news
 //
 // An answer is held until there is news or the store has been read again, so that each instance
@@ -37,7 +37,8 @@
 
   // Asks for news if another instance reads the store, and answers those that wait for news.
   void tick();
-  void on_store_change();
+  // instances: the registered instances are among what has changed.
+  void on_store_change(bool instances);
   boost::asio::awaitable<http_response> serve(std::string body);
 
   // Counts since the start.
@@ -49,8 +50,6 @@
   };
   const counters& counts() const { return counts_; }
   feed_role role() const { return role_; }
-  // The instance that reads the store for this one; empty if this one reads it.
-  const std::string& reader() const { return reader_; }
 
  private:
   struct waiter {
@@ -74,7 +73,7 @@
   news_source source_;
   suspensions suspended_;
   feed_role role_ = feed_role::alone;
-  std::string reader_;
+  std::string reader_;  // the instance that reads the store for this one; empty if this one does
   bool asking_ = false;
   std::uint64_t token_ = 0;     // of the log that the last news came from
   std::uint64_t sequence_ = 0;  // in that log
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -259,7 +259,7 @@
   if (changed.desired || changed.upstreams) update_upstreams();
   for (auto& [service, runner] : runners) runner->on_store_change();
   if (changed.instances || changed.desired) update_retry_budget();
-  relay.on_store_change();
+  relay.on_store_change(changed.instances);
   publish(monotonic_now());
 }
 
