--- a/review/common/net.cc
+++ b/review/common/net.cc
@@ -115,13 +115,15 @@
   return true;
 }
 
-bool connection::read_head(message& out, bool is_response, std::int64_t timeout_ms) {
+bool connection::read_head(message& out, bool is_response, std::int64_t timeout_ms,
+                           std::string* raw) {
   const auto until = now_ms() + timeout_ms;
   std::size_t end = 0;
   while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
     if (buffer_.size() > (1 << 20) || !fill(until)) return false;
   }
   const std::string head = buffer_.substr(0, end + 2);
+  if (raw != nullptr) *raw = head;
   buffer_.erase(0, end + 4);
   out = message{};
   std::size_t place = head.find("\r\n");
--- a/review/common/net.h
+++ b/review/common/net.h
@@ -59,7 +59,9 @@
 
   bool send(std::string_view bytes);
   // Reads a head; false on the end of the connection, an error or bytes that are no head.
-  bool read_head(message& out, bool is_response, std::int64_t timeout_ms);
+  // `raw`, if there is one, takes the bytes of the head.
+  bool read_head(message& out, bool is_response, std::int64_t timeout_ms,
+                 std::string* raw = nullptr);
   // Reads the body that `out.length` announces.
   bool read_body(message& out, std::int64_t timeout_ms);
   // Whether more bytes, or the end, can be read within the time.
--- a/review/common/server.cc
+++ b/review/common/server.cc
@@ -232,7 +232,11 @@
   if (text.empty() || cut()) return false;
   if (options_.extra) owed = options_.extra(request, status, text);
   if (options_.spoil) text = options_.spoil(request, status, std::move(text));
-  return link.send(text);
+  const auto end = text.find("\r\n\r\n") + 4;
+  if (options_.body_delay_ms == 0 || end == text.size()) return link.send(text);
+  if (!link.send(std::string_view(text).substr(0, end))) return false;
+  sleep_ms(options_.body_delay_ms);
+  return link.send(std::string_view(text).substr(end));
 }
 
 void server::serve(connection& link) {
--- a/review/common/server.h
+++ b/review/common/server.h
@@ -55,6 +55,8 @@
   std::int64_t work_ms = 40;
   // The server begins to work when it has a request's head, and reads the body meanwhile.
   bool begins_at_head = false;
+  // From an answer's head to its body.
+  std::int64_t body_delay_ms = 0;
   // Changes the bytes of an answer before they are sent. Optional.
   std::function<std::string(const message& request, int status, std::string answer)> spoil;
   // Returns bytes to be sent before the next answer on the connection. Optional.
