--- a/review/common/net.cc
+++ b/review/common/net.cc
@@ -217,9 +217,9 @@
   return fd;
 }
 
-int listen_at(const std::string& ip, std::string& address) {
+int listen_at(std::string& address) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto at = parse_address(ip + ":0");
+  auto at = parse_address(address);
   const int one = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   socklen_t size = sizeof at;
@@ -227,13 +227,13 @@
       ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
     std::exit(2);
   }
-  address = ip + ":" + std::to_string(ntohs(at.sin_port));
+  address = address.substr(0, address.find(':') + 1) + std::to_string(ntohs(at.sin_port));
   return fd;
 }
 
 std::string free_address(const std::string& ip) {
-  std::string address;
-  ::close(listen_at(ip, address));
+  std::string address = ip + ":0";
+  ::close(listen_at(address));
   return address;
 }
 
@@ -279,43 +279,59 @@
 }
 
 struct acceptor::state {
-  int fd = -1;
+  int fd = -1;  // -1 while it refuses
   handler serve;
-  std::atomic<bool> stopped{false};
+  bool stopped = false;
   std::mutex mutex;
   std::set<connection*> open;
 };
 
-acceptor::acceptor(const std::string& ip, handler serve) : state_(std::make_shared<state>()) {
-  state_->fd = listen_at(ip, address_);
+acceptor::acceptor(const std::string& ip, handler serve)
+    : address_(ip + ":0"), state_(std::make_shared<state>()) {
   state_->serve = std::move(serve);
-  std::thread([self = state_] {
-    while (!self->stopped) {
-      const int fd = ::accept4(self->fd, nullptr, nullptr, SOCK_CLOEXEC);
-      if (fd < 0) continue;
+  start();
+}
+
+void acceptor::start() {
+  const int listening = listen_at(address_);
+  state_->fd = listening;
+  std::thread([self = state_, listening] {
+    while (true) {
+      const int fd = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0 && errno != EINVAL) continue;
+      if (fd < 0) break;  // shut down
       const int one = 1;
       ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
       std::thread([self, fd] {
         connection link(fd);
         {
           const std::lock_guard lock(self->mutex);
+          if (self->stopped) return;
           self->open.insert(&link);
         }
-        if (!self->stopped) self->serve(link);
+        self->serve(link);
         const std::lock_guard lock(self->mutex);
         self->open.erase(&link);
       }).detach();
     }
-    ::close(self->fd);
+    ::close(listening);
   }).detach();
 }
 
 acceptor::~acceptor() { stop(); }
 
+void acceptor::refuse(bool refusing) {
+  if (refusing && state_->fd >= 0) {
+    ::shutdown(std::exchange(state_->fd, -1), SHUT_RDWR);
+  } else if (!refusing && state_->fd < 0) {
+    start();
+  }
+}
+
 void acceptor::stop() {
-  if (state_->stopped.exchange(true)) return;
-  ::shutdown(state_->fd, SHUT_RDWR);
+  refuse(true);
   const std::lock_guard lock(state_->mutex);
+  state_->stopped = true;
   for (const auto* each : state_->open) each->shut_down();
 }
 
--- a/review/common/net.h
+++ b/review/common/net.h
@@ -80,8 +80,8 @@
 
 // Returns -1 on failure.
 int connect_to(const std::string& address, std::int64_t timeout_ms);
-// Listens at a free port of the IP address; `address` is set to "IP:port".
-int listen_at(const std::string& ip, std::string& address);
+// Listens at the address, "IP:port"; port 0 is replaced by a free one.
+int listen_at(std::string& address);
 // A port of the IP address that nothing listens at.
 std::string free_address(const std::string& ip);
 int peer_port(int fd);
@@ -103,10 +103,14 @@
   acceptor(const std::string& ip, handler serve);
   ~acceptor();
   const std::string& address() const { return address_; }
+  // While refusing, nothing listens at the address. Open connections go on.
+  void refuse(bool refusing);
   void stop();
 
  private:
   struct state;
+  void start();
+
   std::string address_;
   std::shared_ptr<state> state_;
 };
--- a/review/common/server.cc
+++ b/review/common/server.cc
@@ -204,23 +204,16 @@
                 status == 200 ? body_for(id) : "");
 }
 
+void server::refuse_connections(bool refusing) {
+  log_.line("%s %s new connections", options_.id.c_str(), refusing ? "refuses" : "takes");
+  listener_->refuse(refusing);
+}
+
 bool server::serve_one(connection& link, message& request, std::string& owed) {
-  const auto peer = peer_port(link.fd());
-  const auto cut = [&] { return options_.is_cut && options_.is_cut(peer); };
-  const auto silent = [&] {
-    // Nothing passes in either direction any more, and the other end learns nothing of it.
-    link.wait_readable(0);
-    sleep_ms(30'000);
-    return false;
-  };
   if (!link.read_head(request, false, 3'600'000)) return false;
-  if (cut()) return silent();
   std::string text;
   if (request.target == "/api/grant" || request.target == "/api/release") {
-    if (!link.read_body(request, 10'000)) return false;
-    text = order(request);
-    if (cut()) return silent();
-    return link.send(text);
+    return link.read_body(request, 10'000) && link.send(order(request));
   }
   if (request.target == "/healthz") {
     const std::lock_guard lock(mutex_);
@@ -229,7 +222,7 @@
   if (!owed.empty() && !link.send(std::exchange(owed, {}))) return false;
   int status = 0;
   text = work(link, request, status);
-  if (text.empty() || cut()) return false;
+  if (text.empty()) return false;
   if (options_.extra) owed = options_.extra(request, status, text);
   if (options_.spoil) text = options_.spoil(request, status, std::move(text));
   const auto end = text.find("\r\n\r\n") + 4;
--- a/review/common/server.h
+++ b/review/common/server.h
@@ -61,8 +61,6 @@
   std::function<std::string(const message& request, int status, std::string answer)> spoil;
   // Returns bytes to be sent before the next answer on the connection. Optional.
   std::function<std::string(const message& request, int status, const std::string& answer)> extra;
-  // Whether the connection, by the port of its other end, gets nothing further. Optional.
-  std::function<bool(int peer_port)> is_cut;
 };
 
 class server {
@@ -78,6 +76,8 @@
   // The stamp of this server's answer to the request.
   std::string stamp_for(const std::string& request_id) const;
   static std::string body_for(const std::string& request_id);
+  // At its limit of connections the server refuses new ones; open ones go on.
+  void refuse_connections(bool refusing);
   void stop();
 
  private:
