--- a/review/common/entry.cc
+++ b/review/common/entry.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include <fcntl.h>
@@ -21,6 +22,7 @@
 namespace fs = std::filesystem;
 
 fs::path scratch_folder;
+std::set<pid_t> started;
 
 void remove_scratch() {
   std::error_code ignored;
@@ -61,10 +63,19 @@
   if (::mkdtemp(pattern.data()) == nullptr) std::exit(2);
   setup.scratch = pattern;
   scratch_folder = pattern;
-  std::atexit(remove_scratch);
   return setup;
 }
 
+void end_case(int code) {
+  for (const auto pid : started) {
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+  }
+  remove_scratch();
+  std::fflush(nullptr);
+  std::_Exit(code);
+}
+
 entry::entry(const case_setup& setup, entry_options options, const std::string& store_address)
     : options_(std::move(options)),
       front_(free_address("127.0.0.1")),
@@ -101,6 +112,7 @@
   const std::string variable = "PLANTAINPADDLE_SETTINGS=" + settings;
   const pid_t parent = ::getpid();
   pid_ = ::fork();
+  if (pid_ > 0) started.insert(pid_);
   if (pid_ != 0) return;
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with the case, however that ends
   if (::getppid() != parent) ::_exit(1);
@@ -118,6 +130,7 @@
 
 entry::~entry() {
   if (pid_ <= 0) return;
+  started.erase(pid_);
   ::kill(pid_, SIGKILL);
   ::waitpid(pid_, nullptr, 0);
 }
@@ -127,6 +140,7 @@
 bool entry::has_ended() {
   if (pid_ <= 0) return true;
   if (::waitpid(pid_, nullptr, WNOHANG) != pid_) return false;
+  started.erase(pid_);
   pid_ = -1;
   return true;
 }
@@ -183,10 +197,12 @@
                                         {"idle-timeout", "15000ms"}}}});
 }
 
-heartbeats::heartbeats(store& to, std::vector<server*> servers)
-    : thread_([this, &to, servers = std::move(servers)] {
+heartbeats::heartbeats(store& to, std::vector<server*> servers,
+                       std::function<bool(const server&)> reaches)
+    : thread_([this, &to, servers = std::move(servers), reaches = std::move(reaches)] {
         for (std::uint64_t sequence = 1; !stopped_; ++sequence) {
           for (const auto* each : servers) {
+            if (reaches && !reaches(*each)) continue;
             to.write("servers/" + each->id(), each->entry(sequence), 3 * 870);
           }
           for (int i = 0; i < 87 && !stopped_; ++i) sleep_ms(10);
--- a/review/common/entry.h
+++ b/review/common/entry.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -26,6 +27,9 @@
   int argument = 0;
 };
 case_setup read_setup(int argc, char** argv);
+// Ends the processes that were started, removes the scratch folder and exits at once, since
+// connections of the stand-ins may still be open on threads of their own.
+[[noreturn]] void end_case(int code);
 
 struct entry_options {
   std::string name;
@@ -76,10 +80,12 @@
 std::string desired_state(int version, const std::vector<route>& routes,
                           const std::vector<service>& services);
 
-// Writes the entries of servers into the store about every 870 ms, until it is destroyed.
+// Writes the entries of servers into the store about every 870 ms, until it is destroyed. `reaches`,
+// if there is one, says whether a server reaches the store now.
 class heartbeats {
  public:
-  heartbeats(store& to, std::vector<server*> servers);
+  heartbeats(store& to, std::vector<server*> servers,
+             std::function<bool(const server&)> reaches = {});
   ~heartbeats();
 
  private:
--- a/review/common/net.cc
+++ b/review/common/net.cc
@@ -279,7 +279,7 @@
 }
 
 struct acceptor::state {
-  int fd = -1;  // -1 while it refuses
+  int fd = -1;
   handler serve;
   bool stopped = false;
   std::mutex mutex;
@@ -289,15 +289,10 @@
 acceptor::acceptor(const std::string& ip, handler serve)
     : address_(ip + ":0"), state_(std::make_shared<state>()) {
   state_->serve = std::move(serve);
-  start();
-}
-
-void acceptor::start() {
-  const int listening = listen_at(address_);
-  state_->fd = listening;
-  std::thread([self = state_, listening] {
+  state_->fd = listen_at(address_);
+  std::thread([self = state_] {
     while (true) {
-      const int fd = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+      const int fd = ::accept4(self->fd, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0 && errno != EINVAL) continue;
       if (fd < 0) break;  // shut down
       const int one = 1;
@@ -314,24 +309,16 @@
         self->open.erase(&link);
       }).detach();
     }
-    ::close(listening);
+    ::close(self->fd);
   }).detach();
 }
 
 acceptor::~acceptor() { stop(); }
 
-void acceptor::refuse(bool refusing) {
-  if (refusing && state_->fd >= 0) {
-    ::shutdown(std::exchange(state_->fd, -1), SHUT_RDWR);
-  } else if (!refusing && state_->fd < 0) {
-    start();
-  }
-}
-
 void acceptor::stop() {
-  refuse(true);
   const std::lock_guard lock(state_->mutex);
-  state_->stopped = true;
+  if (std::exchange(state_->stopped, true)) return;
+  ::shutdown(state_->fd, SHUT_RDWR);
   for (const auto* each : state_->open) each->shut_down();
 }
 
--- a/review/common/net.h
+++ b/review/common/net.h
@@ -103,14 +103,10 @@
   acceptor(const std::string& ip, handler serve);
   ~acceptor();
   const std::string& address() const { return address_; }
-  // While refusing, nothing listens at the address. Open connections go on.
-  void refuse(bool refusing);
   void stop();
 
  private:
   struct state;
-  void start();
-
   std::string address_;
   std::shared_ptr<state> state_;
 };
--- a/review/common/server.cc
+++ b/review/common/server.cc
@@ -204,11 +204,6 @@
                 status == 200 ? body_for(id) : "");
 }
 
-void server::refuse_connections(bool refusing) {
-  log_.line("%s %s new connections", options_.id.c_str(), refusing ? "refuses" : "takes");
-  listener_->refuse(refusing);
-}
-
 bool server::serve_one(connection& link, message& request, std::string& owed) {
   if (!link.read_head(request, false, 3'600'000)) return false;
   std::string text;
--- a/review/common/server.h
+++ b/review/common/server.h
@@ -76,8 +76,6 @@
   // The stamp of this server's answer to the request.
   std::string stamp_for(const std::string& request_id) const;
   static std::string body_for(const std::string& request_id);
-  // At its limit of connections the server refuses new ones; open ones go on.
-  void refuse_connections(bool refusing);
   void stop();
 
  private:
