--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,10 +1,9 @@
-// Clients upload drawings of some megabytes over a slow line, well within their time budget; the
-// server begins to work on an upload when it has its head. With trouble, machines are stopped by
-// SIGTERM, one after the other.
+// Clients read from a service. With trouble, some servers spoil a few of their answers: a header is
+// folded over two lines, a form that RFC 9112 forbids servers to send.
 #include <atomic>
-#include <csignal>
 #include <cstdlib>
 #include <map>
+#include <random>
 #include <thread>
 
 #include "common/entry.h"
@@ -14,14 +13,28 @@
 namespace {
 
 constexpr int server_count = 4;
-constexpr int entry_count = 4;
-constexpr int stopped_entries = 3;
-constexpr std::int64_t stop_period_ms = 9000;  // grace is 6 s
-constexpr int uploads_each = 8;                // at once through each entry
-constexpr std::size_t body_bytes = 4 << 20;
-constexpr std::size_t piece_bytes = 64 << 10;
-constexpr std::int64_t piece_gap_ms = 130;     // 0.5 MB a second, 8.3 s in all
-constexpr std::int64_t budget_ms = 15'000;
+constexpr int faulty_servers = 2;         // of 4: a share of 0.5
+constexpr double spoiled_share = 0.02;    // of their answers
+constexpr std::int64_t window_ms = 5000;  // length of the trouble, which comes several times
+constexpr std::int64_t pause_ms = 1000;   // between two of them
+constexpr std::int64_t play_ms = 36'000;
+constexpr std::int64_t request_gap_ms = 10;
+constexpr std::int64_t budget_ms = 2500;
+
+std::string printable(const std::string& bytes) {
+  std::string out;
+  for (const char c : bytes.substr(0, 200)) {
+    const auto code = static_cast<unsigned char>(c);
+    if (code >= 0x20 && code < 0x7f) {
+      out += c;
+    } else {
+      char text[8];
+      std::snprintf(text, sizeof text, "\\x%02x", code);
+      out += text;
+    }
+  }
+  return out;
+}
 
 }  // namespace
 
@@ -30,97 +43,114 @@
   record log(setup.folder + "/record.txt");
   ledger runs;
   store platform(log);
+  std::atomic<bool> in_window{false};
+  std::atomic<int> spoiled{0};
+  std::mutex random_mutex;
+  std::mt19937 random(7);
+
   std::vector<std::unique_ptr<server>> servers;
   std::vector<server*> all;
+  std::map<std::string, server*> by_id;
   for (int i = 0; i < server_count; ++i) {
-    servers.push_back(std::make_unique<server>(server_options{.id = "plan-" + std::to_string(i),
-                                                              .service = "plan",
-                                                              .zone = "north",
-                                                              .slots = 12,
-                                                              .work_ms = 30,
-                                                              .begins_at_head = true},
-                                               runs, log));
+    server_options options{.id = "desk-" + std::to_string(i),
+                           .service = "desk",
+                           .zone = "north",
+                           .slots = 12,
+                           .work_ms = 20,
+                           .body_delay_ms = 150};
+    if (i < faulty_servers) {
+      options.spoil = [&](const message& request, int status, std::string answer) {
+        const std::lock_guard lock(random_mutex);
+        const bool picked = std::uniform_real_distribution<double>()(random) < spoiled_share;
+        const std::string name = "X-Plantainpaddle-Server-Stamp:";
+        const auto place = answer.find("\r\n", answer.find(name));
+        if (!setup.troubled || !in_window || !picked || place == std::string::npos) return answer;
+        ++spoiled;
+        log.line("server folds a header of its answer %d to %s", status,
+                 request.find("x-plantainpaddle-request-id").c_str());
+        answer.insert(place, "\r\n ");
+        return answer;
+      };
+    }
+    servers.push_back(std::make_unique<server>(options, runs, log));
     all.push_back(servers.back().get());
+    by_id[options.id] = all.back();
   }
-  platform.write("op/config", desired_state(7, {{"spec", "/spec/", "upload", "plan", 30'000, 2}},
-                                            {{"plan", false}}));
+
+  platform.write("op/config", desired_state(7, {{"stock", "/stock/", "safe", "desk", 1200, 2}},
+                                            {{"desk", false}}));
   heartbeats beats(platform, all);
   std::vector<std::unique_ptr<entry>> entries;
-  for (int i = 0; i < entry_count; ++i) {
+  for (int i = 0; i < 2; ++i) {
     const auto name = "edge-" + std::to_string(i);
     entries.push_back(std::make_unique<entry>(setup, entry_options{.name = name},
                                               platform.add_caller(name)));
   }
   for (const auto& each : entries) {
-    if (!each->wait_until_ready(20'000)) return 2;
+    if (!each->wait_until_ready(20'000)) end_case(2);
   }
   sleep_ms(2000);
 
-  std::atomic<int> next_id{0};
-  std::mutex mutex;
-  std::map<int, int> statuses;
-  int refused = 0;
-  const std::string piece(piece_bytes, 'd');
-  const auto upload = [&](std::size_t number) {
-    const auto id = "drawing-" + std::to_string(next_id++);
-    auto fields = request_fields(id, budget_ms, -1);
-    fields.push_back({"Content-Length", std::to_string(body_bytes)});
-    std::string head = "POST /spec/" + id + " HTTP/1.1\r\n";
-    for (const auto& each : fields) head += each.name + ": " + each.value + "\r\n";
-    head += "\r\n";
-    const auto until = now_ms() + budget_ms;
-    message answer;
-    bool whole = false;
-    const int fd = connect_to(entries[number]->front(), 1000);
-    if (fd >= 0) {
-      connection link(fd);
-      bool open = link.send(head);
-      for (std::size_t sent = 0; open && sent < body_bytes; sent += piece_bytes) {
-        if (link.wait_readable(0)) break;  // an early answer
-        open = link.send(piece);
-        sleep_ms(piece_gap_ms);
+  std::atomic<int> served{0};
+  std::atomic<int> wrong{0};
+  std::atomic<int> sent{0};
+  std::atomic<int> under_way{0};
+  const auto send_one = [&](int number) {
+    ++under_way;
+    std::thread([&, number] {
+      const auto id = "look-" + std::to_string(number);
+      const auto via = static_cast<std::size_t>(number % 2);
+      const auto fields = request_fields(id, budget_ms, -1);
+      const auto until = now_ms() + budget_ms + 1000;
+      const int fd = connect_to(entries[via]->front(), 1000);
+      message answer;
+      bool whole = false;
+      std::string raw;
+      if (fd >= 0) {
+        connection link(fd);
+        whole = link.send(format_request("GET", "/stock/" + id, fields, "")) &&
+                link.read_head(answer, true, until - now_ms(), &raw) &&
+                link.read_body(answer, until - now_ms());
       }
-      whole = link.read_head(answer, true, until - now_ms()) &&
-              link.read_body(answer, until - now_ms());
-    }
-    const int status = whole ? answer.status : 0;
-    const auto done = runs.runs_of(id);
-    log.line("client: %s through edge-%zu: %d, Retry-After: %s", id.c_str(), number, status,
-             answer.find("retry-after").c_str());
-    const std::lock_guard lock(mutex);
-    ++statuses[status];
-    const bool promised = status == 408 || status == 421 || status == 429 || status == 503;
-    if (promised && !done.empty()) {
-      ++refused;
-      log.line("REFUSED: %s was begun by %s at %.3f; the client got %d", id.c_str(),
-               done[0].server.c_str(), static_cast<double>(done[0].at) / 1000, status);
-    }
+      const auto done = runs.runs_of(id);
+      log.line("client: %s through edge-%zu: %d", id.c_str(), via, whole ? answer.status : 0);
+      const bool success = answer.status >= 200 && answer.status < 300;
+      if (success && whole) ++served;
+      bool stamped = false;
+      for (const auto& each : done) {
+        const auto stamp = by_id.at(each.server)->stamp_for(id);
+        stamped = stamped || answer.find("x-plantainpaddle-server-stamp") == stamp;
+      }
+      bool clean = true;
+      for (const char c : raw) {
+        const auto code = static_cast<unsigned char>(c);
+        clean = clean && ((code >= 0x20 && code != 0x7f) || c == '\r' || c == '\n' || c == '\t');
+      }
+      if (!raw.empty() && (!clean || (success && !stamped))) {
+        ++wrong;
+        const auto at = raw.find("X-Plantainpaddle-Server-Stamp");
+        log.line("MIXED: the answer to %s has status %d and %s, the server's stamp %s; from there: %s",
+                 id.c_str(), answer.status, clean ? "no stray bytes" : "control characters in its head",
+                 stamped ? "is there" : "isn't there",
+                 printable(at == std::string::npos ? raw : raw.substr(at)).c_str());
+      }
+      --under_way;
+    }).detach();
   };
-  // Uploads begin up to 2.4 s before the SIGTERM of their machine.
-  for (std::size_t number = 0; number < stopped_entries; ++number) {
-    std::vector<std::thread> clients;
-    for (int i = 0; i < uploads_each; ++i) {
-      clients.emplace_back([&, number] { upload(number); });
-      sleep_ms(300);
-    }
-    const auto sent_at = now_ms();
-    if (setup.troubled) {
-      log.line("%s gets SIGTERM", entries[number]->name().c_str());
-      entries[number]->signal(SIGTERM);
-    }
-    sleep_ms(stop_period_ms - (now_ms() - sent_at));
-    for (auto& each : clients) each.join();
-    if (!setup.troubled) continue;
-    log.line("%s has %s", entries[number]->name().c_str(),
-             entries[number]->has_ended() ? "ended" : "not ended yet");
-  }
-  int total = 0;
-  for (const auto& [status, count] : statuses) {
-    log.line("answers with %d: %d", status, count);
-    total += count;
+  const auto begin = now_ms();
+  while (now_ms() < begin + play_ms) {
+    in_window = (now_ms() - begin) % (window_ms + pause_ms) >= pause_ms;
+    send_one(sent++);
+    sleep_ms(request_gap_ms);
   }
-  log.line("uploads %d, REFUSED %d", total, refused);
-  std::printf("uploads %d, served %d, REFUSED %d\n", total, statuses[200], refused);
-  if (refused > 0) return 1;
-  return !setup.troubled && statuses[200] < total ? 2 : 0;
+  while (under_way > 0) sleep_ms(50);
+  bool crashed = false;
+  for (const auto& each : entries) crashed = crashed || each->has_ended();
+  log.line("requests %d, served %d, folded answers %d, MIXED %d, a process ended: %s", sent.load(),
+           served.load(), spoiled.load(), wrong.load(), crashed ? "yes" : "no");
+  std::printf("requests %d, served %d, folded %d, MIXED %d, crashed %d\n", sent.load(),
+              served.load(), spoiled.load(), wrong.load(), crashed ? 1 : 0);
+  if (wrong > 0 || crashed) end_case(1);
+  if (served * 2 < sent || (setup.troubled && spoiled == 0)) end_case(2);
+  end_case(0);
 }
