--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -42,7 +42,7 @@
   const auto setup = read_setup(argc, argv);
   record log(setup.folder + "/record.txt");
   ledger runs;
-  store platform(log);
+  store platform;
   std::atomic<bool> in_window{false};
   std::atomic<int> spoiled{0};
   std::mutex random_mutex;
@@ -83,8 +83,8 @@
   std::vector<std::unique_ptr<entry>> entries;
   for (int i = 0; i < 2; ++i) {
     const auto name = "edge-" + std::to_string(i);
-    entries.push_back(std::make_unique<entry>(setup, entry_options{.name = name},
-                                              platform.add_caller(name)));
+    entries.push_back(
+        std::make_unique<entry>(setup, entry_options{.name = name}, platform.add_caller()));
   }
   for (const auto& each : entries) {
     if (!each->wait_until_ready(20'000)) end_case(2);
@@ -129,10 +129,11 @@
       if (!raw.empty() && (!clean || (success && !stamped))) {
         ++wrong;
         const auto at = raw.find("X-Plantainpaddle-Server-Stamp");
-        log.line("MIXED: the answer to %s has status %d and %s, the server's stamp %s; from there: %s",
-                 id.c_str(), answer.status, clean ? "no stray bytes" : "control characters in its head",
-                 stamped ? "is there" : "isn't there",
-                 printable(at == std::string::npos ? raw : raw.substr(at)).c_str());
+        log.line(
+            "MIXED: the answer to %s has status %d and %s, the server's stamp %s; from there: %s",
+            id.c_str(), answer.status, clean ? "no stray bytes" : "control characters in its head",
+            stamped ? "is there" : "isn't there",
+            printable(at == std::string::npos ? raw : raw.substr(at)).c_str());
       }
       --under_way;
     }).detach();
--- a/review/common/entry.cc
+++ b/review/common/entry.cc
@@ -1,5 +1,6 @@
 #include "common/entry.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -13,8 +14,6 @@
 #include <set>
 #include <sstream>
 
-#include <fcntl.h>
-
 namespace review {
 namespace {
 
@@ -79,8 +78,7 @@
 entry::entry(const case_setup& setup, entry_options options, const std::string& store_address)
     : options_(std::move(options)),
       front_(free_address("127.0.0.1")),
-      ready_(free_address("127.0.0.1")),
-      log_file_(setup.scratch + "/" + options_.name + ".log") {
+      ready_(free_address("127.0.0.1")) {
   const auto peers = free_address("127.0.0.1");
   const auto quoted = [](const std::string& text) { return "\"" + text + "\""; };
   auto text = read_file(setup.root + "/deploy/entry.json.in");
@@ -99,9 +97,9 @@
   replace(text, "{{platform.ttl-min|json}}", quoted("1000ms"));
   replace(text, "{{bounds.retry-budget-ratio|json}}", "0.2");
   replace(text, "{{bounds.budget-slack|json}}", "60");
-  replace(text, "{{limits.memory-mb|json}}", std::to_string(options_.memory_mb));
+  replace(text, "{{limits.memory-mb|json}}", "260");
   replace(text, "{{limits.max-fds|json}}", "4100");
-  replace(text, "{{limits.cpu-share|json}}", std::to_string(options_.cpu_share));
+  replace(text, "{{limits.cpu-share|json}}", "0.2");
   const auto settings = setup.scratch + "/" + options_.name + ".json";
   std::ofstream(settings) << text;
   const auto program = setup.root + "/target/bin/plantainpaddle-entry";
@@ -116,7 +114,8 @@
   if (pid_ != 0) return;
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with the case, however that ends
   if (::getppid() != parent) ::_exit(1);
-  const int log = ::open(log_file_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  const auto log_file = setup.scratch + "/" + options_.name + ".log";
+  const int log = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
   ::dup2(log, 1);
   ::dup2(log, 2);
   if (::chdir(setup.root.c_str()) != 0) ::_exit(1);
@@ -214,8 +213,7 @@
   thread_.join();
 }
 
-std::vector<field> request_fields(const std::string& id, std::int64_t budget_ms,
-                                  std::int64_t key) {
+std::vector<field> request_fields(const std::string& id, std::int64_t budget_ms, std::int64_t key) {
   std::vector<field> fields{{"Host", client_host},
                             {"X-Plantainpaddle-Request-Id", id},
                             {"X-Plantainpaddle-Deadline-Ms", std::to_string(budget_ms)}};
--- a/review/common/entry.h
+++ b/review/common/entry.h
@@ -21,10 +21,10 @@
 // The project's folder and the folder of the case, from the command line and the environment.
 struct case_setup {
   std::string root;
-  std::string folder;     // of the case
-  std::string scratch;    // a temporary folder, removed at the end
-  bool troubled = true;   // false with TROUBLE=0
-  int argument = 0;
+  std::string folder;    // of the case
+  std::string scratch;   // a temporary folder, removed at the end
+  bool troubled = true;  // false with TROUBLE=0
+  int argument = 0;      // of the case, if it takes one
 };
 case_setup read_setup(int argc, char** argv);
 // Ends the processes that were started, removes the scratch folder and exits at once, since
@@ -34,8 +34,6 @@
 struct entry_options {
   std::string name;
   std::string zone = "north";
-  double cpu_share = 0.2;
-  int memory_mb = 260;
 };
 
 class entry {
@@ -53,13 +51,11 @@
   void signal(int number) const;
   // Whether the process has ended by itself.
   bool has_ended();
-  std::string log_file() const { return log_file_; }
 
  private:
   entry_options options_;
   std::string front_;
   std::string ready_;
-  std::string log_file_;
   pid_t pid_ = -1;
 };
 
@@ -80,8 +76,8 @@
 std::string desired_state(int version, const std::vector<route>& routes,
                           const std::vector<service>& services);
 
-// Writes the entries of servers into the store about every 870 ms, until it is destroyed. `reaches`,
-// if there is one, says whether a server reaches the store now.
+// Writes the entries of servers into the store about every 870 ms, until it is destroyed.
+// `reaches`, if there is one, says whether a server reaches the store now.
 class heartbeats {
  public:
   heartbeats(store& to, std::vector<server*> servers,
--- a/review/common/net.cc
+++ b/review/common/net.cc
@@ -191,12 +191,6 @@
 
 void connection::shut_down() const { ::shutdown(fd_, SHUT_RDWR); }
 
-void connection::reset() {
-  const linger now{1, 0};
-  ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-  // The descriptor is closed by the destructor.
-}
-
 int connect_to(const std::string& address, std::int64_t timeout_ms) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const auto to = parse_address(address);
@@ -237,13 +231,6 @@
   return address;
 }
 
-int peer_port(int fd) {
-  sockaddr_in peer{};
-  socklen_t size = sizeof peer;
-  if (::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) return -1;
-  return ntohs(peer.sin_port);
-}
-
 std::string format_request(const std::string& method, const std::string& target,
                            const std::vector<field>& fields, const std::string& body) {
   std::string out = method + " " + target + " HTTP/1.1\r\n";
@@ -254,8 +241,8 @@
   return out + "\r\n" + body;
 }
 
-std::string format_response(int status, const std::string& reason,
-                            const std::vector<field>& fields, const std::string& body) {
+std::string format_response(int status, const std::string& reason, const std::vector<field>& fields,
+                            const std::string& body) {
   std::string out = "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n";
   for (const auto& each : fields) out += each.name + ": " + each.value + "\r\n";
   out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
--- a/review/common/net.h
+++ b/review/common/net.h
@@ -67,9 +67,7 @@
   // Whether more bytes, or the end, can be read within the time.
   bool wait_readable(std::int64_t timeout_ms) const;
   void shut_down() const;
-  void reset();  // closes with a reset
   int fd() const { return fd_; }
-  bool has_unread() const { return !buffer_.empty(); }
 
  private:
   bool fill(std::int64_t until_ms);
@@ -84,7 +82,6 @@
 int listen_at(std::string& address);
 // A port of the IP address that nothing listens at.
 std::string free_address(const std::string& ip);
-int peer_port(int fd);
 
 // Sends one request on a new connection. No value if no whole response came.
 std::optional<message> call(const std::string& address, const std::string& method,
@@ -93,8 +90,8 @@
 
 std::string format_request(const std::string& method, const std::string& target,
                            const std::vector<field>& fields, const std::string& body);
-std::string format_response(int status, const std::string& reason,
-                            const std::vector<field>& fields, const std::string& body);
+std::string format_response(int status, const std::string& reason, const std::vector<field>& fields,
+                            const std::string& body);
 
 // Accepts connections on a thread of its own and serves each on another one, until stop().
 class acceptor {
--- a/review/common/server.cc
+++ b/review/common/server.cc
@@ -43,8 +43,7 @@
                 std::chrono::system_clock::now().time_since_epoch())
                 .count()),
       keys_(options_.sharded ? key_count : 0) {
-  listener_ =
-      std::make_unique<acceptor>("127.0.0.1", [this](connection& link) { serve(link); });
+  listener_ = std::make_unique<acceptor>("127.0.0.1", [this](connection& link) { serve(link); });
 }
 
 void server::stop() {
@@ -145,9 +144,8 @@
     return false;
   };
   while (is_running()) freed_.wait_for(lock, std::chrono::milliseconds(50));
-  return format_response(200, "OK",
-                         {{"X-Plantainpaddle-Handover", options_.id + "-" + std::to_string(arrived)}},
-                         "");
+  return format_response(
+      200, "OK", {{"X-Plantainpaddle-Handover", options_.id + "-" + std::to_string(arrived)}}, "");
 }
 
 std::string server::work(connection& link, message& request, int& status) {
@@ -157,7 +155,8 @@
     return format(request, code, reason, {{"X-Plantainpaddle-Not-Executed", "1"}}, "");
   };
   const auto arrived = now_ms();
-  const std::int64_t deadline = arrived + std::atoll(request.find("x-plantainpaddle-deadline-ms").c_str());
+  const std::int64_t deadline =
+      arrived + std::atoll(request.find("x-plantainpaddle-deadline-ms").c_str());
   const auto expected = request.find("x-plantainpaddle-expect-instance");
   const auto key_text = request.find("x-plantainpaddle-shard-key");
   const std::int64_t key = key_text.empty() ? -1 : std::atoll(key_text.c_str());
--- a/review/common/store.cc
+++ b/review/common/store.cc
@@ -79,32 +79,11 @@
 
 }  // namespace
 
-std::string store::add_caller(const std::string& name) {
-  auto made = std::make_unique<caller>();
-  made->name = name;
-  auto& from = *made;
-  made->listener =
-      std::make_unique<acceptor>("127.0.0.1", [this, &from](connection& link) { serve(from, link); });
+std::string store::add_caller() {
+  auto made = std::make_unique<acceptor>("127.0.0.1", [this](connection& link) { serve(link); });
   const std::lock_guard lock(mutex_);
-  callers_[name] = std::move(made);
-  return from.listener->address();
-}
-
-void store::turn_away(const std::string& name, bool away) {
-  const std::lock_guard lock(mutex_);
-  callers_.at(name)->away = away;
-  log_.line("store: %s %s", away ? "turns away" : "serves again", name.c_str());
-  changed_.notify_all();
-}
-
-void store::lose_answer(const std::string& name, const std::string& part) {
-  const std::lock_guard lock(mutex_);
-  callers_.at(name)->lose_part = part;
-}
-
-bool store::has_lost_answer(const std::string& name) {
-  const std::lock_guard lock(mutex_);
-  return callers_.at(name)->lost;
+  listeners_.push_back(std::move(made));
+  return listeners_.back()->address();
 }
 
 void store::put(const std::string& key, const std::string& value, std::uint64_t lease_id,
@@ -153,13 +132,6 @@
   changed_.notify_all();
 }
 
-std::string store::value_of(const std::string& key) {
-  const std::lock_guard lock(mutex_);
-  expire();
-  const auto it = items_.find(key);
-  return it == items_.end() ? std::string() : it->second.value;
-}
-
 std::string store::range(const std::string& prefix, const std::string& after) {
   json::array page;
   bool more = false;
@@ -176,11 +148,12 @@
                                 {"created", it->second.created},
                                 {"lease", it->second.lease}});
   }
-  return respond(200, json::object{{"items", page}, {"has-more", more}, {"store-revision", revision_}});
+  return respond(200,
+                 json::object{{"items", page}, {"has-more", more}, {"store-revision", revision_}});
 }
 
-std::string store::watch(caller& from, const std::string& prefix, std::uint64_t after,
-                         std::int64_t wait, std::unique_lock<std::mutex>& lock) {
+std::string store::watch(const std::string& prefix, std::uint64_t after, std::int64_t wait,
+                         std::unique_lock<std::mutex>& lock) {
   if (after > revision_) return respond(410, json::object{});
   const auto until = now_ms() + std::min<std::int64_t>(wait, 30'000);
   while (true) {
@@ -198,7 +171,6 @@
       found.push_back(std::move(out));
     }
     const auto left = until - now_ms();
-    if (from.away) return {};
     if (!found.empty() || left <= 0 || stopped_) {
       return respond(200, json::object{{"events", found}, {"store-revision", revision_}});
     }
@@ -207,7 +179,7 @@
   }
 }
 
-std::string store::transact(caller& from, const std::string& body, bool& lost) {
+std::string store::transact(const std::string& body) {
   const auto call = json::parse(body).as_object();
   json::array current;
   bool holds = true;
@@ -241,25 +213,17 @@
   for (const auto& row : puts) {
     const std::string key(row.at("key").as_string());
     put(key, from_base64(row.at("value").as_string()), lease_of(row), revision);
-    const bool loses = !from.lose_part.empty() && key.find(from.lose_part) != std::string::npos;
-    if (loses) lost = true;
   }
   if (const auto* removals = call.if_contains("delete-keys")) {
     for (const auto& key : removals->as_array()) remove(std::string(key.as_string()), revision);
   }
   changed_.notify_all();
-  if (lost) {
-    from.lose_part.clear();
-    from.lost = true;
-    log_.line("store: a transaction of %s is carried out, its answer is lost", from.name.c_str());
-  }
   return respond(200, json::object{{"revision", revision}});
 }
 
-std::string store::answer(caller& from, const message& request, bool& lost) {
+std::string store::answer(const message& request) {
   std::unique_lock lock(mutex_);
   expire();
-  if (from.away) return respond(503, json::object{});
   const auto path = request.target.substr(0, request.target.find('?'));
   const auto id_of = [&](const std::string& prefix) -> std::uint64_t {
     return path.starts_with(prefix) ? std::strtoull(path.c_str() + prefix.size(), nullptr, 10) : 0;
@@ -278,16 +242,16 @@
     return range(query_value(request.target, "prefix"), query_value(request.target, "after"));
   }
   if (path == "/api/kv-watch") {
-    return watch(from, query_value(request.target, "prefix"),
+    return watch(query_value(request.target, "prefix"),
                  std::strtoull(query_value(request.target, "after").c_str(), nullptr, 10),
                  std::atoll(query_value(request.target, "wait-ms").c_str()), lock);
   }
-  if (path == "/api/kv-txn") return transact(from, request.body, lost);
+  if (path == "/api/kv-txn") return transact(request.body);
   if (path == "/api/kv-lease") {
     const auto ttl = parse_time(json::parse(request.body).at("ttl_time").as_string());
     leases_[++last_lease_] = {ttl, now_ms() + ttl};
-    return respond(200, json::object{{"lease", last_lease_},
-                                     {"ttl_time", std::to_string(ttl) + "ms"}});
+    return respond(200,
+                   json::object{{"lease", last_lease_}, {"ttl_time", std::to_string(ttl) + "ms"}});
   }
   if (const auto id = id_of("/api/kv-keep/"); id != 0) {
     const auto it = leases_.find(id);
@@ -305,16 +269,10 @@
   return respond(404, json::object{});
 }
 
-void store::serve(caller& from, connection& link) {
+void store::serve(connection& link) {
   message request;
   while (link.read_head(request, false, 3'600'000) && link.read_body(request, 10'000)) {
-    bool lost = false;
-    const auto text = answer(from, request, lost);
-    if (lost) {
-      link.wait_readable(30'000);  // nothing further comes on this connection
-      return;
-    }
-    if (text.empty() || !link.send(text)) return;
+    if (!link.send(answer(request))) return;
   }
 }
 
@@ -324,7 +282,7 @@
     stopped_ = true;
   }
   changed_.notify_all();
-  for (auto& [name, each] : callers_) each->listener->stop();
+  for (auto& each : listeners_) each->stop();
 }
 
 }  // namespace review
--- a/review/common/store.h
+++ b/review/common/store.h
@@ -1,5 +1,5 @@
 // A stand-in of the platform's metadata store, as PROTOCOL.md describes it. Each entry process gets
-// an address of its own, so that the store can turn one away or lose one's answers.
+// an address of its own.
 #pragma once
 
 #include <condition_variable>
@@ -18,21 +18,13 @@
 
 class store {
  public:
-  explicit store(record& log) : log_(log) {}
   ~store() { stop(); }
 
   // Returns the address for one more caller.
-  std::string add_caller(const std::string& name);
-  // While set, the caller's calls get 503 and nothing is done; watches that wait are cut.
-  void turn_away(const std::string& name, bool away);
-  // The answer of the caller's next transaction that puts a key which contains `part` is lost: it
-  // is carried out, and its connection returns nothing further.
-  void lose_answer(const std::string& name, const std::string& part);
-  bool has_lost_answer(const std::string& name);
+  std::string add_caller();
 
   // What operators and servers write; lifetime_ms 0: for good.
   void write(const std::string& key, const std::string& value, std::int64_t lifetime_ms = 0);
-  std::string value_of(const std::string& key);
   void stop();
 
  private:
@@ -51,26 +43,17 @@
     std::int64_t ttl = 0;
     std::int64_t until = 0;
   };
-  struct caller {
-    std::string name;
-    bool away = false;
-    std::string lose_part;
-    bool lost = false;
-    std::unique_ptr<acceptor> listener;
-  };
-
-  void serve(caller& from, connection& link);
-  std::string answer(caller& from, const message& request, bool& lost);
+  void serve(connection& link);
+  std::string answer(const message& request);
   std::string range(const std::string& prefix, const std::string& after);
-  std::string watch(caller& from, const std::string& prefix, std::uint64_t after,
-                    std::int64_t wait, std::unique_lock<std::mutex>& lock);
-  std::string transact(caller& from, const std::string& body, bool& lost);
+  std::string watch(const std::string& prefix, std::uint64_t after, std::int64_t wait,
+                    std::unique_lock<std::mutex>& lock);
+  std::string transact(const std::string& body);
   void put(const std::string& key, const std::string& value, std::uint64_t lease_id,
            std::uint64_t revision);
   void remove(const std::string& key, std::uint64_t revision);
   void expire();
 
-  record& log_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, item> items_;
@@ -79,7 +62,7 @@
   std::deque<event> events_;
   std::uint64_t revision_ = 100;
   std::uint64_t last_lease_ = 7000;
-  std::map<std::string, std::unique_ptr<caller>> callers_;
+  std::vector<std::unique_ptr<acceptor>> listeners_;
   bool stopped_ = false;
 };
 
