--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -36,6 +36,7 @@
       context_(std::move(context)),
       timing_(timing),
       candidacy_(candidacy, spread),
+      tenure_(context_.self, context_.address, timing),
       load_(load_time_constant) {}
 
 std::string_view range_runner::assigner_address() const {
@@ -70,19 +71,16 @@
 
 void range_runner::on_store_change() {
   if (!context_.view.knows_own_keys()) return;
-  candidacy_.on_seen(is_held_by_another(), monotonic_now());
+  candidacy_.on_seen(assigner_key_holder(), monotonic_now());
   const auto* seen = context_.view.record(service_);
-  if (assigner_ && seen != nullptr && position_of(*seen) > position_of(assigner_->record()) &&
-      seen->assigner != context_.self) {
+  if (assigner_ && seen != nullptr && tenure_.is_superseded(*assigner_, *seen))
     step_down("another assigner's record");
-  }
 }
 
-// After a restore the key may name this instance under a lease that it has given up.
-bool range_runner::is_held_by_another() const {
+key_holder range_runner::assigner_key_holder() const {
   const auto* held = context_.view.assigner(service_);
-  const bool own = held != nullptr && held->holder == context_.self.value;
-  return held != nullptr && (!own || candidacy_.holds());
+  if (held == nullptr) return key_holder::nobody;
+  return held->holder == context_.self.value ? key_holder::self : key_holder::other;
 }
 
 void range_runner::on_store_restored() {
@@ -170,27 +168,6 @@
   if (era != 0) change.conditions.push_back({era_key(service_, era), era_version_});
 }
 
-// Returns the record of a term of this instance. It is made of the latest one that the instance
-// knows, which the store may have lost.
-range_runner::new_term range_runner::make_term() const {
-  const auto era = context_.store.era();
-  const auto* seen = context_.view.record(service_);
-  range_record before = seen == nullptr ? make_range_record() : *seen;
-  // The store has lost nothing in its first era.
-  if (seen == nullptr && era <= 1) before.era = era;
-  const bool same_era = before.era == era;
-  const range_predecessor predecessor{
-      .exists = seen != nullptr || !same_era,
-      .relinquished =
-          same_era && (before.assigner.value.empty() || before.assigner == context_.self),
-      .lapses_in = before.lapses_in,
-      .era_seen = era_seen_};
-  const bool goes_on = assigner_ && assigner_->is_suspended();
-  return {goes_on ? carry_over(assigner_->record(), era)
-                  : take_over(std::move(before), context_.self, context_.address, era),
-          predecessor};
-}
-
 // Writes the assigner key and the record with the new term in one transaction, so that any write
 // that an earlier assigner still has in flight fails its version check. The first one in an era of
 // the store replaces the key of the era before, so that writes of that era fail, too.
@@ -213,13 +190,14 @@
 }
 
 void range_runner::campaign() {
-  const auto term = make_term();
+  const auto campaign =
+      tenure_.campaign(context_.view.record(service_), assigner_, context_.store.era(), era_seen_);
   const auto eras = context_.view.era_keys(service_);
-  const auto present = eras.find(era_key(service_, term.record.era));
+  const auto present = eras.find(era_key(service_, campaign.record.era));
   const std::uint64_t era_version = present == eras.end() ? 0 : present->second;
   const auto sent = monotonic_now();
   context_.store.transact(
-      make_campaign(term.record), [this, term, sent, era_version](const auto& answer) {
+      make_campaign(campaign.record), [this, campaign, sent, era_version](const auto& answer) {
         const auto now = monotonic_now();
         if (!answer) {
           // The transaction may have taken effect. Then the view shows it, or the key ends with its
@@ -234,27 +212,47 @@
           candidacy_.on_lost(now);
           return context_.view.refresh();
         }
-        candidacy_.on_won(sent);
         era_version_ = era_version == 0 ? answer->version : era_version;
-        on_campaign_won(term, answer->version, sent);
+        on_campaign_won(campaign, answer->version, sent);
       });
 }
 
-void range_runner::on_campaign_won(const new_term& term, std::uint64_t version,
+void range_runner::on_campaign_won(const range_campaign& won, std::uint64_t version,
                                    monotonic_time sent) {
-  const auto& record = term.record;
-  if (assigner_ && assigner_->is_suspended()) {
+  const auto now = monotonic_now();
+  if (!tenure_.on_won(won, version, sent, now, assigner_)) {
+    log_event(log_level::warning, "campaign out of date", {{"service", service_.value}});
+    candidacy_.on_lost(now);
+    return context_.view.refresh();
+  }
+  candidacy_.on_won(sent);
+  if (won.goes_on) {
     log_event(log_level::info, "goes on as assigner",
               {{"service", service_.value},
-               {"term", record.term.value},
-               {"era", record.era},
+               {"term", won.record.term.value},
+               {"era", won.record.era},
                {"version", version}});
-    assigner_->regain(record, version);
   } else {
-    become_assigner(record, version, term.predecessor);
+    on_term_started(version);
   }
-  assigner_->confirm(sent);
-  publish(record, version);
+  publish(won.record, version);
+}
+
+void range_runner::on_term_started(std::uint64_t version) {
+  ++generation_;
+  const auto now = monotonic_now();
+  const auto earlier = assigner_->predecessors_expire_at() - now;
+  const auto& record = assigner_->record();
+  log_event(log_level::info, "became assigner",
+            {{"service", service_.value},
+             {"term", record.term.value},
+             {"version", version},
+             {"era", record.era},
+             {"unsettled", record.unsettled ? 1 : 0},
+             {"earlier_grants_ms", std::chrono::ceil<milliseconds>(earlier).count()}});
+  links_.clear();
+  assigner_->set_upstreams(listed_upstreams(), now);
+  context_.view.refresh();  // for the instances that records are pushed to
 }
 
 void range_runner::publish(const range_record& record, std::uint64_t version) {
@@ -282,27 +280,10 @@
   });
 }
 
-void range_runner::become_assigner(const range_record& record, std::uint64_t version,
-                                   range_predecessor predecessor) {
-  ++generation_;
-  log_event(log_level::info, "became assigner",
-            {{"service", service_.value},
-             {"term", record.term.value},
-             {"version", version},
-             {"era", record.era},
-             {"unsettled", record.unsettled ? 1 : 0},
-             {"waits_for_earlier", predecessor.exists && !predecessor.relinquished ? 1 : 0}});
-  assigner_.emplace(timing_);
-  assigner_->start(record, version, predecessor, monotonic_now());
-  links_.clear();
-  assigner_->set_upstreams(listed_upstreams(), monotonic_now());
-  context_.view.refresh();  // for the instances that records are pushed to
-}
-
 void range_runner::step_down(std::string_view why) {
   log_event(log_level::warning, "no longer assigner", {{"service", service_.value}, {"why", why}});
   ++generation_;
-  assigner_.reset();
+  tenure_.end(assigner_, monotonic_now());
   links_.clear();
   candidacy_.on_lost(monotonic_now());
   context_.view.refresh();
@@ -507,7 +488,7 @@
   log_event(log_level::info, "relinquishing the right to assign",
             {{"service", service_.value}, {"why", why}});
   ++generation_;
-  assigner_.reset();
+  tenure_.end(assigner_, monotonic_now());
   links_.clear();
   candidacy_.on_lost(monotonic_now());
   write_relinquished_record(record, version, relinquish_attempts);
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -20,6 +20,7 @@
 #include "http/client.h"
 #include "ownership/candidacy.h"
 #include "ownership/range_assigner.h"
+#include "ownership/range_tenure.h"
 #include "platform/store_client.h"
 #include "upstream/order_link.h"
 
@@ -78,20 +79,14 @@
   void create_lease();
   void campaign();
   void renew_lease();
-  void become_assigner(const range_record& record, std::uint64_t version,
-                       range_predecessor predecessor);
   void step_down(std::string_view why);
   void resign();
   void stop_assigning(std::string_view why);
   void write_relinquished_record(const range_record& record, std::uint64_t version, int attempts);
-  bool is_held_by_another() const;
-  struct new_term {
-    range_record record;
-    range_predecessor predecessor;  // unless this instance goes on as assigner
-  };
-  new_term make_term() const;
+  key_holder assigner_key_holder() const;
   store_transaction make_campaign(const range_record& record) const;
-  void on_campaign_won(const new_term& term, std::uint64_t version, monotonic_time sent);
+  void on_campaign_won(const range_campaign& won, std::uint64_t version, monotonic_time sent);
+  void on_term_started(std::uint64_t version);
   // Adds to a write of the record that it is of the store's present era.
   void add_era(store_transaction& change) const;
   void run_actions();
@@ -114,6 +109,7 @@
   range_runner_context context_;
   range_timing timing_;
   candidacy candidacy_;
+  range_tenure tenure_;
   std::optional<range_assigner> assigner_;
   monotonic_time era_seen_ =
       monotonic_now();             // no earlier than when the store's era was first seen
--- a/src/ownership/candidacy.cc
+++ b/src/ownership/candidacy.cc
@@ -2,8 +2,11 @@
 
 namespace plantainpaddle {
 
-void candidacy::on_seen(bool held, monotonic_time now) {
-  if (held) {
+void candidacy::on_seen(key_holder holder, monotonic_time now) {
+  // The key may name this instance although it doesn't hold leadership: after a campaign whose
+  // answer was lost, or after a restore, under a lease that it has given up.
+  const bool taken = holder == key_holder::other || (holder == key_holder::self && holds_);
+  if (taken) {
     vacant_since_.reset();
   } else if (!vacant_since_) {
     vacant_since_ = now;
--- a/src/ownership/candidacy.h
+++ b/src/ownership/candidacy.h
@@ -3,7 +3,7 @@
 // from competing; that two assigners do no harm follows from the range record (range_assigner.h).
 //
 //   candidacy mine(timing, spread);
-//   mine.on_seen(held, now);     // after each read of the store
+//   mine.on_seen(holder, now);   // after each read of the store
 //   switch (mine.tick(now)) ...  // carry out the step, report its outcome by on_won(), ...
 #pragma once
 
@@ -24,6 +24,8 @@
   bool operator==(const candidacy_timing&) const = default;
 };
 
+// Who holds the key in the store.
+enum class key_holder { nobody, self, other };
 enum class candidacy_step { none, create_lease, campaign, renew_lease };
 
 class candidacy {
@@ -31,8 +33,8 @@
   // `spread` delays this instance's tries, so that not all instances try at once.
   candidacy(candidacy_timing timing, duration spread) : timing_(timing), spread_(spread) {}
 
-  // `held` says whether the key existed when the store was last read.
-  void on_seen(bool held, monotonic_time now);
+  // `holder` is whom the key named when the store was last read.
+  void on_seen(key_holder holder, monotonic_time now);
   void on_lease_created(std::uint64_t lease, monotonic_time sent);
   void on_won(monotonic_time sent);
   void on_lost(monotonic_time now);  // the campaign or the leadership
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -159,6 +159,10 @@
   bool may_relinquish(monotonic_time now) const { return now - confirmed_ < timing_.max_proof_age; }
   bool may_renew(monotonic_time now) const { return !stopped_ && now < renew_until_; }
   bool is_isolated(monotonic_time now) const;
+  // Returns when all grants of earlier assigners have expired.
+  monotonic_time predecessors_expire_at() const { return predecessors_expire_at_; }
+  // Returns when all grants of this assigner and earlier ones have expired; `now` if they have.
+  monotonic_time last_expiry(monotonic_time now) const;
   const range_record& record() const { return record_; }
   std::uint64_t version() const { return version_; }
 
@@ -216,8 +220,6 @@
   bool all_resolved(const range_state& state, monotonic_time now) const;
   bool is_usable(const upstream_state& state, monotonic_time now) const;
   monotonic_time expires_at(const range_state& state) const;
-  // Returns when all grants of this assigner and earlier ones have expired.
-  monotonic_time last_expiry(monotonic_time now) const;
   duration longest_predecessor_hold() const;  // of an earlier assigner's last grant
   std::vector<range_upstream> usable_upstreams(monotonic_time now) const;
   std::optional<std::size_t> find(std::uint32_t first, std::uint32_t last,
--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -435,9 +435,9 @@
   const candidacy_timing timing;
   candidacy mine(timing, milliseconds(10));
   BOOST_TEST((mine.tick(at(0)) == candidacy_step::none));  // nothing was read yet
-  mine.on_seen(true, at(1));
+  mine.on_seen(key_holder::other, at(1));
   BOOST_TEST((mine.tick(at(1000)) == candidacy_step::none));
-  mine.on_seen(false, at(1000));
+  mine.on_seen(key_holder::nobody, at(1000));
   BOOST_TEST((mine.tick(at(1000)) == candidacy_step::none));
   const auto due = at(1000) + timing.vacancy + milliseconds(10);
   BOOST_TEST((mine.tick(due) == candidacy_step::create_lease));
@@ -452,16 +452,30 @@
   BOOST_TEST((mine.tick(due + seconds(9)) == candidacy_step::create_lease));
 }
 
+// A key of its own without leadership comes from a campaign whose answer was lost.
+BOOST_AUTO_TEST_CASE(an_own_key_keeps_nobody_from_campaigning_unless_it_leads) {
+  const candidacy_timing timing;
+  candidacy mine(timing, duration(0));
+  mine.on_seen(key_holder::self, at(0));
+  BOOST_TEST((mine.tick(at(0) + timing.vacancy) == candidacy_step::create_lease));
+  mine.on_lease_created(7, at(30));
+  mine.on_won(at(40));
+  mine.on_seen(key_holder::self, at(50));
+  mine.on_lease_gone(at(2000));
+  mine.on_seen(key_holder::other, at(2001));
+  BOOST_TEST((mine.tick(at(3000)) == candidacy_step::none));
+}
+
 BOOST_AUTO_TEST_CASE(a_resigned_candidate_waits_for_others) {
   const candidacy_timing timing;
   candidacy mine(timing, duration(0));
-  mine.on_seen(false, at(0));
+  mine.on_seen(key_holder::nobody, at(0));
   mine.resign(at(10));
-  mine.on_seen(false, at(10));
+  mine.on_seen(key_holder::nobody, at(10));
   BOOST_TEST((mine.tick(at(9) + timing.rest) == candidacy_step::none));
   BOOST_TEST((mine.tick(at(10) + timing.rest + timing.vacancy) == candidacy_step::create_lease));
   candidacy leaving(timing, duration(0));
-  leaving.on_seen(false, at(0));
+  leaving.on_seen(key_holder::nobody, at(0));
   leaving.withdraw();
   BOOST_TEST((leaving.tick(at(60'000)) == candidacy_step::none));
 }
--- a/src/ownership/testing/range_model.h
+++ b/src/ownership/testing/range_model.h
@@ -26,6 +26,7 @@
   store_down,        // no instance can reach the store; leases go on running out
   lose_answers,      // half of the writes get no answer; half of those take effect 1 to 6 s late
   cut_upstream,      // calls from the instance to the upstream are lost or delayed
+  cut_others,        // calls from all instances but that one to the upstream are lost or delayed
   isolate_upstream,  // calls from all instances to the upstream are lost or delayed
   crash_upstream,    // it restarts under its id with empty memory
   lose_upstream,     // permanently; its entry is removed 2 s later
--- a/src/ownership/testing/range_scenarios.cc
+++ b/src/ownership/testing/range_scenarios.cc
@@ -9,9 +9,10 @@
 namespace {
 
 constexpr std::array<const char*, fault_kinds> kind_names{
-    "kill_instance", "freeze_instance",  "cut_store",      "store_down",    "lose_answers",
-    "cut_upstream",  "isolate_upstream", "crash_upstream", "lose_upstream", "drain_upstream",
-    "late_grants",   "break_links",      "shift_load",     "concede",       "restore_store"};
+    "kill_instance",  "freeze_instance", "cut_store",      "store_down",
+    "lose_answers",   "cut_upstream",    "cut_others",     "isolate_upstream",
+    "crash_upstream", "lose_upstream",   "drain_upstream", "late_grants",
+    "break_links",    "shift_load",      "concede",        "restore_store"};
 
 }  // namespace
 
@@ -41,6 +42,19 @@
        {cut_upstream, 8000, 20000, 0, 0},
        {cut_upstream, 8000, 20000, 0, 1},
        {cut_upstream, 8200, 20000, 0, 2}},
+      // The successor of an assigner that is cut off from the store learns of its campaign only
+      // from the record, and campaigns once more.
+      {{cut_others, 5900, 20000, 0, 1},
+       {cut_store, 6000, 6500, 0, 0},
+       {lose_answers, 6500, 2000, 0, 0}},
+      // The successor loses its lease and wins it again, while the earlier assigner renews.
+      {{cut_others, 5900, 20000, 0, 1},
+       {cut_store, 6000, 12000, 0, 0},
+       {store_down, 8500, 1500, 0, 0}},
+      // The same without an answer, so that it learns of the new term from the record.
+      {{store_down, 6000, 1700, 0, 0},
+       {lose_answers, 7000, 3000, 0, 0},
+       {isolate_upstream, 7300, 12000, 0, 1}},
       // A frozen assigner resumes after its keys were moved.
       {{freeze_instance, 6000, 16000, 0, 0}, {isolate_upstream, 6500, 8000, 0, 2}},
       {{freeze_instance, 6000, 9000, 0, 0},
--- a/src/ownership/testing/range_simulation.cc
+++ b/src/ownership/testing/range_simulation.cc
@@ -97,6 +97,7 @@
     self.started = now_;
     self.candidacy_state.emplace(candidacy_timing{}, uniform(milliseconds(0), milliseconds(150)));
     self.assigner.reset();
+    self.tenure.emplace(self.id(), "", range_timing{});
     ++self.epoch;
     self.links = {};
     self.polled = self.read_pending = false;
@@ -221,21 +222,19 @@
           self.polled = true;
           self.era_key = view->era_key;
           if (view->version != 0) note_record(self, view->record, view->version);
-          // After a restore the key may be this instance's own, of a lease that it has given up.
-          const bool own = view->holder == self.id() && !self.candidacy_state->holds();
-          self.election_key_present = view->key_present && !own;
-          self.candidacy_state->on_seen(self.election_key_present, now_);
-          const bool newer =
-              self.assigner && self.latest_record &&
-              position_of(*self.latest_record) > position_of(self.assigner->record());
-          if (newer && self.latest_record->assigner != self.id()) step_down(self);
+          const auto holder = view->holder == self.id() ? key_holder::self : key_holder::other;
+          self.candidacy_state->on_seen(view->key_present ? holder : key_holder::nobody, now_);
+          if (self.assigner && self.latest_record &&
+              self.tenure->is_superseded(*self.assigner, *self.latest_record)) {
+            step_down(self);
+          }
         });
   }
 
   void step_down(instance& self) {
     add_trace("i" + std::to_string(self.number) + " steps down");
     ++self.epoch;
-    self.assigner.reset();
+    self.tenure->end(self.assigner, now_);
     self.links = {};
     self.candidacy_state->on_lost(now_);
   }
@@ -348,21 +347,12 @@
   void campaign(instance& self) {
     const auto sent = now_;
     const auto version = self.latest_version;
-    const bool goes_on = self.assigner && self.assigner->is_suspended();
-    range_record before = self.latest_record.value_or(make_range_record());
-    if (!self.latest_record && self.era <= 1) before.era = self.era;
-    const bool same_era = before.era == self.era;
-    const range_predecessor predecessor{
-        .exists = self.latest_record.has_value() || !same_era,
-        .relinquished = same_era && (before.assigner.value.empty() || before.assigner == self.id()),
-        .lapses_in = before.lapses_in,
-        .era_seen = self.era_seen};
-    const auto record = goes_on ? carry_over(self.assigner->record(), self.era)
-                                : take_over(before, self.id(), "", self.era);
+    const auto* seen = self.latest_record ? &*self.latest_record : nullptr;
+    const auto campaign = self.tenure->campaign(seen, self.assigner, self.era, self.era_seen);
     const auto lease = self.candidacy_state->lease();
     call_store<write_result>(
         self, true,
-        [this, record, version, lease, era_key = self.era_key, id = self.id()] {
+        [this, record = campaign.record, version, lease, era_key = self.era_key, id = self.id()] {
           const bool held = store_.holder_lease && store_.holder != id;
           if (held || !store_.leases.contains(lease)) return write_result{};
           const auto result = write(version, era_key, record);
@@ -371,36 +361,36 @@
           store_.holder = id;
           return result;
         },
-        [this, &self, record, predecessor, sent, goes_on](std::optional<write_result> answer) {
+        [this, &self, campaign, sent](std::optional<write_result> answer) {
           if (!answer) return self.candidacy_state->on_failed(now_);
           if (!answer->ok) return self.candidacy_state->on_lost(now_);
+          if (!self.tenure->on_won(campaign, answer->version, sent, now_, self.assigner))
+            return self.candidacy_state->on_lost(now_);
           self.candidacy_state->on_won(sent);
-          self.era_key = record.era;
-          note_record(self, record, answer->version);
-          if (goes_on) {
-            if (!self.assigner) return;
-            add_trace("i" + std::to_string(self.number) + " goes on as assigner");
-            self.assigner->regain(record, answer->version);
-            return self.assigner->confirm(sent);
-          }
-          add_trace("i" + std::to_string(self.number) + " becomes assigner, term " +
-                    std::to_string(record.term.value) + (record.unsettled ? ", unsettled" : "") +
-                    (predecessor.relinquished ? "" : ", waits for earlier grants to lapse"));
-          ++self.epoch;
-          self.links = {};
-          self.assigner.emplace(range_timing{});
-          self.assigner->start(record, answer->version, predecessor, now_);
-          self.assigner->confirm(sent);
-          update_upstreams(self);
+          self.era_key = campaign.record.era;
+          note_record(self, campaign.record, answer->version);
+          on_term_won(self, campaign);
         });
   }
 
+  void on_term_won(instance& self, const range_campaign& won) {
+    const auto name = "i" + std::to_string(self.number);
+    if (won.goes_on) return add_trace(name + " goes on as assigner");
+    const auto earlier = self.assigner->predecessors_expire_at() - now_;
+    add_trace(name + " becomes assigner, term " + std::to_string(won.record.term.value) +
+              (won.record.unsettled ? ", unsettled" : "") + ", earlier grants lapse in " +
+              std::to_string(earlier / milliseconds(1)) + " ms");
+    ++self.epoch;
+    self.links = {};
+    update_upstreams(self);
+  }
+
   void concede_right(instance& self) {
     const auto version = self.assigner->version();
     const auto record = self.assigner->relinquish(now_);
     add_trace("i" + std::to_string(self.number) + " concedes");
     ++self.epoch;
-    self.assigner.reset();
+    self.tenure->end(self.assigner, now_);
     self.links = {};
     self.candidacy_state->resign(now_);
     call_store<write_result>(
@@ -710,6 +700,14 @@
       run_at(store_.down_until,
              [this, age = seconds(1 + f.argument % max_copy_age_s)] { restore_store(age); });
       return;
+    case fault_kind::cut_others: {
+      for (auto& other : instances_) {
+        if (other.get() == &self) continue;
+        auto& until = other->cut_until[f.argument % upstream_count];
+        until = std::max(until, now_ + length);
+      }
+      return;
+    }
     case fault_kind::concede:
       if (self.alive && self.assigner && !self.assigner->is_suspended() &&
           now_ >= self.frozen_until) {
--- a/src/ownership/testing/range_simulation_state.h
+++ b/src/ownership/testing/range_simulation_state.h
@@ -9,6 +9,7 @@
 
 #include "ownership/candidacy.h"
 #include "ownership/range_assigner.h"
+#include "ownership/range_tenure.h"
 
 namespace plantainpaddle::range_model {
 
@@ -64,6 +65,7 @@
   monotonic_time store_cut_until{};
   std::array<monotonic_time, upstream_count> cut_until{};
   std::optional<candidacy> candidacy_state;
+  std::optional<range_tenure> tenure;
   std::optional<range_assigner> assigner;  // empty unless the instance is the assigner
   key_load load{seconds(2)};
   // Changes when the assigner starts or stops. Replies to calls of an earlier epoch are dropped.
@@ -74,8 +76,7 @@
   std::uint64_t era = 0;             // of the store, as far as known
   monotonic_time era_seen{};
   std::uint64_t era_key = 0;  // as the latest read showed it
-  bool election_key_present = false;
-  bool polled = false;  // the store has been read at least once in this life and era
+  bool polled = false;        // the store has been read at least once in this life and era
   struct link {
     link_number number = 0;        // 0 while closed
     std::uint64_t connection = 0;  // connection_epoch of the upstream at opening
