A late relinquishment leaves a later term of the same instance alone

What callers could have seen: two upstreams with the same keys.

Cause: an assigner that can't reach its upstreams resigns and writes that it does. If the answer is lost or the version has changed, it reads the record and writes again, up to four times. It compared the assigner and the era, not the term. After a resignation it rests for 4 s; four rounds with slow answers, or a process that was paused, take longer. A term that it won meanwhile was then relinquished under it, with the time by which the grants of the earlier term lapse, while it went on granting.

Change: relinquish_again() decides what is written over the record, and requires the same term. The simulation repeats the write like the process does; before, it wrote once.

--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -495,7 +495,8 @@
 }
 
 // A write of this instance may still be in flight and change the version. In that case the record
-// is read, and the version found is relinquished.
+// is read, and the version found is relinquished unless it is of a later term, which this instance
+// may have won meanwhile.
 void range_runner::write_relinquished_record(const range_record& record, std::uint64_t version,
                                              int attempts) {
   if (attempts == 0) return;
@@ -503,19 +504,15 @@
                            .puts = {{record_key(service_), format_range_record(record), 0}},
                            .removals = {assigner_key(service_)}};
   add_era(change);
-  context_.store.transact(change, [this, attempts, lapses_in = record.lapses_in,
-                                   era = record.era](const auto& answer) {
+  context_.store.transact(change, [this, attempts, record](const auto& answer) {
     if (answer && answer->outcome == transaction_result::written) return;
     if (!answer) log_error(log_level::warning, answer.error());
-    context_.store.get(record_key(service_), [this, attempts, lapses_in, era](const auto& read) {
+    context_.store.get(record_key(service_), [this, attempts, record](const auto& read) {
       if (!read) return log_error(log_level::warning, read.error());
       auto current = *read ? parse_range_record((*read)->value) : make_range_record();
-      // A record of another era says nothing of this term.
-      if (!current || current->assigner != context_.self || current->era != era) return;
-      current->assigner = {};
-      current->address.clear();
-      current->lapses_in = lapses_in;
-      write_relinquished_record(*current, (*read)->version, attempts - 1);
+      if (!current) return;
+      const auto again = relinquish_again(record, std::move(*current), context_.self);
+      if (again) write_relinquished_record(*again, (*read)->version, attempts - 1);
     });
   });
 }
--- a/src/ownership/range_tenure.cc
+++ b/src/ownership/range_tenure.cc
@@ -70,4 +70,14 @@
   return seen.assigner != self_ && position_of(seen) > position_of(assigner.record());
 }
 
+std::optional<range_record> relinquish_again(const range_record& relinquished, range_record current,
+                                             const instance_id& self) {
+  const bool same_term = current.era == relinquished.era && current.term == relinquished.term;
+  if (current.assigner != self || !same_term) return std::nullopt;
+  current.assigner = {};
+  current.address.clear();
+  current.lapses_in = relinquished.lapses_in;
+  return current;
+}
+
 }  // namespace plantainpaddle
--- a/src/ownership/testing/range_simulation.cc
+++ b/src/ownership/testing/range_simulation.cc
@@ -20,6 +20,7 @@
 
 constexpr duration copy_period = milliseconds(250);
 constexpr std::uint32_t max_copy_age_s = 12;
+constexpr int relinquish_attempts = 4;
 
 class simulation {
  public:
@@ -393,6 +394,12 @@
     self.tenure->end(self.assigner, now_);
     self.links = {};
     self.candidacy_state->resign(now_);
+    write_relinquished(self, record, version, relinquish_attempts);
+  }
+
+  void write_relinquished(instance& self, const range_record& record, std::uint64_t version,
+                          int attempts) {
+    if (attempts == 0) return;
     call_store<write_result>(
         self, true,
         [this, record, version, era = self.era] {
@@ -400,7 +407,16 @@
           if (result.ok) store_.holder_lease.reset();
           return result;
         },
-        [](std::optional<write_result>) {});
+        [this, &self, record, attempts](std::optional<write_result> answer) {
+          if (answer && answer->ok) return;
+          call_store<record_view>(
+              self, false, [this] { return view_of_store(); },
+              [this, &self, record, attempts](std::optional<record_view> view) {
+                if (!view) return;
+                const auto again = relinquish_again(record, view->record, self.id());
+                if (again) write_relinquished(self, *again, view->version, attempts - 1);
+              });
+        });
   }
 
   void perform(instance& self, const range_action::write& order) {
--- a/src/ownership/testing/range_tenure_test.cc
+++ b/src/ownership/testing/range_tenure_test.cc
@@ -134,6 +134,25 @@
   BOOST_TEST(world.tenure.is_superseded(*world.assigner, take_over(seen, other, "", 0)));
 }
 
+// Guards against an assigner whose record is relinquished under it, by a late repetition of the
+// write that ended its earlier term: its successor would wait too short a time for its grants.
+BOOST_AUTO_TEST_CASE(only_the_term_that_ended_is_relinquished_again) {
+  one_instance world;
+  BOOST_TEST(world.win(world.campaign(foreign_record()), 0));
+  auto present = world.assigner->record();
+  const auto relinquished = world.assigner->relinquish(at(1000));
+  world.tenure.end(world.assigner, at(1000));
+  ++present.mark;
+  const auto again = relinquish_again(relinquished, present, self);
+  BOOST_TEST_REQUIRE(again.has_value());
+  BOOST_TEST(again->assigner.value.empty());
+  BOOST_TEST((again->lapses_in == relinquished.lapses_in));
+  BOOST_TEST(!relinquish_again(relinquished, relinquished, self));
+  BOOST_TEST(!relinquish_again(relinquished, take_over(present, other, "", 0), self));
+  const auto later = world.campaign(present);
+  BOOST_TEST(!relinquish_again(relinquished, later.record, self));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle
