--- a/src/entry/testing/outcome_test.cc
+++ b/src/entry/testing/outcome_test.cc
@@ -43,6 +43,26 @@
   }
 }
 
+// Guards against answers whose folded fields reach the caller with bytes of other memory in them.
+BOOST_AUTO_TEST_CASE(a_folded_field_reaches_the_caller_on_one_line) {
+  scripted_upstream upstream([](scripted_connection& connection) {
+    for (int i = 0; i < 2; ++i) {
+      connection.read_request();
+      connection.send(
+          "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nStamp: first\r\n \r\n second\r\n\r\n");
+      connection.send("hello");
+    }
+  });
+  proxy_fixture proxy({upstream.address()});
+  auto caller = proxy.caller();
+  for (int i = 0; i < 2; ++i) {
+    const auto got = caller.get("/stock/1");
+    BOOST_TEST(got.status() == 200);
+    BOOST_TEST(got.body == "hello");
+    BOOST_TEST(got.has("\r\nStamp: first      second\r\n"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_without_a_length_is_invalid) {
   scripted_upstream upstream([](scripted_connection& connection) {
     connection.read_request();
--- a/src/fuzz/http_guard_fuzz.cc
+++ b/src/fuzz/http_guard_fuzz.cc
@@ -1,47 +1,15 @@
 // The guard, the parser behind it, and the heads made from what passes: whatever the bytes, no
 // crash, and nothing goes to an upstream that the guard itself would refuse.
-#include <algorithm>
 #include <cstdint>
-#include <cstdlib>
 #include <cstring>
 #include <memory>
 
 #include "entry/heads.h"
 #include "entry/http_guard.h"
-#include "upstream/message_parser.h"
-
-namespace {
+#include "fuzz/body_reader.h"
 
 using namespace plantainpaddle;
 
-void require(bool holds) {
-  if (!holds) std::abort();
-}
-
-// Feeds the body in pieces as a socket would, window by window.
-void read_body(message_parser<true>& parser, wire_buffer& buffer, std::string_view rest,
-               std::size_t window, std::size_t step) {
-  std::uint64_t decoded = parser.body_bytes();
-  while (!parser.is_done()) {
-    boost::beast::error_code code;
-    parser.parse_body(buffer, code);
-    if (code) return;
-    require(parser.body().size() == parser.body_bytes() - decoded);
-    decoded = parser.body_bytes();
-    parser.clear_body();
-    if (parser.is_done()) return;
-    buffer.move_unread(window);
-    const auto space = wire_buffer::capacity - buffer.end;
-    const auto size = std::min({step, rest.size(), space});
-    if (size == 0) return;
-    std::memcpy(buffer.bytes.data() + buffer.end, rest.data(), size);
-    buffer.end += size;
-    rest.remove_prefix(size);
-  }
-}
-
-}  // namespace
-
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string_view text(reinterpret_cast<const char*>(data), size);
   const auto head_size = find_head_end(text, 0);
@@ -61,6 +29,7 @@
   if (code) return 0;
   require(parser->is_header_done() && buffer->begin == head_size);
   require(!(parser->chunked() && parser->content_length()));
+  require(holds_fields(*buffer, *parser) && holds_text(*buffer, parser->target()));
   std::string sent;
   write_request_head(sent, *parser, {.request_id = "r", .forwarded = "for=192.0.2.1"},
                      {body_framing::length, 3}, own_header_names);
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -69,7 +69,7 @@
       PRIVATE ${test_source} ${CMAKE_SOURCE_DIR}/src/base/testing/test_main.cc)
     target_compile_definitions(ownership_mutant_${name} PRIVATE BOOST_TEST_DYN_LINK)
     target_link_libraries(ownership_mutant_${name}
-      PRIVATE range_model feed_model routing ownership Boost::unit_test_framework rapidcheck)
+      PRIVATE range_model feed_model upstream routing ownership Boost::unit_test_framework rapidcheck)
     add_test(NAME ownership_mutant_${name} COMMAND ownership_mutant_${name} --color_output=no)
     set_tests_properties(ownership_mutant_${name} PROPERTIES
       TIMEOUT 300 PASS_REGULAR_EXPRESSION "failures? (is|are) detected")
--- a/src/upstream/message_parser.h
+++ b/src/upstream/message_parser.h
@@ -6,7 +6,8 @@
 //   parser.parse_body(*buffer, code);                  // as often as bytes come
 //   forward(parser.body());  parser.clear_body();      // decoded bytes since the last clear
 //
-// The views live as long as the buffer's head isn't moved. Trailers are dropped.
+// All views point into the buffer, and live as long as its head isn't moved. Folded lines (RFC
+// 9112, 5.2) are unfolded there. Trailers are dropped.
 #pragma once
 
 #include <array>
@@ -31,6 +32,10 @@
 inline constexpr std::size_t max_head_fields = 100;
 inline constexpr std::size_t max_head_bytes = wire_buffer::capacity / 2;
 
+// Replaces the line end of each folded field line in the head, the first head_size unread bytes, by
+// blanks. A blank line start behind the start line is left for the parser to refuse.
+void unfold_head(wire_buffer& buffer, std::size_t head_size);
+
 template <bool is_request>
 class message_parser final : public boost::beast::http::basic_parser<is_request> {
   using base = boost::beast::http::basic_parser<is_request>;
@@ -44,6 +49,7 @@
   }
 
   void parse_head(wire_buffer& buffer, std::size_t head_size, code& ec) {
+    unfold_head(buffer, head_size);
     base::eager(false);
     buffer.begin += base::put(boost::asio::const_buffer(buffer.unread().data(), head_size), ec);
     base::eager(true);
--- a/src/upstream/testing/message_parser_test.cc
+++ b/src/upstream/testing/message_parser_test.cc
@@ -1,4 +1,5 @@
-// Bodies that come in any pieces are decoded as if they had come at once.
+// Bodies that come in any pieces are decoded as if they had come at once, and fields are views of
+// the buffer that holds the head.
 #include "upstream/message_parser.h"
 
 #include <boost/test/unit_test.hpp>
@@ -76,4 +77,65 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(message_parser_heads)
+
+struct parsed_head {
+  std::unique_ptr<wire_buffer> buffer = std::make_unique<wire_buffer>();
+  message_parser<false> parser;
+  boost::beast::error_code code;
+
+  // `offset` is where the head begins in the buffer.
+  explicit parsed_head(const std::string& head, std::size_t offset = 0) {
+    std::copy(head.begin(), head.end(),
+              buffer->bytes.begin() + static_cast<std::ptrdiff_t>(offset));
+    buffer->begin = offset;
+    buffer->end = offset + head.size();
+    parser.parse_head(*buffer, head.size(), code);
+  }
+
+  bool holds(std::string_view text) const {
+    const std::string_view bytes(buffer->bytes.data(), buffer->end);
+    return text.data() >= bytes.data() && text.data() + text.size() <= bytes.data() + bytes.size();
+  }
+};
+
+// Guards against a value that points to bytes outside the buffer once the head has been parsed, so
+// that the caller gets whatever stands there later.
+BOOST_AUTO_TEST_CASE(folded_values_are_views_of_the_buffer) {
+  for (const auto* const value :
+       {"a\r\n b", "a\r\n\t \r\n b", "\r\n a b", "a b\r\n ", "a b \r\n\t\r\n \t"}) {
+    for (const std::size_t offset : {std::size_t{0}, std::size_t{700}}) {
+      const parsed_head made("HTTP/1.1 200 Fine\r\nStamp: " + std::string(value) +
+                                 "\r\nContent-Length:\r\n 2\r\nOther: 1\r\n\r\n",
+                             offset);
+      BOOST_TEST(!made.code, value);
+      BOOST_TEST(made.parser.fields().size() == 3U);
+      for (const auto& field : made.parser.fields()) {
+        BOOST_TEST(made.holds(field.name));
+        BOOST_TEST(made.holds(field.value), value);
+      }
+      std::istringstream words{std::string(made.parser.find("stamp"))};
+      std::string first;
+      std::string second;
+      words >> first >> second;
+      BOOST_TEST(first == "a");
+      BOOST_TEST(second == "b");
+      BOOST_TEST(made.parser.find("other") == "1");
+      BOOST_TEST(made.parser.content_length().value_or(0) == 2U);
+      BOOST_TEST(made.parser.reason() == "Fine");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_folded_start_line_is_refused) {
+  BOOST_TEST(parsed_head("HTTP/1.1 200 Fine\r\n X: 1\r\n\r\n").code.failed());
+  BOOST_TEST(parsed_head("HTTP/1.1 200 Fine\r\n X: 1\r\n Y: 1\r\n\r\n").code.failed());
+}
+
+BOOST_AUTO_TEST_CASE(a_folded_field_name_is_refused) {
+  BOOST_TEST(parsed_head("HTTP/1.1 200 Fine\r\nA: 1\r\nX\r\n : 1\r\n\r\n").code.failed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace plantainpaddle
