How often a relinquishment is written stands once

The simulation had a copy of the constant that the process uses, from when it learnt to repeat the write. Both take it from range_tenure.h now.

--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -22,7 +22,6 @@
 constexpr duration rebalance_period = milliseconds(500);
 constexpr duration balance_log_period = seconds(1);
 constexpr duration limit_life = seconds(2);  // of what instances report, twice a second
-constexpr int relinquish_attempts = 4;
 constexpr duration link_retry_delay = milliseconds(200);
 constexpr duration connect_timeout = milliseconds(400);
 // An upstream responds to a release once its work on the keys has ended.
--- a/src/ownership/range_tenure.h
+++ b/src/ownership/range_tenure.h
@@ -65,6 +65,9 @@
   std::optional<own_terms> own_;
 };
 
+// How often a relinquished record is written before its assigner's lease is left to run out.
+inline constexpr int relinquish_attempts = 4;
+
 // Returns what to write over `current`, which the store holds after a write of `relinquished` whose
 // outcome is unknown; empty if `current` isn't a record of the term that `self` relinquished.
 std::optional<range_record> relinquish_again(const range_record& relinquished, range_record current,
--- a/src/ownership/testing/range_simulation.cc
+++ b/src/ownership/testing/range_simulation.cc
@@ -20,7 +20,6 @@
 
 constexpr duration copy_period = milliseconds(250);
 constexpr std::uint32_t max_copy_age_s = 12;
-constexpr int relinquish_attempts = 4;
 
 class simulation {
  public:
