Fuzz targets of heads parse through one piece of code

response_fuzz and http_guard_fuzz each filled a buffer and parsed a head in it; parsed_message does so for both. The header is named after it, as most of it is checks of what the parser keeps.

--- a/src/fuzz/http_guard_fuzz.cc
+++ b/src/fuzz/http_guard_fuzz.cc
@@ -1,12 +1,10 @@
 // The guard, the parser behind it, and the heads made from what passes: whatever the bytes, no
 // crash, and nothing goes to an upstream that the guard itself would refuse.
 #include <cstdint>
-#include <cstring>
-#include <memory>
 
 #include "entry/heads.h"
 #include "entry/http_guard.h"
-#include "fuzz/body_reader.h"
+#include "fuzz/parsed_message.h"
 
 using namespace plantainpaddle;
 
@@ -20,16 +18,12 @@
   const auto head = text.substr(0, head_size);
   if (check_head(head) != head_fault::none || head_size > max_head_bytes) return 0;
   require(check_partial_head(head) == head_fault::none);
-  auto buffer = std::make_unique<wire_buffer>();
-  std::memcpy(buffer->bytes.data(), head.data(), head.size());
-  buffer->end = head.size();
-  auto parser = std::make_unique<message_parser<true>>();
-  boost::beast::error_code code;
-  parser->parse_head(*buffer, head_size, code);
-  if (code) return 0;
+  parsed_message<true> received;
+  if (!received.parse(head)) return 0;
+  const auto& [buffer, parser] = received;
   require(parser->is_header_done() && buffer->begin == head_size);
   require(!(parser->chunked() && parser->content_length()));
-  require(holds_fields(*buffer, *parser) && holds_text(*buffer, parser->target()));
+  require(received.holds_fields() && holds_text(*buffer, parser->target()));
   std::string sent;
   write_request_head(sent, *parser, {.request_id = "r", .forwarded = "for=192.0.2.1"},
                      {body_framing::length, 3}, own_header_names);
--- a/src/fuzz/body_reader.h
+++ b/src/fuzz/parsed_message.h
@@ -1,9 +1,11 @@
-// Feeds a message's body to its parser in pieces, as a socket would.
+// A message that a fuzz target parses in a buffer of its own, as the data path does, and checks of
+// what the parser keeps.
 #pragma once
 
 #include <algorithm>
 #include <cstdlib>
 #include <cstring>
+#include <memory>
 #include <string_view>
 
 #include "upstream/message_parser.h"
@@ -20,16 +22,32 @@
   return text.data() >= first && text.data() + text.size() <= first + buffer.end;
 }
 
-// Returns whether all that the parser keeps of the head are views of the buffer.
-template <class Parser>
-bool holds_fields(const wire_buffer& buffer, const Parser& parser) {
-  const auto fields = parser.fields();
-  return std::all_of(fields.begin(), fields.end(), [&](const auto& field) {
-    return holds_text(buffer, field.name) && holds_text(buffer, field.value);
-  });
-}
+template <bool is_request>
+struct parsed_message {
+  std::unique_ptr<wire_buffer> buffer = std::make_unique<wire_buffer>();
+  std::unique_ptr<message_parser<is_request>> parser =
+      std::make_unique<message_parser<is_request>>();
+
+  // Returns false if the parser refuses the head, which must not exceed max_head_bytes.
+  bool parse(std::string_view head) {
+    std::memcpy(buffer->bytes.data(), head.data(), head.size());
+    buffer->end = head.size();
+    boost::beast::error_code code;
+    parser->parse_head(*buffer, head.size(), code);
+    return !code;
+  }
+
+  // Returns whether all fields are views of the buffer.
+  bool holds_fields() const {
+    const auto fields = parser->fields();
+    return std::all_of(fields.begin(), fields.end(), [&](const auto& field) {
+      return holds_text(*buffer, field.name) && holds_text(*buffer, field.value);
+    });
+  }
+};
 
-// The pieces of `rest` have at most `step` bytes; `window` is where the buffer keeps them.
+// Feeds the body to the parser in pieces, as a socket would. The pieces of `rest` have at most
+// `step` bytes; `window` is where the buffer keeps them.
 template <class Parser>
 void read_body(Parser& parser, wire_buffer& buffer, std::string_view rest, std::size_t window,
                std::size_t step) {
--- a/src/fuzz/response_fuzz.cc
+++ b/src/fuzz/response_fuzz.cc
@@ -1,12 +1,12 @@
 // The parser of upstreams' responses and the heads made from them: whatever the bytes, no crash,
 // all fields are views of the buffer, and the head that the caller gets has the same fields.
+#include <algorithm>
 #include <cstdint>
-#include <cstring>
-#include <memory>
+#include <string>
 
 #include "entry/heads.h"
 #include "entry/http_guard.h"
-#include "fuzz/body_reader.h"
+#include "fuzz/parsed_message.h"
 
 namespace {
 
@@ -15,18 +15,7 @@
 constexpr unsigned first_final_status = 200;
 constexpr std::size_t added_fields = 4;  // at most, by the router
 
-struct parsed_response {
-  std::unique_ptr<wire_buffer> buffer = std::make_unique<wire_buffer>();
-  std::unique_ptr<message_parser<false>> parser = std::make_unique<message_parser<false>>();
-
-  bool parse(std::string_view head) {
-    std::memcpy(buffer->bytes.data(), head.data(), head.size());
-    buffer->end = head.size();
-    boost::beast::error_code code;
-    parser->parse_head(*buffer, head.size(), code);
-    return !code;
-  }
-};
+using parsed_response = parsed_message<false>;
 
 // Checks that every field the caller gets is one that the upstream sent, or the router's own.
 void check_relayed(const parsed_response& received, std::string_view sent) {
@@ -53,7 +42,7 @@
   if (head_size == 0 || head_size > max_head_bytes) return 0;
   parsed_response received;
   if (!received.parse(text.substr(0, head_size))) return 0;
-  require(holds_fields(*received.buffer, *received.parser));
+  require(received.holds_fields());
   require(received.parser->reason().empty() ||
           holds_text(*received.buffer, received.parser->reason()));
   const bool final = received.parser->status() >= first_final_status;
