--- a/src/upstream/testing/message_parser_test.cc
+++ b/src/upstream/testing/message_parser_test.cc
@@ -127,6 +127,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(folded_values_may_be_as_long_as_others) {
+  const std::string half(5000, 'a');
+  const parsed_head made("HTTP/1.1 200 Fine\r\nStamp: " + half + "\r\n " + half + "\r\n\r\n");
+  BOOST_TEST(!made.code);
+  BOOST_TEST(made.parser.find("stamp") == half + "   " + half);
+}
+
 BOOST_AUTO_TEST_CASE(a_folded_start_line_is_refused) {
   BOOST_TEST(parsed_head("HTTP/1.1 200 Fine\r\n X: 1\r\n\r\n").code.failed());
   BOOST_TEST(parsed_head("HTTP/1.1 200 Fine\r\n X: 1\r\n Y: 1\r\n\r\n").code.failed());
