Log on which connection an attempt went and what proves that it hasn't run

The record of a promise that wasn't kept can't be traced from the logs: a line of a failed attempt said "not-run", not on what evidence, nor on which connection the attempt went and whether that connection had carried the same request before; a skipped response was only counted; a 408 that follows an attempt had no line with its cause.

No decision changes.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -81,6 +81,7 @@
   reported_load_.reset();
   identity_mismatch_ = false;
   pause_.reset();
+  trace_ = {};
   auto& state = *traffic().upstreams[to.upstream];
   state.outstanding.fetch_add(1, std::memory_order_relaxed);
   if (traffic().placed) {
@@ -277,6 +278,8 @@
   const body_frame frame = frame_for(request, messages_.body.size());
   messages_.head.clear();
   write_request_head(messages_.head, request, added, frame, names());
+  trace_.connection = connection_->number;
+  trace_.use = ++connection_->uses;
   caller_.set_active_socket(&connection_->socket);
   outgoing pieces;
   pieces.add(messages_.head);
@@ -288,6 +291,7 @@
   }
   progress_window progress(caller_, deadline_);
   const auto sent = co_await send_held_request(pieces, caller_, connection_->socket, progress);
+  trace_.written = pieces.written();
   request_sent_ = sent == relay_end::complete && whole;
   if (sent == relay_end::early_response) co_return std::nullopt;
   if (sent != relay_end::complete && pieces.written() == 0) {
@@ -403,6 +407,7 @@
       co_return end;
     }
     const bool final = response.status() >= 200;
+    if (final) trace_.response = response.status();
     const bool own =
         !names().echoes_request_id || response.find(names().request_id) == messages_.request_id;
     if (final && own) co_return std::nullopt;
@@ -425,6 +430,7 @@
 // means that the connection can't be used after it.
 task<bool> exchange::skip_stale_response() {
   worker_.counters().add("foreign_answers_total", {});
+  log_skipped_response();
   auto& response = *messages_.response;
   boost::beast::error_code code;
   response.parse_body(*response_buffer_, code);
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include "base/log.h"
 #include "entry/heads.h"
 #include "entry/worker.h"
 #include "http/address.h"
@@ -519,71 +518,6 @@
          !(worker_.draining() && last) && !caller_.caller_gone();
 }
 
-void exchange::record(unsigned status, std::string_view outcome, std::uint64_t answer_bytes) {
-  const auto now = monotonic_now();
-  worker_.record(
-      {.klass = match_.route == nullptr ? no_class : static_cast<std::size_t>(match_.route->klass),
-       .tenant = tenant_,
-       .status = status,
-       .outcome = outcome,
-       .latency = now - started_at_,
-       .queued = (sent_at_ == monotonic_time{} ? now : sent_at_) - started_at_,
-       .request_bytes = messages_.request->body_bytes(),
-       .answer_bytes = answer_bytes});
-  log_request_end(status, outcome, now - started_at_);
-}
-
-// Logs the end of a request: at debug level if it was served, else at info level, since an
-// overloaded log drops debug lines first.
-void exchange::log_request_end(unsigned status, std::string_view outcome, duration taken) const {
-  constexpr unsigned first_failure = 500;
-  const bool served = outcome == outcome_name(run_outcome::complete) && status < first_failure;
-  const auto level = served ? log_level::debug : log_level::info;
-  if (!log_enabled(level)) return;
-  const bool routed = match_.service != nullptr;
-  const std::string_view no_name;
-  log_event(level, "request",
-            {{"request", messages_.request_id},
-             {"route", match_.route == nullptr ? no_name : std::string_view(match_.route->name)},
-             {"service", routed ? std::string_view(service().service.name.value) : no_name},
-             {"key", key_ ? std::string_view(*key_) : no_name},
-             {"upstream", std::string_view(last_upstream_)},
-             {"fence", last_fence_.value},
-             {"version", view_ ? view_->snapshot->version : 0},
-             {"attempts", attempts_},
-             {"status", status},
-             {"outcome", outcome},
-             {"ms", taken}});
-}
-
-// Logs why an attempt failed and whether the request may have run.
-void exchange::log_attempt(const destination& to, const attempt_end& end) const {
-  log_event(log_level::info, "attempt failed",
-            {{"request", messages_.request_id},
-             {"attempt", attempts_},
-             {"upstream", service().upstreams[to.upstream].name.value},
-             {"peer", to.address},
-             {"fence", to.owner.fence.value},
-             {"step", step_name(end.cause.at)},
-             {"detail", end.cause.detail},
-             {"known", end.known == run_state::not_run ? "not-run" : "unknown"},
-             {"ms", monotonic_now() - started_at_}});
-}
-
-// Logs a 5xx response that the router made itself, with its cause.
-void exchange::log_local_response(const local_response& own) const {
-  constexpr unsigned first_server_error = 500;
-  if (own.status < first_server_error) return;
-  log_event(log_level::info, "router response",
-            {{"request", messages_.request_id},
-             {"status", own.status},
-             {"outcome", outcome_name(own.outcome)},
-             {"step", step_name(own.cause.at)},
-             {"peer", own.cause.peer},
-             {"detail", own.cause.detail},
-             {"retry_after_ms", own.retry_after}});
-}
-
 task<bool> exchange::respond(local_response own) {
   // The last attempt didn't run, but an earlier one may have.
   if (own.outcome == run_outcome::not_run && may_have_run_) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -72,6 +72,14 @@
     std::optional<failure_kind> failure;  // what the attempt shows about the upstream
   };
 
+  // What is logged about an attempt besides its end.
+  struct attempt_trace {
+    std::uint64_t connection = 0;  // number of the upstream's connection; 0: none
+    std::uint64_t use = 0;         // which request on that connection, from 1
+    std::uint64_t written = 0;     // bytes of the head and the held body
+    unsigned response = 0;         // status of the upstream's last final response; 0: none
+  };
+
   // How a request to an upstream with a limit goes on. Neither: an upstream is chosen again.
   struct permit_outcome {
     bool may_send = false;
@@ -135,6 +143,8 @@
   void log_local_response(const local_response& own) const;
   void log_request_end(unsigned status, std::string_view outcome, duration taken) const;
   void log_attempt(const destination& to, const attempt_end& end) const;
+  std::string_view evidence_name(const attempt_end& end) const;
+  void log_skipped_response();
   bool can_keep_alive();
   bool is_idempotent() const;
   const header_names& names() const;
@@ -161,6 +171,7 @@
   std::unique_ptr<wire_buffer> response_buffer_;
   std::shared_ptr<upstream_traffic> gated_upstream_;  // whose admission gate the attempt entered
   admission_id gate_admission_ = 0;
+  attempt_trace trace_;        // of the last attempt
   bool may_have_run_ = false;  // an attempt ended in run_state::unknown
   std::uint32_t attempts_ = 0;
   bool force_new_connection_ = false;  // the last attempt's connection was silent
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr duration retire_period = seconds(1);  // between checks for idle upstream connections
+constexpr duration skipped_line_period = milliseconds(20);
 
 // Gives the pointer a control block of this thread's own, so that copying it doesn't contend with
 // other threads for a cache line.
@@ -109,6 +110,12 @@
   return place == scopes_.end() ? nullptr : place->second;
 }
 
+bool worker::may_log_skipped_response(monotonic_time now) {
+  if (now < next_skipped_line_) return false;
+  next_skipped_line_ = now + skipped_line_period;
+  return true;
+}
+
 void worker::add_scope(request_scope& scope) { scopes_.emplace(scope.id(), &scope); }
 
 void worker::remove_scope(std::uint64_t id) { scopes_.erase(id); }
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -94,6 +94,9 @@
   bool hold(std::size_t bytes);
   void release_held(std::size_t bytes) { held_ -= bytes; }
 
+  // Whether skipped_line_period has passed since the last line about a skipped response.
+  bool may_log_skipped_response(monotonic_time now);
+
   // Ids of the scopes of requests that wait for a view in which their key has an owner.
   std::set<std::uint64_t>& waiting_for_owner() { return waiting_for_owner_; }
 
@@ -121,6 +124,7 @@
   bool draining_ = false;
   bool stopping_ = false;
   monotonic_time next_retire_{};
+  monotonic_time next_skipped_line_{};
   std::set<std::uint64_t> waiting_for_owner_;
   std::unordered_map<std::uint64_t, request_scope*> scopes_;
   caller_limits limits_;
--- a/src/upstream/pool.cc
+++ b/src/upstream/pool.cc
@@ -3,9 +3,16 @@
 #include "upstream/pool.h"
 
 #include <algorithm>
+#include <atomic>
 
 namespace plantainpaddle {
 
+namespace {
+
+std::atomic<std::uint64_t> last_connection_number{0};
+
+}  // namespace
+
 std::unique_ptr<upstream_connection> connection_pool::take_idle(const std::string& address,
                                                                 monotonic_time now) {
   const auto place = addresses_.find(address);
@@ -30,6 +37,7 @@
   ++state.open;
   auto made = std::make_unique<upstream_connection>(executor_);
   made->address = address;
+  made->number = last_connection_number.fetch_add(1, std::memory_order_relaxed) + 1;
   return made;
 }
 
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -28,6 +28,8 @@
 
   tcp_socket socket;
   std::string address;
+  std::uint64_t number = 0;             // unique in the process
+  std::uint64_t uses = 0;               // requests sent on it so far
   std::unique_ptr<wire_buffer> buffer;  // only while an answer is read
   monotonic_time idle_since{};
   duration keep_for{0};  // the other side closes it when it was idle for so long; 0: not stated
