Logs and metrics tell what a drain did to a request

Each stop signal and each phase of a drain has a line now, each request that a phase ends has one, and request lines say how long after the signal the request was read. Counters hold the same where lines are dropped. No decision is changed. The lines are bounded by the requests in progress and by the log's own rate.

--- a/src/base/log.h
+++ b/src/base/log.h
@@ -57,6 +57,9 @@
   log_value(std::string_view n, std::string_view v) : name(n), value(v) {}
   log_value(std::string_view n, duration v)
       : name(n), value(std::chrono::duration<double, std::milli>(v).count()) {}
+  // Without a value the member is omitted.
+  log_value(std::string_view n, std::optional<duration> v)
+      : log_value(v ? log_value(n, *v) : log_value(n, std::string_view())) {}
 
   std::string_view name;
   std::variant<std::int64_t, double, std::string_view> value;  // an empty string is omitted
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -333,12 +333,14 @@
 
 void exchange::give_up() {
   if (!awaits_response_) return;
+  note_drain_end();
   deadline_ = std::min(deadline_, monotonic_now());
   caller_.set_deadline(deadline_);
 }
 
 void exchange::end_waits() {
   if (is_ready()) return;
+  note_drain_end();
   deadline_ = std::min(deadline_, monotonic_now());
   caller_.set_deadline(deadline_);
 }
@@ -372,7 +374,10 @@
         co_return failed(to, step::read_answer, run_state::unknown,
                          "the caller closed the connection", std::nullopt);
       }
-      if (caller_.expired()) co_return no_response();
+      if (caller_.expired()) {
+        count_dropped_response(caller_, socket, "head");
+        co_return no_response();
+      }
       boost::system::error_code code;
       buffer.end += socket.read_some(buffer.space(), code);
       if (code && code != asio::error::would_block) {
--- a/src/entry/body_relay.cc
+++ b/src/entry/body_relay.cc
@@ -45,6 +45,12 @@
 
 }  // namespace
 
+void count_dropped_response(request_scope& caller, tcp_socket& upstream, std::string_view part) {
+  if (peek_peer(upstream) != peer_state::has_data) return;
+  caller.owning_worker().counters().add("responses_dropped_at_deadline_total",
+                                        {{"part", std::string(part)}});
+}
+
 progress_window::progress_window(request_scope& caller, monotonic_time latest)
     : caller_(caller), limits_(caller.owning_worker().settings().limits), latest_(latest) {
   restart();
@@ -176,7 +182,10 @@
     if (code == asio::error::would_block) {
       auto [wait_code] = co_await upstream.async_wait(tcp_socket::wait_read, as_task);
       if (caller.caller_gone()) co_return relay_end::caller_failed;
-      if (caller.expired()) co_return relay_end::upstream_slow;
+      if (caller.expired()) {
+        count_dropped_response(caller, upstream, "body");
+        co_return relay_end::upstream_slow;
+      }
       if (wait_code && wait_code != asio::error::operation_aborted) {
         co_return relay_end::upstream_failed;
       }
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -55,6 +55,7 @@
       split_random_(worker_.random()) {
   messages_.request.emplace();
   messages_.request_id.clear();
+  if (worker_.draining()) worker_.counters().add("drain_requests_total", {});
 }
 
 exchange::~exchange() {
@@ -553,7 +554,8 @@
              {"attempts", attempts_},
              {"status", status},
              {"outcome", outcome},
-             {"ms", taken}});
+             {"ms", taken},
+             {"read_in_drain_ms", worker_.since_drain_began(started_at_)}});
 }
 
 // Logs why an attempt failed and whether the request may have run.
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -43,6 +43,8 @@
   // Ends the request as its deadline would, whatever it waits for. A response that can be relayed
   // is relayed all the same.
   void end_waits();
+  // Logs and counts that the drain ends the request before it has its response.
+  void note_drain_end() const;
 
  private:
   // The upstream that an attempt sends the request to.
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -147,6 +147,8 @@
 
 std::size_t proxy::connections() const { return impl_->shared.connections; }
 
+std::size_t proxy::requests() const { return impl_->workers.front()->requests(); }
+
 std::vector<limit_use> proxy::limit_usage() { return impl_->shared.limit_usage(monotonic_now()); }
 
 void proxy::on_limit_usage(const instance_id& from, const std::vector<limit_use>& entries) {
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -79,6 +79,7 @@
 
   // Open connections of callers and of other instances.
   std::size_t connections() const;
+  std::size_t requests() const;  // in progress; with own_thread false only
 
   // Use of the rate limits, which the control thread exchanges with other instances.
   std::vector<limit_use> limit_usage();
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -24,6 +24,7 @@
 #include "http/server.h"
 #include "ownership/store_keys.h"
 #include "platform/platform_headers.h"
+#include "routing/drain_schedule.h"
 #include "routing/registry_snapshot.h"
 #include "routing/upstream_capacity.h"
 
@@ -111,6 +112,8 @@
   void on_report_answer(const service_id& service, const result<http_response>& answer);
   void push_record(const service_id& service, const range_record& record, std::uint64_t version);
   std::string handle_pushed_record(std::string_view body);
+  void on_signal(int number);
+  void log_phase(drain_phase phase) const;
   void leave();
   void send_last_responses();
   void stop();
@@ -165,6 +168,8 @@
   timespec settings_mtime{};
   std::uint64_t metrics_source = 0;  // from metrics::add_source
   bool leaving = false;
+  std::size_t stop_signals = 0;  // SIGTERM and SIGINT so far
+  monotonic_time first_signal{};
 };
 
 range_instance::range_instance(entry_settings settings, std::string file)
@@ -196,8 +201,8 @@
   if (!listening) return listening;
   auto started = traffic.start();
   if (!started) return started;
-  signals.async_wait([this](const boost::system::error_code& code, int) {
-    if (!code) leave();
+  signals.async_wait([this](const boost::system::error_code& code, int number) {
+    if (!code) on_signal(number);
   });
   wait_for_reload_signal();
   metrics_source = counters.add_source([this] { return format_metrics(); });
@@ -578,13 +583,30 @@
   return text;
 }
 
+void range_instance::impl::on_signal(int number) {
+  if (++stop_signals == 1) first_signal = monotonic_now();
+  log_event(log_level::info, "stop signal",
+            {{"signal", number == SIGINT ? "SIGINT" : "SIGTERM"},
+             {"number", stop_signals},
+             {"in_drain_ms", monotonic_now() - first_signal}});
+  leave();
+}
+
+void range_instance::impl::log_phase(drain_phase phase) const {
+  log_event(log_level::info, "drain phase",
+            {{"phase", drain_phase_name(phase)},
+             {"in_drain_ms", monotonic_now() - first_signal},
+             {"connections", traffic.connections()},
+             {"requests", traffic.requests()}});
+}
+
 // Drains in three steps: new connections get one response each until the load balancer has removed
 // this instance, then open ones may finish, and stop() closes the rest before SIGKILL is due. A
 // second signal calls stop() at once.
 void range_instance::impl::leave() {
   if (leaving) return stop();
   leaving = true;
-  log_event(log_level::info, "leaves", {{"connections", traffic.connections()}});
+  log_phase(drain_phase::draining);
   for (auto& [service, runner] : runners) runner->leave();
   if (instance_lease_id != 0) {
     store.end_lease(instance_lease_id, [](const result<bool>& ended) {
@@ -595,6 +617,7 @@
   leave_timer.expires_after(balancer_removal_time);
   leave_timer.async_wait([this](const boost::system::error_code& code) {
     if (code) return;
+    log_phase(drain_phase::no_connections);
     traffic.finish();
     leave_timer.expires_after(settings.bounds.shutdown - balancer_removal_time - exit_margin -
                               last_responses_time);
@@ -602,18 +625,20 @@
       if (!late) send_last_responses();
     });
   });
-  signals.async_wait([this](const boost::system::error_code& code, int) {
-    if (!code) stop();
+  signals.async_wait([this](const boost::system::error_code& code, int number) {
+    if (!code) on_signal(number);
   });
 }
 
 // Before the connections are closed, responses that are ready go out, and then the requests that
 // still wait are told whether they may have run.
 void range_instance::impl::send_last_responses() {
+  log_phase(drain_phase::releasing);
   traffic.release_ready_responses();
   leave_timer.expires_after(last_responses_time / 2);
   leave_timer.async_wait([this](const boost::system::error_code& code) {
     if (code) return;
+    log_phase(drain_phase::ending_waits);
     traffic.end_waits();
     leave_timer.expires_after(last_responses_time / 2);
     leave_timer.async_wait([this](const boost::system::error_code& late) {
@@ -623,6 +648,7 @@
 }
 
 void range_instance::impl::stop() {
+  log_phase(drain_phase::closing);
   if (traffic.connections() != 0) {
     log_event(log_level::warning, "closing connections that have not drained",
               {{"connections", traffic.connections()}});
@@ -656,7 +682,10 @@
   const auto read = read_entry_settings(file);
   if (!read) return log_error(log_level::error, read.error());
   log_event(log_level::info, "settings read again",
-            {{"why", why}, {"changed", *read == settings ? 0 : 1}});
+            {{"why", why},
+             {"changed", *read == settings ? 0 : 1},
+             {"in_drain_ms", leaving ? std::optional(monotonic_now() - first_signal)
+                                     : std::optional<duration>()}});
   if (*read == settings) return;
   settings.store = read->store;
   settings.bounds = read->bounds;
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -49,7 +49,10 @@
   closing_ = true;
   boost::system::error_code ignored;
   socket_.cancel(ignored);
-  for (const auto& work : exchanges_) work->scope().abort();
+  for (const auto& work : exchanges_) {
+    if (home_.phase() == drain_phase::closing) work->note_drain_end();
+    work->scope().abort();
+  }
   notify_change();
 }
 
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -59,6 +59,7 @@
 
 void worker::finish(bool abort_connections) {
   finishing_ = true;
+  if (phase_ == drain_phase::draining) phase_ = drain_phase::no_connections;
   if (abort_connections) abort_sessions();
   if (sessions_.empty()) io_.stop();
 }
@@ -83,6 +84,7 @@
 }
 
 void worker::abort_sessions() {
+  if (draining()) phase_ = drain_phase::closing;
   for (auto& [id, open] : sessions_) open->abort();
   if (sessions_.empty()) work_.reset();
 }
@@ -104,6 +106,11 @@
   }
 }
 
+std::optional<duration> worker::since_drain_began(monotonic_time at) const {
+  if (!draining()) return std::nullopt;
+  return at - drain_began_;
+}
+
 request_scope* worker::find(std::uint64_t id) {
   const auto place = scopes_.find(id);
   return place == scopes_.end() ? nullptr : place->second;
@@ -136,20 +143,23 @@
 
 void worker::begin_drain() {
   asio::post(io_, [this] {
-    draining_ = true;
-    const auto close_at = monotonic_now() + settings().limits.drain_idle_time;
+    phase_ = drain_phase::draining;
+    drain_began_ = monotonic_now();
+    const auto close_at = drain_began_ + settings().limits.drain_idle_time;
     for (auto& [id, open] : sessions_) open->begin_drain(close_at);
   });
 }
 
 void worker::release_ready_responses() {
   asio::post(io_, [this] {
+    if (draining()) phase_ = drain_phase::releasing;
     for (auto& [id, open] : sessions_) open->release_ready_responses();
   });
 }
 
 void worker::end_waits() {
   asio::post(io_, [this] {
+    if (draining()) phase_ = drain_phase::ending_waits;
     for (auto& [id, open] : sessions_) open->end_waits();
   });
 }
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -26,6 +27,7 @@
 #include "entry/traffic_state.h"
 #include "metrics/metrics.h"
 #include "metrics/traffic_stats.h"
+#include "routing/drain_schedule.h"
 #include "upstream/pool.h"
 
 namespace plantainpaddle {
@@ -78,7 +80,11 @@
   buffer_pool& buffers() { return buffers_; }
   deadline_sweeper& sweeper() { return sweeper_; }
   message_pool& messages() { return messages_; }
-  bool draining() const { return draining_; }
+  bool draining() const { return phase_ != drain_phase::serving; }
+  drain_phase phase() const { return phase_; }
+  // How long after the begin of the drain that time is, negative before it; no value while serving.
+  std::optional<duration> since_drain_began(monotonic_time at) const;
+  std::size_t requests() const { return scopes_.size(); }  // in progress
   std::uint64_t random() { return random_(); }
   // An id that is unique among all workers of the instance.
   std::uint64_t next_id() { return (std::uint64_t{index_} << 48) | ++last_id_; }
@@ -118,7 +124,8 @@
   message_pool messages_;
   std::mt19937_64 random_;
   std::uint64_t last_id_ = 0;
-  bool draining_ = false;
+  drain_phase phase_ = drain_phase::serving;
+  monotonic_time drain_began_{};
   bool stopping_ = false;
   monotonic_time next_retire_{};
   std::set<std::uint64_t> waiting_for_owner_;
