--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -54,6 +54,7 @@
       split_random_(worker_.random()) {
   messages_.request.emplace();
   messages_.request_id.clear();
+  if (worker_.draining()) worker_.counters().add("drain_requests_total", {});
 }
 
 exchange::~exchange() {
--- a/src/entry/exchange_log.cc
+++ b/src/entry/exchange_log.cc
@@ -47,7 +47,8 @@
              {"attempts", attempts_},
              {"status", status},
              {"outcome", outcome},
-             {"ms", taken}});
+             {"ms", taken},
+             {"read_in_drain_ms", worker_.since_drain_began(started_at_)}});
 }
 
 // What an attempt that failed is judged by.
