Promise that a request hasn't run only where that is known

What callers saw: uploads that an upstream had begun were answered 408, a status that promises that the request has not run and never will. They repeated them, and they ran again.

Cause: the status of a response was chosen by what went wrong, apart from what was known about the run. relay_failed() makes 408 of a streamed body that its deadline, a stall or the end of a drain cuts; respond() knew that the request might have run, but corrected only 503.

--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -519,12 +519,8 @@
 }
 
 task<bool> exchange::respond(local_response own) {
-  // The last attempt didn't run, but an earlier one may have.
-  if (own.outcome == run_outcome::not_run && may_have_run_) {
-    own.outcome = run_outcome::unknown;
-    if (own.status == 503) own.status = 502;
-    own.retry_after = duration::zero();
-  }
+  // The last attempt may not have run, but an earlier one may have.
+  own = settle(std::move(own), may_have_run_);
   if (connection_) release_connection(false);
   leave_gate(false);
   if (!co_await caller_.wait_turn()) co_return false;
--- a/src/entry/local_response.cc
+++ b/src/entry/local_response.cc
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "base/json.h"
+#include "routing/response_status.h"
 
 namespace plantainpaddle {
 
@@ -24,6 +25,15 @@
 
 }  // namespace
 
+local_response settle(local_response wanted, bool may_have_run) {
+  if (may_have_run && wanted.outcome == run_outcome::not_run) wanted.outcome = run_outcome::unknown;
+  const bool not_run = wanted.outcome == run_outcome::not_run;
+  const auto terms = choose_terms(wanted.status, not_run ? run_state::not_run : run_state::unknown);
+  wanted.status = terms.status;
+  if (!terms.may_retry) wanted.retry_after = duration::zero();
+  return wanted;
+}
+
 std::string format_local_response(const local_response& response, const local_response_frame& frame,
                                   const header_names& names) {
   const std::string body =
--- a/src/entry/local_response.h
+++ b/src/entry/local_response.h
@@ -25,6 +25,10 @@
   duration retry_after{0};  // 0: no Retry-After
 };
 
+// What may be said instead, with the outcome that is known: a status that promises that the request
+// hasn't run, and a Retry-After, only if it is so.
+local_response settle(local_response wanted, bool may_have_run);
+
 // What the response depends on besides its content.
 struct local_response_frame {
   std::string_view request_id;
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -202,8 +202,8 @@
   const auto name = slow ? std::string_view("head-timeout") : fault_name(read.fault);
   home_.counters().add("refused_heads_total", {{"fault", std::string(name)}});
   linger_ = true;
-  const local_response answer{slow ? 408U : fault_status(read.fault),
-                              head_error("head: " + std::string(name))};
+  const auto answer = settle(
+      {slow ? 408U : fault_status(read.fault), head_error("head: " + std::string(name))}, false);
   const std::string text = format_local_response(answer, {.close = true}, home_.settings().names);
   outgoing pieces;
   pieces.add(text);
