Send a request id once on a connection

What callers saw: an upload ran twice, or was answered 503, the promise that it hasn't run, although an upstream ran it.

Cause: a response is matched to a request by its id, but an id stood for a request, not for one attempt of it. refused_by_upstream() returns the connection to the pool, and the next attempt of the same request, by the router or by a caller that repeats the id, could take it. An upstream that sends the refusal once more, late, then answers the second attempt with it: that one counts as not run, while the upstream runs it.

A connection now remembers the ids that it has carried, whatever the response was, and carries none of them again. The next attempt takes another idle connection or a new one; if the limit is reached by idle ones that it may not use, the one idle for longest is closed, so that nothing waits for them. Connections aren't closed for refusals, which are frequent under overload.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -198,6 +198,12 @@
                 std::nullopt);
 }
 
+// Where upstreams repeat the request's id, it tells their responses from copies of earlier ones.
+std::optional<request_identity> exchange::identity() const {
+  if (!names().echoes_request_id) return std::nullopt;
+  return identify_request(messages_.request_id);
+}
+
 // Sets connection_ to an idle or a new connection. Waits for one until the deadline if the limit of
 // connections is reached, and fails at once if too many requests wait already.
 task<std::optional<exchange::attempt_end>> exchange::connect(const destination& to) {
@@ -208,7 +214,7 @@
           : traffic().upstreams[to.upstream]->thread_connections.load();
   while (true) {
     const auto now = monotonic_now();
-    if (!force_new_connection_) connection_ = worker_.pool().take_idle(to.address, now);
+    if (!force_new_connection_) connection_ = worker_.pool().take_idle(to.address, identity(), now);
     if (connection_) co_return std::nullopt;
     connection_ = worker_.pool().reserve(to.address, limit);
     if (connection_) break;
@@ -280,6 +286,7 @@
   write_request_head(messages_.head, request, added, frame, names());
   trace_.connection = connection_->number;
   trace_.use = ++connection_->uses;
+  if (const auto own = identity()) connection_->carried.add(*own);
   caller_.set_active_socket(&connection_->socket);
   outgoing pieces;
   pieces.add(messages_.head);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -116,6 +116,7 @@
   task<attempt_end> attempt(const destination& to);
   task<attempt_end> attempt_admitted(const destination& to);
   task<std::optional<attempt_end>> enter_gate(const destination& to);
+  std::optional<request_identity> identity() const;
   task<std::optional<attempt_end>> connect(const destination& to);
   std::optional<attempt_end> check_pause(const destination& to);
   task<std::optional<attempt_end>> send_request(const destination& to);
--- a/src/upstream/pool.cc
+++ b/src/upstream/pool.cc
@@ -13,14 +13,16 @@
 
 }  // namespace
 
-std::unique_ptr<upstream_connection> connection_pool::take_idle(const std::string& address,
-                                                                monotonic_time now) {
+std::unique_ptr<upstream_connection> connection_pool::take_idle(
+    const std::string& address, const std::optional<request_identity>& request,
+    monotonic_time now) {
   const auto place = addresses_.find(address);
   if (place == addresses_.end()) return nullptr;
   auto& state = place->second;
-  while (!state.idle.empty()) {
-    auto taken = std::move(state.idle.back());
-    state.idle.pop_back();
+  for (std::size_t next = state.idle.size(); next-- > 0;) {
+    if (request && !state.idle[next]->carried.may_carry(*request)) continue;
+    auto taken = std::move(state.idle[next]);
+    state.idle.erase(state.idle.begin() + static_cast<std::ptrdiff_t>(next));
     if (is_fresh(*taken, now) && peek_peer(taken->socket) == peer_state::quiet) {
       taken->reused = true;
       return taken;
@@ -33,7 +35,12 @@
 std::unique_ptr<upstream_connection> connection_pool::reserve(const std::string& address,
                                                               std::size_t limit) {
   auto& state = addresses_[address];
-  if (state.open >= limit) return nullptr;
+  const auto room = room_for_connection(state.open, state.idle.size(), limit);
+  if (room == connection_room::wait) return nullptr;
+  if (room == connection_room::replace) {
+    state.idle.erase(state.idle.begin());
+    --state.open;
+  }
   ++state.open;
   auto made = std::make_unique<upstream_connection>(executor_);
   made->address = address;
@@ -42,6 +49,7 @@
 }
 
 void connection_pool::keep(std::unique_ptr<upstream_connection> done, monotonic_time now) {
+  if (done->carried.is_full()) return drop(std::move(done));
   auto& state = addresses_[done->address];
   done->idle_since = now;
   state.idle.push_back(std::move(done));
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -1,7 +1,7 @@
 // Connections of one traffic thread to upstreams and dispatchers, by address.
 //
-//   if (auto used = pool.take_idle(address, now)) ...     // alive when it was taken
-//   else if (pool.reserve(address, limit)) ...            // a new one may be opened
+//   if (auto used = pool.take_idle(address, request, now)) ...  // alive when it was taken
+//   else if (pool.reserve(address, limit)) ...                  // a new one may be opened
 //   else wait, pool.on_free() wakes in turn
 //   pool.keep(std::move(used), now);  or  pool.drop(address);
 //
@@ -13,11 +13,13 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
+#include "routing/carried_requests.h"
 #include "upstream/stream.h"
 #include "upstream/wire_buffer.h"
 
@@ -30,6 +32,7 @@
   std::string address;
   std::uint64_t number = 0;             // unique in the process
   std::uint64_t uses = 0;               // requests sent on it so far
+  carried_requests carried;             // those of them that have an identity
   std::unique_ptr<wire_buffer> buffer;  // only while an answer is read
   monotonic_time idle_since{};
   duration keep_for{0};  // the other side closes it when it was idle for so long; 0: not stated
@@ -46,10 +49,15 @@
 
   explicit connection_pool(io_executor executor) : executor_(std::move(executor)) {}
 
-  // The connection used last, if the other side hasn't closed it; nullptr if there is none.
-  std::unique_ptr<upstream_connection> take_idle(const std::string& address, monotonic_time now);
-  // A new unconnected one, counted as open; nullptr if `limit` are.
+  // The connection used last of those that may carry `request` and that the other side hasn't
+  // closed; nullptr if there is none. A request without an identity may use any.
+  std::unique_ptr<upstream_connection> take_idle(const std::string& address,
+                                                 const std::optional<request_identity>& request,
+                                                 monotonic_time now);
+  // A new unconnected one, counted as open; nullptr if `limit` are in use. If some of them are
+  // idle, the one idle for longest is closed.
   std::unique_ptr<upstream_connection> reserve(const std::string& address, std::size_t limit);
+  // Closes it instead if it must carry no further request.
   void keep(std::unique_ptr<upstream_connection> done, monotonic_time now);
   void drop(std::unique_ptr<upstream_connection> done);
 
