Simulate copies of responses on an instance's connections

It reports a request that runs twice, one that runs before or after it was told that it hasn't, one that waits although an idle connection could be replaced, more connections than the limit allows, and memory beyond its bound.

--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -31,6 +31,12 @@
 add_test(NAME limit_fuzz COMMAND limit_fuzz)
 set_tests_properties(limit_fuzz PROPERTIES TIMEOUT 300)
 
+# Upstreams that send responses twice.
+add_model(routing carry carry_simulation.cc)
+target_link_libraries(routing_test PRIVATE carry_model)
+add_test(NAME carry_fuzz COMMAND carry_fuzz)
+set_tests_properties(carry_fuzz PROPERTIES TIMEOUT 300)
+
 # Mutants: each is the fuzzer with one guard of the protocol removed. The test of a mutant passes if the
 # oracle reports a violation. scripts/mutants prints after how many steps it does. A mutant whose file names
 # a test instead, as its guard takes a precise order of events, passes if that test fails.
@@ -85,6 +91,8 @@
     set(model range_fuzz_main range_model)
   elseif(source_name MATCHES "^upstream_permits")
     set(model limit_fuzz_main limit_model routing)
+  elseif(source_name MATCHES "^(carried_requests|response_status)")
+    set(model carry_fuzz_main carry_model routing)
   else()
     set(model ownership_fuzz_main ownership_model)
   endif()
--- a/src/routing/testing/promise_test.cc
+++ b/src/routing/testing/promise_test.cc
@@ -1,8 +1,10 @@
-// Tests the statuses of the router's own responses exhaustively.
+// Tests the statuses of the router's own responses exhaustively, and plays scenarios of responses
+// that are sent twice.
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 #include "routing/response_status.h"
+#include "routing/testing/carry_simulation.h"
 
 namespace plantainpaddle::testing {
 
@@ -27,6 +29,18 @@
   }
 }
 
+// Guards against a copy of a refusal that counts as the response to another attempt.
+BOOST_AUTO_TEST_CASE(no_request_that_ran_is_refused_or_runs_twice) {
+  constexpr std::uint64_t scenarios = 500;
+  std::size_t skipped = 0;
+  for (std::uint64_t seed = 1; seed <= scenarios; ++seed) {
+    const auto seen = play_carrying(random_carry_scenario(seed));
+    BOOST_TEST(seen.violation == "", "seed " << seed << ": " << seen.violation);
+    skipped += seen.skipped;
+  }
+  BOOST_TEST(skipped > scenarios);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle::testing
