Go on sending a body when late responses to other requests arrive

What callers saw: an upload that is never sent whole; it ends with 504 at its deadline, after which the caller can't tell whether it ran.

While a body is sent, any readable byte ended the sending, also the late copy of an earlier response or an interim response. The copy was skipped then, and the response to a request that was never whole was waited for.

What arrives is now read while the request is sent. search_response() finds the response's head among the bytes, in one place for both phases; only that, an end of the connection or bytes that are no HTTP end the sending. The reading of responses stands in a file of its own.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -18,12 +18,7 @@
 
 namespace {
 
-constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_unavailable = 503;
-constexpr duration dispatcher_response_margin = milliseconds(50);
-// Of an upstream's interim responses, and of those to earlier requests, before the one expected.
-constexpr int max_skipped_responses = 8;
-constexpr std::uint64_t max_skipped_body = 1 << 20;
 
 // The outcome that a dispatcher reported, reduced to the known names. A response that comes from an
 // upstream itself is always complete.
@@ -82,6 +77,7 @@
   identity_mismatch_ = false;
   pause_.reset();
   trace_ = {};
+  search_ = {};
   auto& state = *traffic().upstreams[to.upstream];
   state.outstanding.fetch_add(1, std::memory_order_relaxed);
   if (traffic().placed) {
@@ -297,7 +293,9 @@
     pieces.add(messages_.body);
   }
   progress_window progress(caller_, deadline_);
-  const auto sent = co_await send_held_request(pieces, caller_, connection_->socket, progress);
+  const early_reader early = [this] { return read_early_response(); };
+  const auto sent =
+      co_await send_held_request(pieces, caller_, connection_->socket, progress, early);
   trace_.written = pieces.written();
   request_sent_ = sent == relay_end::complete && whole;
   if (sent == relay_end::early_response) co_return std::nullopt;
@@ -311,7 +309,7 @@
   if (whole) co_return std::nullopt;
   body_streamed_ = true;
   const auto end = co_await relay_request_body(caller_, request, connection_->socket, head_size_,
-                                               match_.route->body_limit, deadline_);
+                                               match_.route->body_limit, deadline_, early);
   if (end == relay_end::early_response || end == relay_end::upstream_failed) co_return std::nullopt;
   if (end != relay_end::complete) co_return relay_failed(to, end);
   request_sent_ = true;
@@ -354,134 +352,6 @@
   caller_.set_deadline(deadline_);
 }
 
-// Reads the head of the final response, skipping interim responses and responses to other requests.
-// The wait ends at the deadline or after the class's silence limit, whichever is earlier.
-task<std::optional<exchange::attempt_end>> exchange::read_response_head(const destination& to) {
-  const auto klass = static_cast<std::size_t>(match_.route->klass);
-  const auto silent_at = monotonic_now() + worker_.settings().limits.first_byte_timeout[klass];
-  const bool silence_first = !to.via_dispatcher && silent_at < deadline_;
-  // A dispatcher may queue a request until the deadline and then report that it didn't run. The
-  // margin lets that response arrive.
-  const auto latest =
-      to.via_dispatcher ? deadline_ + dispatcher_response_margin : std::min(silent_at, deadline_);
-  response_buffer_ = worker_.buffers().take();
-  wire_buffer& buffer = *response_buffer_;
-  auto& socket = connection_->socket;
-  messages_.response.emplace();
-  std::size_t searched = 0;
-  caller_.set_deadline(latest);
-  const auto no_response = [&] {
-    return failed(to, step::read_answer, run_state::unknown, "no response in time",
-                  silence_first ? failure_kind::silent : failure_kind::timeout);
-  };
-  int skipped = 0;   // responses that aren't the one expected
-  bool more = true;  // bytes must be read before a head can be complete
-  while (true) {
-    if (more) {
-      co_await socket.async_wait(tcp_socket::wait_read, as_task);
-      if (caller_.caller_gone()) {
-        co_return failed(to, step::read_answer, run_state::unknown,
-                         "the caller closed the connection", std::nullopt);
-      }
-      if (caller_.expired()) co_return no_response();
-      boost::system::error_code code;
-      buffer.end += socket.read_some(buffer.space(), code);
-      if (code && code != asio::error::would_block) {
-        // An upstream may close an idle connection just as it is reused: no sign of a failure.
-        const bool stale = connection_->reused && buffer.end == 0;
-        if (code == asio::error::timed_out) {
-          co_return failed(to, step::read_answer, run_state::unknown,
-                           "the upstream's machine doesn't acknowledge data", failure_kind::dead);
-        }
-        co_return failed(to, step::read_answer, run_state::unknown, "the connection broke",
-                         stale ? std::nullopt : std::optional(failure_kind::error));
-      }
-    }
-    more = true;
-    const auto size = find_head_end(buffer.unread(), searched);
-    if (size == 0 && buffer.unread().size() < max_head_bytes) {
-      searched = buffer.unread().size();
-      continue;
-    }
-    auto& response = *messages_.response;
-    boost::beast::error_code parse_code;
-    if (messages_.request->method() == http::verb::head) response.skip(true);
-    if (size != 0) response.parse_head(buffer, size, parse_code);
-    if (size == 0 || parse_code || (response.need_eof() && !names().allows_unframed)) {
-      auto end = failed(to, step::read_answer, run_state::unknown,
-                        "not an HTTP response with a length", failure_kind::error);
-      end.cause.code = errc::protocol;
-      co_return end;
-    }
-    const bool final = response.status() >= 200;
-    if (final) trace_.response = response.status();
-    const bool own =
-        !names().echoes_request_id || response.find(names().request_id) == messages_.request_id;
-    if (final && own) co_return std::nullopt;
-    const bool endless = ++skipped > max_skipped_responses;
-    if (endless || (final && !co_await skip_stale_response())) {
-      if (caller_.expired()) co_return no_response();
-      auto end = failed(to, step::read_answer, run_state::unknown,
-                        "the response belongs to another request", failure_kind::error);
-      end.cause.code = errc::protocol;
-      co_return end;
-    }
-    messages_.response.emplace();
-    buffer.move_unread(0);
-    searched = 0;
-    more = buffer.unread().empty();
-  }
-}
-
-// Reads and discards a late response on this connection that belongs to an earlier request. False
-// means that the connection can't be used after it.
-task<bool> exchange::skip_stale_response() {
-  worker_.counters().add("foreign_answers_total", {});
-  log_skipped_response();
-  auto& response = *messages_.response;
-  boost::beast::error_code code;
-  response.parse_body(*response_buffer_, code);
-  if (code || response.need_eof() || !response.keep_alive()) co_return false;
-  while (!response.is_done()) {
-    if (response.body_bytes() > max_skipped_body) co_return false;
-    response.clear_body();
-    response_buffer_->move_unread(0);
-    if (response_buffer_->full()) co_return false;
-    const auto read =
-        co_await read_response_part(caller_, response, connection_->socket, *response_buffer_);
-    if (read != relay_end::complete) co_return false;
-  }
-  co_return true;
-}
-
-// Recognizes a response with which the upstream states that it didn't run the request; it isn't
-// relayed. Returns nullopt for any other response.
-std::optional<exchange::attempt_end> exchange::refused_by_upstream(const destination& to) {
-  auto& response = *messages_.response;
-  reported_load_ = parse_reported_load(response.find(names().load));
-  const bool marked = !names().refusal.empty() && !response.find(names().refusal).empty();
-  const bool says_not_run = !names().outcome.empty() && !to.via_dispatcher &&
-                            response.status() == status_unavailable &&
-                            response.find(names().outcome) == outcome_name(run_outcome::not_run);
-  const bool misdirected = response.status() == status_misdirected;
-  if (!misdirected && !says_not_run && !marked) return std::nullopt;
-  boost::beast::error_code code;
-  response.parse_body(*response_buffer_, code);
-  const bool whole = !code && response.is_done() && response_buffer_->unread().empty();
-  release_connection(whole && response.keep_alive() && request_sent_);
-  attempt_end end;
-  end.wait_for_owner = misdirected && service().service.keyed;
-  end.status = status_unavailable;
-  end.cause = {misdirected ? errc::not_owner : errc::refused, step::read_answer, to.address,
-               misdirected ? "the upstream doesn't own the shard"
-                           : "the upstream refused because of overload"};
-  const auto there = response.find(names().answering_upstream);
-  identity_mismatch_ = misdirected && !names().answering_upstream.empty() && !there.empty() &&
-                       there != service().upstreams[to.upstream].name.value;
-  if (!misdirected) end.failure = failure_kind::overload;
-  return end;
-}
-
 // Reads until the response is complete or fills the buffer, so that a response cut off before then
 // can still be replaced by another attempt's.
 task<std::optional<exchange::attempt_end>> exchange::buffer_response(const destination& to) {
--- a/src/entry/body_relay.cc
+++ b/src/entry/body_relay.cc
@@ -10,21 +10,30 @@
 
 namespace {
 
-// Records that a response began before the request was sent completely. The wait's handler shares
-// ownership, since it may run after the relay has ended.
+// Records that the sending is to end before the request was sent completely. The wait's handler
+// shares ownership, since it may run after the relay has ended.
 struct response_watch {
   request_scope* caller = nullptr;  // nullptr once the relay has ended
+  const early_reader* read = nullptr;
   bool seen = false;
 };
 
-std::shared_ptr<response_watch> watch_for_response(request_scope& caller, tcp_socket& upstream) {
+void wait_for_response(const std::shared_ptr<response_watch>& watch, tcp_socket& upstream) {
+  upstream.async_wait(tcp_socket::wait_read,
+                      [watch, &upstream](const boost::system::error_code& code) {
+                        if (code || watch->caller == nullptr) return;
+                        if (!(*watch->read)()) return wait_for_response(watch, upstream);
+                        watch->seen = true;
+                        watch->caller->cancel();
+                      });
+}
+
+std::shared_ptr<response_watch> watch_for_response(request_scope& caller, tcp_socket& upstream,
+                                                   const early_reader& read) {
   auto watch = std::make_shared<response_watch>();
   watch->caller = &caller;
-  upstream.async_wait(tcp_socket::wait_read, [watch](const boost::system::error_code& code) {
-    if (code || watch->caller == nullptr) return;
-    watch->seen = true;
-    watch->caller->cancel();
-  });
+  watch->read = &read;
+  wait_for_response(watch, upstream);
   return watch;
 }
 
@@ -79,11 +88,11 @@
 }
 
 task<relay_end> send_held_request(outgoing& pieces, request_scope& caller, tcp_socket& upstream,
-                                  progress_window& progress) {
+                                  progress_window& progress, const early_reader& early) {
   const auto code = pieces.write_some(upstream);
   if (!code) co_return relay_end::complete;
   if (code != asio::error::would_block) co_return relay_end::upstream_failed;
-  const auto watch = watch_for_response(caller, upstream);
+  const auto watch = watch_for_response(caller, upstream, early);
   const auto end =
       co_await write_pieces(pieces, upstream, caller, progress, relay_end::upstream_failed,
                             relay_end::upstream_slow, &watch->seen);
@@ -134,9 +143,10 @@
 
 task<relay_end> relay_request_body(request_scope& caller, message_parser<true>& request,
                                    tcp_socket& upstream, std::size_t window,
-                                   std::uint64_t body_limit, monotonic_time deadline) {
+                                   std::uint64_t body_limit, monotonic_time deadline,
+                                   const early_reader& early) {
   const caller_socket_use used(caller);
-  const auto watch = watch_for_response(caller, upstream);
+  const auto watch = watch_for_response(caller, upstream, early);
   const auto end = co_await relay_request_pieces(caller, request, upstream, window, body_limit,
                                                  deadline, *watch);
   watch->caller = nullptr;
--- a/src/entry/body_relay.h
+++ b/src/entry/body_relay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 
 #include "entry/proxy_settings.h"
 #include "entry/request_scope.h"
@@ -21,7 +22,7 @@
   too_large,        // over the route's body limit
   upstream_failed,  // the connection broke, or the response is malformed
   upstream_slow,    // the upstream moved too few bytes in time
-  early_response,   // the upstream became readable before the request was sent
+  early_response,   // the response began, or the connection ended, before the request was sent
 };
 
 // Counts the bytes moved since the request's deadline was set, and sets it anew, body_time ahead,
@@ -46,15 +47,19 @@
                              progress_window& progress, relay_end failed, relay_end slow,
                              const bool* stop = nullptr);
 
-// Sends a request that is held completely; stops if a response begins before it is sent.
+// Reads what the upstream has sent while the request is being sent; true ends the sending.
+using early_reader = std::function<bool()>;
+
+// Sends a request that is held completely, as long as `early` lets it.
 task<relay_end> send_held_request(outgoing& pieces, request_scope& caller, tcp_socket& upstream,
-                                  progress_window& progress);
+                                  progress_window& progress, const early_reader& early);
 
 // Sends the rest of the request's body with the framing of its head, beginning with the bytes that
 // are decoded already. `window` is the offset of the body in the caller's buffer, behind the head.
 task<relay_end> relay_request_body(request_scope& caller, message_parser<true>& request,
                                    tcp_socket& upstream, std::size_t window,
-                                   std::uint64_t body_limit, monotonic_time deadline);
+                                   std::uint64_t body_limit, monotonic_time deadline,
+                                   const early_reader& early);
 
 // Reads and parses the next bytes of the response's body; complete means that some came, or the end
 // of the body.
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -72,6 +72,19 @@
     std::optional<failure_kind> failure;  // what the attempt shows about the upstream
   };
 
+  // What the bytes read so far contain: more are needed, the head of the response, no HTTP, or
+  // responses to other requests without end.
+  enum class search_result { more, found, malformed, foreign };
+
+  // The search for the response to an attempt.
+  struct response_search {
+    search_result early = search_result::more;  // found while the request was being sent
+    boost::system::error_code early_code;       // of a read while the request was being sent
+    std::size_t searched = 0;                   // unread bytes that end no head
+    int skipped = 0;                            // responses that aren't the one expected
+    bool skips_body = false;                    // of a response to another request
+  };
+
   // What is logged about an attempt besides its end.
   struct attempt_trace {
     std::uint64_t connection = 0;  // number of the upstream's connection; 0: none
@@ -121,7 +134,12 @@
   std::optional<attempt_end> check_pause(const destination& to);
   task<std::optional<attempt_end>> send_request(const destination& to);
   task<std::optional<attempt_end>> read_response_head(const destination& to);
-  task<bool> skip_stale_response();
+  void begin_search();
+  search_result search_response();
+  std::optional<search_result> skip_body();
+  void end_skipped();
+  bool read_early_response();
+  attempt_end broken_protocol(const destination& to, const std::string& detail) const;
   task<std::optional<attempt_end>> buffer_response(const destination& to);
   void read_statement(const destination& to);
   void note_pause(const upstream_id& upstream, duration length);
@@ -172,6 +190,7 @@
   std::unique_ptr<wire_buffer> response_buffer_;
   std::shared_ptr<upstream_traffic> gated_upstream_;  // whose admission gate the attempt entered
   admission_id gate_admission_ = 0;
+  response_search search_;     // of the last attempt
   attempt_trace trace_;        // of the last attempt
   bool may_have_run_ = false;  // an attempt ended in run_state::unknown
   std::uint32_t attempts_ = 0;
--- /dev/null
+++ b/src/entry/exchange_response.cc
@@ -0,0 +1,202 @@
+// Finds the response to an attempt among the bytes of its connection, while the request is still
+// being sent and after it.
+#include "entry/exchange.h"
+#include "entry/worker.h"
+#include "upstream/grant_codec.h"
+
+namespace plantainpaddle {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
+constexpr duration dispatcher_response_margin = milliseconds(50);
+// Of an upstream's interim responses, and of those to earlier requests, before the one expected.
+constexpr int max_skipped_responses = 8;
+constexpr std::uint64_t max_skipped_body = 1 << 20;
+
+}  // namespace
+
+void exchange::begin_search() {
+  response_buffer_ = worker_.buffers().take();
+  messages_.response.emplace();
+  search_ = {};
+}
+
+// Consumes the bytes read so far up to the head of the final response, skipping interim responses
+// and responses to other requests.
+exchange::search_result exchange::search_response() {
+  wire_buffer& buffer = *response_buffer_;
+  while (!buffer.unread().empty()) {
+    if (search_.skips_body) {
+      if (const auto end = skip_body()) return *end;
+      continue;
+    }
+    const auto size = find_head_end(buffer.unread(), search_.searched);
+    if (size == 0 && buffer.unread().size() < max_head_bytes) {
+      search_.searched = buffer.unread().size();
+      return search_result::more;
+    }
+    auto& response = *messages_.response;
+    boost::beast::error_code code;
+    if (messages_.request->method() == http::verb::head) response.skip(true);
+    if (size != 0) response.parse_head(buffer, size, code);
+    if (size == 0 || code || (response.need_eof() && !names().allows_unframed)) {
+      return search_result::malformed;
+    }
+    const bool final = response.status() >= 200;
+    if (final) trace_.response = response.status();
+    const bool own =
+        !names().echoes_request_id || response.find(names().request_id) == messages_.request_id;
+    if (final && own) return search_result::found;
+    if (++search_.skipped > max_skipped_responses) return search_result::foreign;
+    if (final) {
+      worker_.counters().add("foreign_answers_total", {});
+      log_skipped_response();
+      if (response.need_eof() || !response.keep_alive()) return search_result::foreign;
+      search_.skips_body = true;
+      if (const auto end = skip_body()) return *end;
+    } else {
+      end_skipped();
+    }
+  }
+  return search_result::more;
+}
+
+// Discards bytes of the body of another request's response. Returns a result if the search can't go
+// on with the bytes that are there.
+std::optional<exchange::search_result> exchange::skip_body() {
+  auto& response = *messages_.response;
+  wire_buffer& buffer = *response_buffer_;
+  const auto before = buffer.unread().size();
+  boost::beast::error_code code;
+  response.parse_body(buffer, code);
+  if (code || response.body_bytes() > max_skipped_body) return search_result::foreign;
+  if (response.is_done()) {
+    end_skipped();
+    return std::nullopt;
+  }
+  response.clear_body();
+  const bool stuck = buffer.unread().size() == before;
+  buffer.move_unread(0);
+  if (buffer.full()) return search_result::foreign;
+  if (stuck || buffer.unread().empty()) return search_result::more;
+  return std::nullopt;
+}
+
+void exchange::end_skipped() {
+  messages_.response.emplace();
+  response_buffer_->move_unread(0);
+  search_.searched = 0;
+  search_.skips_body = false;
+}
+
+// Reads what has arrived while the request is being sent. True ends the sending: the response has
+// begun, or the connection can't be used. Late responses to other requests don't.
+bool exchange::read_early_response() {
+  if (!response_buffer_) begin_search();
+  wire_buffer& buffer = *response_buffer_;
+  boost::system::error_code code;
+  buffer.end += connection_->socket.read_some(buffer.space(), code);
+  if (code == asio::error::would_block) return false;
+  if (code) {
+    search_.early_code = code;
+    return true;
+  }
+  search_.early = search_response();
+  return search_.early != search_result::more;
+}
+
+// Reads until the head of the final response is found. The wait ends at the deadline or after the
+// class's silence limit, whichever is earlier.
+task<std::optional<exchange::attempt_end>> exchange::read_response_head(const destination& to) {
+  const auto klass = static_cast<std::size_t>(match_.route->klass);
+  const auto silent_at = monotonic_now() + worker_.settings().limits.first_byte_timeout[klass];
+  const bool silence_first = !to.via_dispatcher && silent_at < deadline_;
+  // A dispatcher may queue a request until the deadline and then report that it didn't run. The
+  // margin lets that response arrive.
+  const auto latest =
+      to.via_dispatcher ? deadline_ + dispatcher_response_margin : std::min(silent_at, deadline_);
+  if (!response_buffer_) begin_search();
+  wire_buffer& buffer = *response_buffer_;
+  auto& socket = connection_->socket;
+  caller_.set_deadline(latest);
+  auto found = search_.early;
+  auto code = search_.early_code;
+  while (true) {
+    switch (found) {
+      case search_result::more:
+        break;
+      case search_result::found:
+        co_return std::nullopt;
+      case search_result::malformed:
+        co_return broken_protocol(to, "not an HTTP response with a length");
+      case search_result::foreign:
+        co_return broken_protocol(to, "the response belongs to another request");
+    }
+    if (!code) {
+      co_await socket.async_wait(tcp_socket::wait_read, as_task);
+      if (caller_.caller_gone()) {
+        co_return failed(to, step::read_answer, run_state::unknown,
+                         "the caller closed the connection", std::nullopt);
+      }
+      if (caller_.expired()) {
+        co_return failed(to, step::read_answer, run_state::unknown, "no response in time",
+                         silence_first ? failure_kind::silent : failure_kind::timeout);
+      }
+      buffer.end += socket.read_some(buffer.space(), code);
+    }
+    if (code && code != asio::error::would_block) {
+      // An upstream may close an idle connection just as it is reused: no sign of a failure.
+      const bool stale = connection_->reused && buffer.end == 0;
+      if (code == asio::error::timed_out) {
+        co_return failed(to, step::read_answer, run_state::unknown,
+                         "the upstream's machine doesn't acknowledge data", failure_kind::dead);
+      }
+      co_return failed(to, step::read_answer, run_state::unknown, "the connection broke",
+                       stale ? std::nullopt : std::optional(failure_kind::error));
+    }
+    code.clear();
+    found = search_response();
+  }
+}
+
+exchange::attempt_end exchange::broken_protocol(const destination& to,
+                                                const std::string& detail) const {
+  auto end = failed(to, step::read_answer, run_state::unknown, detail, failure_kind::error);
+  end.cause.code = errc::protocol;
+  return end;
+}
+
+// Recognizes a response with which the upstream states that it didn't run the request; it isn't
+// relayed. Returns nullopt for any other response.
+std::optional<exchange::attempt_end> exchange::refused_by_upstream(const destination& to) {
+  auto& response = *messages_.response;
+  reported_load_ = parse_reported_load(response.find(names().load));
+  const bool marked = !names().refusal.empty() && !response.find(names().refusal).empty();
+  const bool says_not_run = !names().outcome.empty() && !to.via_dispatcher &&
+                            response.status() == status_unavailable &&
+                            response.find(names().outcome) == outcome_name(run_outcome::not_run);
+  const bool misdirected = response.status() == status_misdirected;
+  if (!misdirected && !says_not_run && !marked) return std::nullopt;
+  boost::beast::error_code code;
+  response.parse_body(*response_buffer_, code);
+  const bool whole = !code && response.is_done() && response_buffer_->unread().empty();
+  release_connection(whole && response.keep_alive() && request_sent_);
+  attempt_end end;
+  end.wait_for_owner = misdirected && service().service.keyed;
+  end.status = status_unavailable;
+  end.cause = {misdirected ? errc::not_owner : errc::refused, step::read_answer, to.address,
+               misdirected ? "the upstream doesn't own the shard"
+                           : "the upstream refused because of overload"};
+  const auto there = response.find(names().answering_upstream);
+  identity_mismatch_ = misdirected && !names().answering_upstream.empty() && !there.empty() &&
+                       there != service().upstreams[to.upstream].name.value;
+  if (!misdirected) end.failure = failure_kind::overload;
+  return end;
+}
+
+}  // namespace plantainpaddle
--- a/src/entry/testing/promise_test.cc
+++ b/src/entry/testing/promise_test.cc
@@ -169,28 +169,37 @@
   BOOST_TEST(!got.has("Retry-After"));
 }
 
-// Guards against an upload that is never sent whole, since a late copy of an earlier response
-// arrives while it is sent.
+// Guards against an upload that is never sent whole, since a late copy of an earlier response,
+// whole or in pieces, or an interim response arrives while it is sent.
 BOOST_AUTO_TEST_CASE(an_upload_goes_on_after_a_late_copy_of_another_response) {
-  std::atomic<std::size_t> received{0};
-  scripted_upstream upstream([&](scripted_connection& side) {
-    const auto first = side.read_request();
-    side.answer("first", echo_id(first));
-    const auto head = side.read_head();
-    side.answer("first", echo_id(first));
-    std::this_thread::sleep_for(milliseconds(50));
-    received = side.read_body(head).size();
-    if (received == long_body) side.answer("whole", echo_id(head));
-  });
-  shared_fixture shared({upstream.address()});
-  shared.desired.routes[0].row.body_limit = long_body;
-  shared.set_idempotent(false);
-  auto caller = shared.caller();
-  BOOST_TEST(caller.ask(request("POST", "a", "x")).body == "first");
-  std::thread sender([&] { caller.send(request("POST", "b", std::string(long_body, 'x'))); });
-  BOOST_TEST(caller.read_answer().body == "whole");
-  sender.join();
-  BOOST_TEST(received == long_body);
+  const std::string copy_start = "HTTP/1.1 200 X\r\nContent-Length: 5\r\n";
+  const std::vector<std::vector<std::string>> kinds{
+      {copy_start + id_header + ": a\r\n\r\nfirst"},
+      {copy_start, id_header + ": a\r\n\r\nfi", "rst"},
+      {"HTTP/1.1 103 X\r\nA: b\r\n\r\n"}};
+  for (const auto& pieces : kinds) {
+    std::atomic<std::size_t> received{0};
+    scripted_upstream upstream([&](scripted_connection& side) {
+      const auto first = side.read_request();
+      side.answer("first", echo_id(first));
+      const auto head = side.read_head();
+      for (const auto& piece : pieces) {
+        side.send(piece);
+        std::this_thread::sleep_for(milliseconds(30));
+      }
+      received = side.read_body(head).size();
+      if (received == long_body) side.answer("whole", echo_id(head));
+    });
+    shared_fixture shared({upstream.address()});
+    shared.desired.routes[0].row.body_limit = long_body;
+    shared.set_idempotent(false);
+    auto caller = shared.caller();
+    BOOST_TEST(caller.ask(request("POST", "a", "x")).body == "first");
+    std::thread sender([&] { caller.send(request("POST", "b", std::string(long_body, 'x'))); });
+    BOOST_TEST(caller.read_answer().body == "whole");
+    sender.join();
+    BOOST_TEST(received == long_body);
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
