Don't take bytes on an idle connection for a response of the control paths

What could be seen: the second copy of a response of another instance or of the store's address counts as the response to the next call on that connection, and each later response is then one late.

Cause: the class of the commits before, here in http_client: whatever is readable on a kept connection counts as the response to the next request.

Evidence: a_copy_of_a_response_isnt_the_next_response failed on the code before: the second call got the first response's copy. Not seen in a run of whole processes.

A kept connection that has received bytes, or whose other side has closed, is dropped, and a new one is opened. A copy that comes after the next request was written can't be told: these responses bear no id.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,6 +12,7 @@
 
 #include "http/address.h"
 #include "http/beast_message.h"
+#include "http/quiet.h"
 
 namespace plantainpaddle {
 
@@ -44,7 +45,9 @@
     while (!waiting.empty()) {
       auto taken = std::move(waiting.back());
       waiting.pop_back();
-      if (taken->idle_since >= oldest) return taken;
+      const bool clean =
+          taken->buffer.size() == 0 && is_quiet(taken->stream.socket().native_handle());
+      if (clean && taken->idle_since >= oldest) return taken;
     }
     return nullptr;
   }
