End a link for orders on bytes that belong to no order

What could be seen: the second copy of the response to a grant counts as the response to the next grant on that link, and each later response then counts for the order after its own: a refused grant is taken as accepted.

Evidence: bytes_of_no_order_end_the_link failed on the code before in both ways, with the copy in the same segment and in one of its own: the second order was answered by the copy.

Before an order is written, bytes that are there end the link; the order counts as not sent, and the assigner opens a new link, as after any end of one. A copy that comes after the next order was written is still taken for its response; it is found out by the next order, since that one's response is left over then.

--- a/src/upstream/order_link.cc
+++ b/src/upstream/order_link.cc
@@ -11,6 +11,7 @@
 
 #include "http/address.h"
 #include "http/beast_message.h"
+#include "http/quiet.h"
 
 namespace plantainpaddle {
 
@@ -35,6 +36,9 @@
   state(const asio::any_io_executor& e, std::string a)
       : executor(e), stream(e), address(std::move(a)) {}
 
+  // A response can only be told by its place: bytes of no order would be taken for the next one's.
+  bool is_clean() { return buffer.size() == 0 && is_quiet(stream.socket().native_handle()); }
+
   void reset() {
     if (!open) return;
     open = false;
@@ -102,6 +106,7 @@
   while (!link->waiting.empty()) {
     auto next = std::move(link->waiting.front());
     link->waiting.pop_front();
+    if (link->open && !link->is_clean()) link->reset();
     if (!link->open) {
       next.done(error{errc::cancelled, step::grant, link->address, "the link is over"});
       continue;
--- a/src/upstream/testing/order_link_test.cc
+++ b/src/upstream/testing/order_link_test.cc
@@ -101,6 +101,36 @@
   BOOST_TEST(!link->is_open());
 }
 
+// Guards against a late copy of a response that is taken for the response to the next order.
+BOOST_AUTO_TEST_CASE(bytes_of_no_order_end_the_link) {
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (const bool at_once : {true, false}) {
+    one_connection upstream([&](asio::ip::tcp::socket& socket) {
+      boost::system::error_code code;
+      read_some(socket, code);
+      asio::write(socket, asio::buffer(at_once ? response + response : response), code);
+      if (!at_once) asio::write(socket, asio::buffer(response), code);
+      read_some(socket, code);
+    });
+    asio::io_context io;
+    auto link = order_link::open(io.get_executor(), upstream.address(), seconds(5),
+                                 [](const std::optional<error>&) {});
+    for (const bool answered : {true, false}) {
+      bool told = false;
+      link->send({"POST", "/grant", {}, "{}"}, seconds(5),
+                 [&](const result<http_response>& answer) {
+                   told = true;
+                   BOOST_TEST(answer.has_value() == answered);
+                 });
+      io.restart();
+      io.run();
+      BOOST_TEST(told);
+      std::this_thread::sleep_for(milliseconds(20));  // for the copy to arrive
+    }
+    BOOST_TEST(!link->is_open());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(nobody_there_is_told) {
   asio::io_context io;
   std::optional<error> told;
