--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -346,7 +346,8 @@
 }
 
 // Reads the head of the final response, skipping interim responses and responses to other requests.
-// The wait ends at the deadline or after the class's silence limit, whichever is earlier.
+// The wait ends at the deadline or after the class's silence limit, whichever is earlier. What has
+// arrived by then is read all the same, since the event loop may be late.
 task<std::optional<exchange::attempt_end>> exchange::read_response_head(const destination& to) {
   const auto klass = static_cast<std::size_t>(match_.route->klass);
   const auto silent_at = monotonic_now() + worker_.settings().limits.first_byte_timeout[klass];
@@ -369,18 +370,19 @@
   bool more = true;  // bytes must be read before a head can be complete
   while (true) {
     if (more) {
-      co_await socket.async_wait(tcp_socket::wait_read, as_task);
+      if (!caller_.expired()) co_await socket.async_wait(tcp_socket::wait_read, as_task);
       if (caller_.caller_gone()) {
         co_return failed(to, step::read_answer, run_state::unknown,
                          "the caller closed the connection", std::nullopt);
       }
-      if (caller_.expired()) {
-        count_dropped_response(caller_, socket, "head");
-        co_return no_response();
-      }
       boost::system::error_code code;
       buffer.end += socket.read_some(buffer.space(), code);
-      if (code && code != asio::error::would_block) {
+      if (code == asio::error::would_block) {
+        if (!caller_.expired()) continue;
+        count_dropped_response(caller_, buffer, "head");
+        co_return no_response();
+      }
+      if (code) {
         // An upstream may close an idle connection just as it is reused: no sign of a failure.
         const bool stale = connection_->reused && buffer.end == 0;
         if (code == asio::error::timed_out) {
--- a/src/entry/body_relay.cc
+++ b/src/entry/body_relay.cc
@@ -45,8 +45,9 @@
 
 }  // namespace
 
-void count_dropped_response(request_scope& caller, tcp_socket& upstream, std::string_view part) {
-  if (peek_peer(upstream) != peer_state::has_data) return;
+void count_dropped_response(request_scope& caller, const wire_buffer& buffer,
+                            std::string_view part) {
+  if (part == "head" && buffer.unread().empty()) return;
   caller.owning_worker().counters().add("responses_dropped_at_deadline_total",
                                         {{"part", std::string(part)}});
 }
@@ -75,10 +76,10 @@
     progress.on_bytes(pieces.written() - before);
     if (!code) co_return relay_end::complete;
     if (code != asio::error::would_block) co_return failed;
+    if (caller.expired()) co_return slow;
     auto [wait_code] = co_await to.async_wait(tcp_socket::wait_write, as_task);
     if (caller.caller_gone()) co_return relay_end::caller_failed;
     if (stop != nullptr && *stop) co_return relay_end::early_response;
-    if (caller.expired()) co_return slow;
     // operation_aborted may come from another request that cancelled on the shared caller socket.
     if (wait_code && wait_code != asio::error::operation_aborted) co_return failed;
   }
@@ -121,10 +122,10 @@
     boost::system::error_code code;
     const auto size = caller.socket().read_some(buffer.space(), code);
     if (code == asio::error::would_block) {
+      if (caller.expired()) co_return relay_end::caller_slow;
       auto [wait_code] = co_await caller.socket().async_wait(tcp_socket::wait_read, as_task);
       if (watch.seen) co_return relay_end::early_response;
-      if (caller.expired()) co_return relay_end::caller_slow;
-      if (wait_code) co_return relay_end::caller_failed;
+      if (wait_code && !caller.expired()) co_return relay_end::caller_failed;
       continue;
     }
     if (code) co_return relay_end::caller_failed;
@@ -180,12 +181,12 @@
     boost::system::error_code code;
     const auto size = upstream.read_some(buffer.space(), code);
     if (code == asio::error::would_block) {
-      auto [wait_code] = co_await upstream.async_wait(tcp_socket::wait_read, as_task);
-      if (caller.caller_gone()) co_return relay_end::caller_failed;
       if (caller.expired()) {
-        count_dropped_response(caller, upstream, "body");
+        count_dropped_response(caller, buffer, "body");
         co_return relay_end::upstream_slow;
       }
+      auto [wait_code] = co_await upstream.async_wait(tcp_socket::wait_read, as_task);
+      if (caller.caller_gone()) co_return relay_end::caller_failed;
       if (wait_code && wait_code != asio::error::operation_aborted) {
         co_return relay_end::upstream_failed;
       }
--- a/src/entry/body_relay.h
+++ b/src/entry/body_relay.h
@@ -56,9 +56,10 @@
                                    tcp_socket& upstream, std::size_t window,
                                    std::uint64_t body_limit, monotonic_time deadline);
 
-// Counts a response that is given up at the end of its wait although bytes of it have arrived.
-// `part` is "head" or "body".
-void count_dropped_response(request_scope& caller, tcp_socket& upstream, std::string_view part);
+// Counts a response that is given up at the end of its wait although a part of it has arrived.
+// `part` is what is incomplete, "head" or "body".
+void count_dropped_response(request_scope& caller, const wire_buffer& buffer,
+                            std::string_view part);
 
 // Reads and parses the next bytes of the response's body; complete means that some came, or the end
 // of the body.
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -277,10 +277,10 @@
     boost::system::error_code read_code;
     const auto size = caller_.socket().read_some(buffer.space(), read_code);
     if (read_code == asio::error::would_block) {
-      co_await caller_.socket().async_wait(tcp_socket::wait_read, as_task);
       if (caller_.expired()) {
         co_return not_run(408, errc::timed_out, step::parse_request, "the body arrived too slowly");
       }
+      co_await caller_.socket().async_wait(tcp_socket::wait_read, as_task);
       if (caller_.caller_gone()) read_code = asio::error::operation_aborted;
       if (read_code == asio::error::would_block) continue;
     }
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -137,12 +137,13 @@
 }
 
 // Waits without a buffer, so that idle connections cost little memory. An exchange on this
-// connection may cancel operations on the socket that they share: the wait then starts again.
+// connection may cancel operations on the socket that they share: the wait then starts again. True
+// also when the deadline is over: what has arrived by then is read first.
 task<bool> session::wait_readable() {
   while (true) {
     auto [code] = co_await socket_.async_wait(tcp_socket::wait_read, as_task);
-    if (closing_ || deadline_.expired()) co_return false;
-    if (!code) co_return true;
+    if (closing_) co_return false;
+    if (!code || deadline_.expired()) co_return true;
     if (code != asio::error::operation_aborted) co_return false;
   }
 }
@@ -159,7 +160,8 @@
     const bool readable = co_await wait_readable();
     idle_ = false;
     deadline_.set_idle(false);
-    if (!readable) co_return head_result{};
+    const bool idle_too_long = deadline_.expired() && peek_peer(socket_) != peer_state::has_data;
+    if (!readable || idle_too_long) co_return head_result{};
     buffer_ = home_.buffers().take();
   }
   deadline_.set(monotonic_now() + home_.limits().head_time);
@@ -172,8 +174,8 @@
     boost::system::error_code code;
     buffer_->end += socket_.read_some(buffer_->space(), code);
     if (code == asio::error::would_block) {
+      if (deadline_.expired()) co_return head_result{head_status::timed_out};
       if (co_await wait_readable()) continue;
-      if (deadline_.expired() && !closing_) co_return head_result{head_status::timed_out};
       co_return head_result{};
     }
     if (code) co_return head_result{};
@@ -211,9 +213,9 @@
   outgoing pieces;
   pieces.add(text);
   deadline_.set(monotonic_now() + home_.settings().limits.body_time);
-  while (pieces.write_some(socket_) == asio::error::would_block) {
+  while (pieces.write_some(socket_) == asio::error::would_block && !deadline_.expired()) {
     auto [code] = co_await socket_.async_wait(tcp_socket::wait_write, as_task);
-    if (code || deadline_.expired()) break;
+    if (code && !deadline_.expired()) break;
   }
 }
 
