--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -80,6 +80,11 @@
   // A caller sends again whatever it pipelined behind a response that closes the connection. A
   // request that isn't idempotent is therefore sent only once all earlier responses are out.
   if (!is_idempotent() && !co_await caller_.wait_turn()) co_return false;
+  if (is_too_late()) {
+    // A named variable: see below.
+    local_response leaving = leaving_response();
+    co_return co_await respond(std::move(leaving));
+  }
   std::optional<upstream_id> except;
   error last{errc::timed_out, step::ownership, "", "no upstream serves the key now"};
   while (true) {
@@ -254,6 +259,15 @@
 // Reads a body of up to held_body bytes completely before anything is sent, so that a slow caller
 // occupies no slot and the request can be sent again. A longer body is streamed.
 task<std::optional<local_response>> exchange::read_held_body() {
+  reads_held_body_ = true;
+  caller_.limit_deadline(worker_.last_request());
+  auto refusal = co_await read_body_pieces();
+  reads_held_body_ = false;
+  caller_.limit_deadline(monotonic_time::max());
+  co_return refusal;
+}
+
+task<std::optional<local_response>> exchange::read_body_pieces() {
   auto& request = *messages_.request;
   wire_buffer& buffer = caller_.buffer();
   boost::beast::error_code code;
@@ -278,6 +292,7 @@
     const auto size = caller_.socket().read_some(buffer.space(), read_code);
     if (read_code == asio::error::would_block) {
       if (caller_.expired()) {
+        if (is_too_late()) co_return leaving_response();
         co_return not_run(408, errc::timed_out, step::parse_request, "the body arrived too slowly");
       }
       co_await caller_.socket().async_wait(tcp_socket::wait_read, as_task);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -43,6 +43,8 @@
   // Ends the request as its deadline would, whatever it waits for. A response that can be relayed
   // is relayed all the same.
   void end_waits();
+  // Refuses the request if its body isn't complete when requests are no longer taken.
+  void begin_drain();
   // Logs and counts that the drain ends the request before it has its response.
   void note_drain_end() const;
 
@@ -86,6 +88,9 @@
   std::optional<local_response> check_deadline();
   std::optional<local_response> check_limits();
   task<std::optional<local_response>> read_held_body();
+  task<std::optional<local_response>> read_body_pieces();
+  bool is_too_late() const;
+  local_response leaving_response() const;
   std::optional<local_response> check_body(boost::beast::error_code code) const;
   bool append_held_body();
   void finish_request_read();
@@ -171,10 +176,11 @@
   bool request_sent_ = false;           // the last attempt sent the whole request
   bool awaits_response_ = false;        // the last attempt waits for the response's head
   monotonic_time response_ready_at_{};  // when the last attempt's response could be relayed
-  bool request_read_ = false;           // the request was read to its end
-  std::size_t held_bytes_ = 0;          // body bytes charged to the worker's memory budget
-  std::uint64_t split_random_;          // picks the part of a split route
-  std::string last_upstream_;           // name of the last attempt's upstream
+  bool reads_held_body_ = false;
+  bool request_read_ = false;   // the request was read to its end
+  std::size_t held_bytes_ = 0;  // body bytes charged to the worker's memory budget
+  std::uint64_t split_random_;  // picks the part of a split route
+  std::string last_upstream_;   // name of the last attempt's upstream
   fence_number last_fence_;
   bool has_retry_token_ = false;  // the next attempt's retry token has been taken
   fence_number refusing_fence_;   // of the owner that answered that it doesn't have the key
--- a/src/entry/exchange_drain.cc
+++ b/src/entry/exchange_drain.cc
@@ -5,6 +5,23 @@
 
 namespace plantainpaddle {
 
+void exchange::begin_drain() {
+  if (reads_held_body_) caller_.limit_deadline(worker_.last_request());
+}
+
+// In a drain a request that is complete only now might not get its response before the end.
+bool exchange::is_too_late() const {
+  return attempts_ == 0 && monotonic_now() > worker_.last_request();
+}
+
+local_response exchange::leaving_response() const {
+  worker_.counters().add("drain_refused_requests_total", {});
+  return {503,
+          {errc::unavailable, step::admit, "", "the instance is leaving"},
+          run_outcome::not_run,
+          worker_.settings().limits.retry_after};
+}
+
 // The lines are bounded like the requests in progress, and like the log itself.
 void exchange::note_drain_end() const {
   if (!worker_.draining()) return;
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -1,6 +1,6 @@
 #include "entry/proxy.h"
 
-#include <optional>
+#include <algorithm>
 #include <thread>
 
 #include "base/json.h"
@@ -103,9 +103,11 @@
 
 boost::asio::io_context& proxy::io() { return impl_->workers.front()->io(); }
 
-void proxy::begin_drain(bool accept_more) {
+void proxy::begin_drain(bool accept_more, std::optional<monotonic_time> last_request) {
   if (!accept_more) impl_->caller_acceptor->close();
-  for (const auto& one : impl_->workers) one->begin_drain();
+  const auto usual = monotonic_now() + impl_->shared.settings().limits.drain_idle_time;
+  const auto last = last_request.value_or(usual);
+  for (const auto& one : impl_->workers) one->begin_drain(last, last);
 }
 
 void proxy::release_ready_responses() {
@@ -128,10 +130,13 @@
 }
 
 bool proxy::drain(duration bound) {
-  const auto end = monotonic_now() + bound;
+  const auto now = monotonic_now();
+  const auto end = now + bound;
+  const auto close_idle_at = now + impl_->shared.settings().limits.drain_idle_time;
+  const auto last_request = std::max(close_idle_at, now + bound / 2);
   impl_->caller_acceptor->close();
   impl_->forward_acceptor->close();
-  for (const auto& one : impl_->workers) one->begin_drain();
+  for (const auto& one : impl_->workers) one->begin_drain(close_idle_at, last_request);
   while (connections() != 0 && monotonic_now() < end)
     std::this_thread::sleep_for(drain_poll_period);
   return connections() == 0;
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,9 +55,10 @@
   void finish(bool abort_connections = false);
   // The first traffic thread's context, for other work on that thread.
   boost::asio::io_context& io();
-  // Closes idle connections after drain_idle_time, and the others after their last answer. With
-  // accept_more, callers may still connect.
-  void begin_drain(bool accept_more);
+  // Takes requests that have been read whole by `last_request`, by default drain_idle_time from
+  // now. Connections close with their last response, or then if they are idle. With accept_more,
+  // callers may still connect.
+  void begin_drain(bool accept_more, std::optional<monotonic_time> last_request = {});
   // Gives up pipelined requests whose responses keep back others that are ready. To be called
   // before connections are aborted.
   void release_ready_responses();
@@ -70,7 +72,8 @@
   void set_snapshot(std::shared_ptr<const routing_snapshot> snapshot);
 
   // Accepts no more connections, answers each request in flight with "Connection: close", and waits
-  // until no connection is left. False if some are left after `bound`.
+  // until no connection is left. Idle connections are closed after drain_idle_time. False if some
+  // are left after `bound`.
   bool drain(duration bound);
   // Stops accepting, aborts all connections and joins the threads. With own_thread false, only
   // stops accepting and the io_context: run() returns, and open connections stay open until the
--- a/src/entry/proxy_settings.h
+++ b/src/entry/proxy_settings.h
@@ -28,7 +28,8 @@
   // twice the time after which a lost packet is sent again.
   duration tcp_user_timeout{0};
   duration sweep_period = deadline_sweeper::sweep_period;  // between checks of deadlines
-  duration drain_idle_time = milliseconds(500);  // idle connections are closed that late in a drain
+  // Requests are taken for so long in a drain, unless its begin says otherwise.
+  duration drain_idle_time = milliseconds(500);
   std::size_t held_body = 1 << 20;    // most bytes of a body kept in memory, to be sent again
   std::size_t held_total = 64 << 20;  // most such bytes of all requests of a traffic thread
   // Whether an answer is buffered until it is complete or fills the buffer, so that one that is cut
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "base/json.h"
@@ -47,9 +48,6 @@
 constexpr double leaving_grace_share = 0.35;
 constexpr double leaving_limit_share = 0.85;
 constexpr duration report_timeout = milliseconds(400);
-constexpr duration exit_margin = milliseconds(500);  // kept free before SIGKILL
-// From when responses that are kept back by slower ones are sent to the end of all connections.
-constexpr duration last_responses_time = milliseconds(400);
 // Instances register under a lease, so that each knows how many there are.
 constexpr duration instance_lease = seconds(8);
 constexpr duration instance_renewal = milliseconds(2500);
@@ -112,10 +110,12 @@
   void on_report_answer(const service_id& service, const result<http_response>& answer);
   void push_record(const service_id& service, const range_record& record, std::uint64_t version);
   std::string handle_pushed_record(std::string_view body);
+  void wait_for_stop_signal();
   void on_signal(int number);
   void log_phase(drain_phase phase) const;
+  void advance_drain();
+  void enter(drain_phase phase);
   void leave();
-  void send_last_responses();
   void stop();
   void wait_for_reload_signal();
   void reload_settings(std::string_view why);
@@ -166,10 +166,9 @@
   monotonic_time next_publish = monotonic_time::max();
   std::size_t known_instances = 1;
   timespec settings_mtime{};
-  std::uint64_t metrics_source = 0;  // from metrics::add_source
-  bool leaving = false;
-  std::size_t stop_signals = 0;  // SIGTERM and SIGINT so far
-  monotonic_time first_signal{};
+  std::uint64_t metrics_source = 0;     // from metrics::add_source
+  std::optional<drain_schedule> drain;  // from the first stop signal on
+  std::size_t stop_signals = 0;         // SIGTERM and SIGINT so far
 };
 
 range_instance::range_instance(entry_settings settings, std::string file)
@@ -201,9 +200,7 @@
   if (!listening) return listening;
   auto started = traffic.start();
   if (!started) return started;
-  signals.async_wait([this](const boost::system::error_code& code, int number) {
-    if (!code) on_signal(number);
-  });
+  wait_for_stop_signal();
   wait_for_reload_signal();
   metrics_source = counters.add_source([this] { return format_metrics(); });
   tick();
@@ -221,7 +218,7 @@
   flush_log();
 }
 
-bool range_instance::impl::is_ready() const { return !leaving && view.desired().has_value(); }
+bool range_instance::impl::is_ready() const { return !drain && view.desired().has_value(); }
 
 // A late tick shows that everything on this thread is late: requests, reads of the store, renewals.
 void range_instance::impl::note_lag(monotonic_time now) {
@@ -352,7 +349,7 @@
 }
 
 void range_instance::impl::register_instance(monotonic_time now) {
-  if (registering || leaving || now < next_registration) return;
+  if (registering || drain || now < next_registration) return;
   registering = true;
   next_registration = now + instance_renewal;
   if (instance_lease_id == 0) {
@@ -583,72 +580,74 @@
   return text;
 }
 
+void range_instance::impl::wait_for_stop_signal() {
+  signals.async_wait([this](const boost::system::error_code& code, int number) {
+    if (!code) on_signal(number);
+  });
+}
+
 void range_instance::impl::on_signal(int number) {
-  if (++stop_signals == 1) first_signal = monotonic_now();
+  const auto now = monotonic_now();
+  if (++stop_signals == 1) {
+    drain.emplace(make_drain_times(settings.bounds.shutdown, balancer_removal_time), now);
+  }
   log_event(log_level::info, "stop signal",
             {{"signal", number == SIGINT ? "SIGINT" : "SIGTERM"},
              {"number", stop_signals},
-             {"in_drain_ms", monotonic_now() - first_signal}});
-  leave();
+             {"in_drain_ms", now - drain->began()}});
+  if (stop_signals > 1) return stop();
+  advance_drain();
+  wait_for_stop_signal();
 }
 
 void range_instance::impl::log_phase(drain_phase phase) const {
   log_event(log_level::info, "drain phase",
             {{"phase", drain_phase_name(phase)},
-             {"in_drain_ms", monotonic_now() - first_signal},
+             {"in_drain_ms", monotonic_now() - drain->began()},
              {"connections", traffic.connections()},
              {"requests", traffic.requests()}});
 }
 
-// Drains in three steps: new connections get one response each until the load balancer has removed
-// this instance, then open ones may finish, and stop() closes the rest before SIGKILL is due. A
-// second signal calls stop() at once.
+// Enters the phases that are due, and waits for the next one.
+void range_instance::impl::advance_drain() {
+  while (const auto phase = drain->advance(monotonic_now())) enter(*phase);
+  if (drain->phase() == drain_phase::closing) return;
+  leave_timer.expires_after(drain->due() - monotonic_now());
+  leave_timer.async_wait([this](const boost::system::error_code& code) {
+    if (!code) advance_drain();
+  });
+}
+
+void range_instance::impl::enter(drain_phase phase) {
+  log_phase(phase);
+  switch (phase) {
+    case drain_phase::draining:
+      return leave();
+    case drain_phase::no_connections:
+      return traffic.finish();
+    case drain_phase::releasing:
+      return traffic.release_ready_responses();
+    case drain_phase::ending_waits:
+      return traffic.end_waits();
+    case drain_phase::closing:
+      return stop();
+    case drain_phase::serving:
+    case drain_phase::no_requests:  // the connections have this time from begin_drain()
+      return;
+  }
+}
+
 void range_instance::impl::leave() {
-  if (leaving) return stop();
-  leaving = true;
-  log_phase(drain_phase::draining);
   for (auto& [service, runner] : runners) runner->leave();
   if (instance_lease_id != 0) {
     store.end_lease(instance_lease_id, [](const result<bool>& ended) {
       if (!ended) log_error(log_level::warning, ended.error());
     });
   }
-  traffic.begin_drain(true);
-  leave_timer.expires_after(balancer_removal_time);
-  leave_timer.async_wait([this](const boost::system::error_code& code) {
-    if (code) return;
-    log_phase(drain_phase::no_connections);
-    traffic.finish();
-    leave_timer.expires_after(settings.bounds.shutdown - balancer_removal_time - exit_margin -
-                              last_responses_time);
-    leave_timer.async_wait([this](const boost::system::error_code& late) {
-      if (!late) send_last_responses();
-    });
-  });
-  signals.async_wait([this](const boost::system::error_code& code, int number) {
-    if (!code) on_signal(number);
-  });
-}
-
-// Before the connections are closed, responses that are ready go out, and then the requests that
-// still wait are told whether they may have run.
-void range_instance::impl::send_last_responses() {
-  log_phase(drain_phase::releasing);
-  traffic.release_ready_responses();
-  leave_timer.expires_after(last_responses_time / 2);
-  leave_timer.async_wait([this](const boost::system::error_code& code) {
-    if (code) return;
-    log_phase(drain_phase::ending_waits);
-    traffic.end_waits();
-    leave_timer.expires_after(last_responses_time / 2);
-    leave_timer.async_wait([this](const boost::system::error_code& late) {
-      if (!late) stop();
-    });
-  });
+  traffic.begin_drain(true, drain->last_request());
 }
 
 void range_instance::impl::stop() {
-  log_phase(drain_phase::closing);
   if (traffic.connections() != 0) {
     log_event(log_level::warning, "closing connections that have not drained",
               {{"connections", traffic.connections()}});
@@ -684,8 +683,8 @@
   log_event(log_level::info, "settings read again",
             {{"why", why},
              {"changed", *read == settings ? 0 : 1},
-             {"in_drain_ms", leaving ? std::optional(monotonic_now() - first_signal)
-                                     : std::optional<duration>()}});
+             {"in_drain_ms", drain ? std::optional(monotonic_now() - drain->began())
+                                   : std::optional<duration>()}});
   if (*read == settings) return;
   settings.store = read->store;
   settings.bounds = read->bounds;
--- a/src/entry/range_settings.cc
+++ b/src/entry/range_settings.cc
@@ -32,7 +32,6 @@
   limits.first_byte_timeout.fill(seconds(3600));
   limits.tcp_user_timeout = milliseconds(500);
   limits.sweep_period = milliseconds(20);
-  limits.drain_idle_time = balancer_removal_time;
   const std::size_t descriptors = settings.bounds.descriptors;
   limits.connections =
       descriptors > 2 * upstream_descriptors ? descriptors - upstream_descriptors : descriptors / 2;
--- a/src/entry/request_scope.h
+++ b/src/entry/request_scope.h
@@ -3,6 +3,7 @@
 // connection run at the same time, each with its own scope.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 
@@ -33,7 +34,12 @@
 
   // Calls cancel() at `due`, and again at each sweep until the deadline is set anew; expired() is
   // true from then on.
-  void set_deadline(monotonic_time due) { deadline_.set(due); }
+  void set_deadline(monotonic_time due) { deadline_.set(std::min(due, latest_)); }
+  // Cuts the present deadline and later ones to that time.
+  void limit_deadline(monotonic_time latest) {
+    latest_ = latest;
+    if (deadline_.due() > latest) deadline_.set(latest);
+  }
   bool expired() const { return deadline_.expired(); }
   // Sets the socket, besides the caller's, whose operations cancel() ends; nullptr: none.
   void set_active_socket(tcp_socket* active) { active_socket_ = active; }
@@ -71,6 +77,7 @@
   std::uint64_t number_;
   std::unique_ptr<wire_buffer> buffer_;
   deadline_entry deadline_;
+  monotonic_time latest_ = monotonic_time::max();  // of all deadlines
   std::optional<task_timer> timer_;
   tcp_socket* active_socket_ = nullptr;
   bool uses_caller_socket_ = false;
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -56,9 +56,15 @@
   notify_change();
 }
 
-void session::begin_drain(monotonic_time close_idle_at) {
-  if (idle_) deadline_.set(std::min(deadline_.due(), close_idle_at));
+void session::begin_drain() {
+  // A head that is awaited behind other requests has no deadline and is never taken.
+  const bool has_deadline = deadline_.due() != monotonic_time::max();
+  if (awaits_head_ && has_deadline) {
+    const auto latest = idle_ ? home_.close_idle_at() : home_.last_request();
+    deadline_.set(std::min(deadline_.due(), latest));
+  }
   deadline_.set_idle(false);
+  for (const auto& work : exchanges_) work->begin_drain();
 }
 
 void session::release_ready_responses() {
@@ -102,7 +108,9 @@
   while (!closing_) {
     while (!closing_ && must_pause_reading()) co_await wait_for_change();
     if (closing_) break;
+    awaits_head_ = true;
     const head_result read = co_await read_head();
+    awaits_head_ = false;
     if (read.status == head_status::closed) break;
     if (read.status != head_status::complete) {
       co_await reject_head(read);
@@ -124,12 +132,8 @@
 void session::become_idle() {
   idle_ = true;
   idle_since_ = monotonic_now();
-  deadline_.set(idle_since_ + home_.limits().idle_time);
-  if (home_.draining()) {
-    deadline_.set(idle_since_ + home_.settings().limits.drain_idle_time);
-  } else {
-    deadline_.set_idle(true);
-  }
+  deadline_.set(std::min(idle_since_ + home_.limits().idle_time, home_.close_idle_at()));
+  deadline_.set_idle(!home_.draining());
 }
 
 void session::refresh_idle_time() {
@@ -164,7 +168,7 @@
     if (!readable || idle_too_long) co_return head_result{};
     buffer_ = home_.buffers().take();
   }
-  deadline_.set(monotonic_now() + home_.limits().head_time);
+  deadline_.set(std::min(monotonic_now() + home_.limits().head_time, home_.last_request()));
   while (true) {
     const head_result seen = check_buffered_head(searched);
     if (seen.status != head_status::closed) {
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -38,9 +38,9 @@
 
   // Serves requests until the connection ends.
   task<void> run();
-  // Closes the connection at close_idle_at if it is idle now. Otherwise the requests in progress
-  // are its last ones.
-  void begin_drain(monotonic_time close_idle_at);
+  // If no request is in progress, closes the connection once requests are no longer taken.
+  // Otherwise the requests in progress are its last ones.
+  void begin_drain();
   // Gives up the requests whose responses keep back others that are ready.
   void release_ready_responses();
   // Ends all requests that have no response yet, with one of the router's own.
@@ -97,6 +97,7 @@
   std::deque<std::unique_ptr<exchange>> exchanges_;  // in progress, in the order of requests
   std::uint64_t next_number_ = 0;
   bool reading_request_ = false;  // an exchange reads its request from the socket
+  bool awaits_head_ = false;
   bool idle_ = false;
   monotonic_time idle_since_{};
   bool closing_ = false;  // no further request is read
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -141,12 +141,13 @@
   });
 }
 
-void worker::begin_drain() {
-  asio::post(io_, [this] {
+void worker::begin_drain(monotonic_time close_idle_at, monotonic_time last_request) {
+  asio::post(io_, [this, close_idle_at, last_request] {
     phase_ = drain_phase::draining;
     drain_began_ = monotonic_now();
-    const auto close_at = drain_began_ + settings().limits.drain_idle_time;
-    for (auto& [id, open] : sessions_) open->begin_drain(close_at);
+    close_idle_at_ = close_idle_at;
+    last_request_ = last_request;
+    for (auto& [id, open] : sessions_) open->begin_drain();
   });
 }
 
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -57,9 +57,9 @@
   void set_view(std::shared_ptr<const traffic_view> view);
   // Serves a caller's connection; internal: opened by another instance. Any thread.
   void add_connection(tcp_socket socket, bool internal);
-  // Closes idle connections after drain_idle_time and the others after their last answer. Any
-  // thread.
-  void begin_drain();
+  // Takes requests that have been read whole by `last_request`. Connections close with their last
+  // response, or at `close_idle_at` if they are idle. Any thread.
+  void begin_drain(monotonic_time close_idle_at, monotonic_time last_request);
   // See session::release_ready_responses(). Any thread.
   void release_ready_responses();
   // See session::end_waits(). Any thread.
@@ -84,6 +84,10 @@
   drain_phase phase() const { return phase_; }
   // How long after the begin of the drain that time is, negative before it; no value while serving.
   std::optional<duration> since_drain_began(monotonic_time at) const;
+  // When idle connections are closed, and until when requests are taken; monotonic_time::max()
+  // unless the instance drains.
+  monotonic_time close_idle_at() const { return close_idle_at_; }
+  monotonic_time last_request() const { return last_request_; }
   std::size_t requests() const { return scopes_.size(); }  // in progress
   std::uint64_t random() { return random_(); }
   // An id that is unique among all workers of the instance.
@@ -126,6 +130,8 @@
   std::uint64_t last_id_ = 0;
   drain_phase phase_ = drain_phase::serving;
   monotonic_time drain_began_{};
+  monotonic_time close_idle_at_ = monotonic_time::max();
+  monotonic_time last_request_ = monotonic_time::max();
   bool stopping_ = false;
   monotonic_time next_retire_{};
   std::set<std::uint64_t> waiting_for_owner_;
