--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -595,7 +595,7 @@
             {{"signal", number == SIGINT ? "SIGINT" : "SIGTERM"},
              {"number", stop_signals},
              {"in_drain_ms", now - drain->began()}});
-  if (stop_signals > 1) return stop();
+  drain->on_signal(number == SIGINT ? stop_signal::interrupt : stop_signal::terminate);
   advance_drain();
   wait_for_stop_signal();
 }
--- a/src/routing/drain_schedule.cc
+++ b/src/routing/drain_schedule.cc
@@ -18,6 +18,7 @@
 constexpr int exit_divisor = 4;
 constexpr int last_responses_divisor = 8;
 constexpr int request_divisor = 16;
+constexpr int interrupts_to_end = 2;
 
 }  // namespace
 
@@ -57,7 +58,16 @@
   return times;
 }
 
+// Platforms and supervisors send SIGTERM in series: a further one says nothing new. A person at a
+// terminal who interrupts twice doesn't want to wait.
+void drain_schedule::on_signal(stop_signal signal) {
+  if (signal == stop_signal::interrupt) ++interrupts_;
+}
+
 monotonic_time drain_schedule::due() const {
+  const bool at_once = interrupts_ >= interrupts_to_end;
+  if (at_once && phase_ < drain_phase::releasing) return entered_;
+  if (at_once && phase_ < drain_phase::closing) return entered_ + times_.spacing;
   switch (phase_) {
     case drain_phase::serving:
       return signal_;
--- a/src/routing/drain_schedule.h
+++ b/src/routing/drain_schedule.h
@@ -2,8 +2,8 @@
 // what is still in progress is ended.
 //
 //   drain_schedule drain(make_drain_times(seconds(6), milliseconds(2600)), now);
-//   while (const auto phase = drain.advance(now)) enter(*phase);   // at the start and at
-//   drain.due()
+//   drain.on_signal(stop_signal::terminate);
+//   while (const auto phase = drain.advance(now)) enter(*phase);  // at once, and at drain.due()
 //
 // No request is taken in the second half of the time that the instance has, so that each has at
 // least most of that half for its response.
@@ -46,11 +46,15 @@
 // that the load balancer takes to send no more callers.
 drain_times make_drain_times(duration whole, duration removal);
 
+enum class stop_signal { terminate, interrupt };
+
 class drain_schedule {
  public:
   drain_schedule(const drain_times& times, monotonic_time signal)
       : times_(times), signal_(signal), entered_(signal) {}
 
+  // Takes in a stop signal, the first one too. Only a second interrupt ends the drain sooner.
+  void on_signal(stop_signal signal);
   // Enters the next phase and returns it, if it is due.
   std::optional<drain_phase> advance(monotonic_time now);
   drain_phase phase() const { return phase_; }
@@ -64,6 +68,7 @@
   drain_times times_;
   monotonic_time signal_;
   monotonic_time entered_;  // when the present phase was entered
+  int interrupts_ = 0;
   drain_phase phase_ = drain_phase::serving;
 };
 
