Mutants of the drain's decisions and of the waits that read first

Two more cases of instance_drain: a body that doesn't come, and connections without a request. Mutants of sources in entry/ link that package.

--- a/src/entry/testing/drain_test.cc
+++ b/src/entry/testing/drain_test.cc
@@ -12,6 +12,8 @@
 constexpr duration idle_time = milliseconds(300);    // drain_idle_time of the proxies here
 constexpr duration route_time = milliseconds(300);   // timeout of the route, where it matters
 constexpr duration arrival_time = milliseconds(50);  // for bytes to arrive on loopback
+// Until the end of idle_time, with much time to spare; the other times of a connection are longer.
+constexpr duration told_within = seconds(3);
 constexpr std::string_view get_head = "GET /stock/1 HTTP/1.1\r\nHost: h\r\n\r\n";
 
 // One thread, and an upstream that counts what it gets.
@@ -107,6 +109,33 @@
   BOOST_TEST(received == 0);
 }
 
+// The same, with a body that doesn't come: the caller is told when no request is taken any more.
+BOOST_FIXTURE_TEST_CASE(a_request_whose_body_does_not_come_is_refused_in_time, drain_fixture) {
+  auto caller = entry->caller();
+  caller.send("POST /stock/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+  pause(arrival_time);
+  const auto drained_at = monotonic_now();
+  entry->traffic->begin_drain(true);
+  BOOST_TEST(caller.read_answer().status() == 503);
+  BOOST_TEST((monotonic_now() - drained_at < told_within));
+}
+
+// Guards against connections without a request that are open until the end of a drain.
+BOOST_FIXTURE_TEST_CASE(connections_without_a_request_are_closed_in_time, drain_fixture) {
+  auto idle = entry->caller();
+  auto partial = entry->caller();
+  partial.send(get_head.substr(0, 10));
+  pause(arrival_time);
+  const auto drained_at = monotonic_now();
+  entry->traffic->begin_drain(true);
+  auto late = entry->caller();
+  BOOST_TEST(idle.at_end());
+  BOOST_TEST(late.at_end());
+  const auto told = partial.read_answer();
+  BOOST_TEST((told.head.empty() || told.status() == 408));
+  BOOST_TEST((monotonic_now() - drained_at < told_within));
+}
+
 BOOST_FIXTURE_TEST_CASE(requests_in_the_first_part_of_a_drain_are_served, drain_fixture) {
   auto early = entry->caller();
   entry->traffic->begin_drain(true);
--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -68,6 +68,9 @@
     target_sources(ownership_mutant_${name}
       PRIVATE ${test_source} ${CMAKE_SOURCE_DIR}/src/base/testing/test_main.cc)
     target_compile_definitions(ownership_mutant_${name} PRIVATE BOOST_TEST_DYN_LINK)
+    if(source MATCHES "/src/entry/")
+      target_link_libraries(ownership_mutant_${name} PRIVATE entry)
+    endif()
     target_link_libraries(ownership_mutant_${name}
       PRIVATE range_model feed_model upstream routing ownership Boost::unit_test_framework rapidcheck)
     add_test(NAME ownership_mutant_${name} COMMAND ownership_mutant_${name} --color_output=no)
