Upstream stand-in: late copies of answers and of refusals; an advertised address

Servers may send an answer too many, late, where the next one is due; it may be the copy of a refusal and then bears the id of a request that is under way again on the same connection. The stand-in couldn't do that. copy_answers and copy_refusals are shares of what is sent a second time, when the next request on the connection has arrived. The body of an upload whose refusal is copied is read first, so that the connection stays in use.

--- a/src/apps/standin_main.cc
+++ b/src/apps/standin_main.cc
@@ -75,6 +75,9 @@
       false, "", "IP:port", command);
   TCLAP::ValueArg<std::string> domain("", "domain", "the upstream's failure domain", false, "",
                                       "NAME", command);
+  TCLAP::ValueArg<std::string> advertise("", "advertise",
+                                         "the address with which the upstream registers itself",
+                                         false, "", "IP:port", command);
   TCLAP::SwitchArg no_fence_check("", "no-fence-check", "the upstream checks no fences", command);
   return run_command(command, {argv, argv + argc}, [&]() -> int {
     boost::asio::io_context io(1);
@@ -88,7 +91,8 @@
                              .cold_start = milliseconds(cold.getValue()),
                              .check_fence = !no_fence_check.getValue(),
                              .registry = registry.getValue(),
-                             .domain = domain.getValue()};
+                             .domain = domain.getValue(),
+                             .advertise = advertise.getValue()};
     if (const auto bad = apply_settings(options, settings.getValue())) {
       std::cerr << to_string(*bad) << '\n';
       return exit_bad_input;
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -31,6 +31,7 @@
 #include "standin/answer_body.h"
 #include "standin/grants.h"
 #include "standin/journal.h"
+#include "standin/late_copy.h"
 #include "standin/registration.h"
 #include "standin/slots.h"
 #include "upstream/grant_codec.h"
@@ -83,6 +84,7 @@
   std::optional<admitted_run> run;            // that is under way
   std::optional<monotonic_time> grant_ended;  // of it
   std::uint64_t watch = 0;                    // counts the watches for a closed connection
+  late_copy copy;                             // of the last answer
 
   void stop(stop_cause why) {
     if (cause == stop_cause::none) cause = why;
@@ -234,7 +236,7 @@
       co_return format_release_answer(options.name + "-" + std::to_string(random_number()));
     }
     const auto& grant = std::get<range_action::grant>(*order);
-    if (std::uniform_real_distribution<double>()(random) < options.late_orders) {
+    if (draw(options.late_orders)) {
       co_await sleep(options.late);
       holder.grant(grant, arrived);
       co_await sleep(silence);
@@ -288,7 +290,7 @@
         executor, options.registry,
         registered_upstream{.id = {options.name},
                             .service = {options.service},
-                            .address = address,
+                            .address = options.advertise.empty() ? address : options.advertise,
                             .domain = {options.domain},
                             .slots = static_cast<std::uint32_t>(options.slots),
                             .life = static_cast<std::uint64_t>(born)});
@@ -335,7 +337,12 @@
     const std::string target(parser.get().target());
     const std::string method(parser.get().method_string());
     const bool order = is_order(method, target);
-    if (!order && !target.starts_with("/control/")) co_return co_await work(s, parser);
+    if (!order && !target.starts_with("/control/")) {
+      if (const auto copy = s.copy.take(); !copy.empty()) {
+        co_await asio::async_write(s.stream, asio::buffer(copy), as_result);
+      }
+      co_return co_await work(s, parser);
+    }
     std::string body;
     const auto keep = [&](std::string_view piece) { body += piece; };
     if (!co_await read_body(s, parser, max_control_body_bytes, keep)) co_return false;
@@ -373,7 +380,7 @@
   }
 
   asio::awaitable<bool> write_whole(session& s, const http_response& answer, bool keep_alive,
-                                    bool head) {
+                                    bool head, bool copied = false) {
     http::response<http::string_body> message;
     message.result(answer.status);
     message.version(11);
@@ -384,6 +391,7 @@
     if (head) message.body().clear();
     s.stream.expires_after(idle_time);
     auto [code, size] = co_await http::async_write(s.stream, message, as_result);
+    if (copied) s.copy.keep(message);
     co_return !code && keep_alive;
   }
 
@@ -438,11 +446,17 @@
     return facts;
   }
 
+  bool draw(double share) { return std::uniform_real_distribution<double>()(random) < share; }
+
   // The connection stays open only if the body was read: an unread one would be taken for a
   // request.
-  asio::awaitable<bool> refuse(session& s, const request_parser& parser, const request_facts& facts,
+  asio::awaitable<bool> refuse(session& s, request_parser& parser, const request_facts& facts,
                                unsigned status, std::string_view outcome, std::string_view why) {
     if (outcome == "not-run") ++not_run;
+    const bool copied = outcome == "not-run" && draw(options.copy_refusals);
+    if (copied && !parser.is_done() && !facts.expects_continue) {
+      co_await read_body(s, parser, piece_bytes, [](std::string_view) {});
+    }
     http_response answer = json_response(
         status, json::serialize(json::object{{"error", why}, {"upstream", options.name}}));
     if (!names.outcome.empty()) {
@@ -457,7 +471,7 @@
     }
     for (auto& field : state_fields(facts)) answer.headers.push_back(std::move(field));
     co_return co_await write_whole(s, answer, facts.keep_alive && parser.is_done(),
-                                   facts.method == "HEAD");
+                                   facts.method == "HEAD", copied);
   }
 
   // Fields of every answer to a request.
@@ -622,7 +636,15 @@
         s.cause = stop_cause::caller_gone;
         co_return false;
       }
-      if (done == head.size) co_return facts.keep_alive;
+      if (done == head.size) {
+        if (done + line.size() == piece.size() && draw(options.copy_answers)) {
+          http::response<http::string_body> copy;
+          copy.base() = message.base();
+          copy.body() = piece;
+          s.copy.keep(copy);
+        }
+        co_return facts.keep_alive;
+      }
       piece.clear();
     }
   }
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -37,13 +37,18 @@
   double slowness = 1;                                      // factor on all busy times
   duration cold_start{0};                                   // busy times fall from fourfold
   bool check_fence = true;
-  std::string registry;  // control address of the platform stand-in; empty: the product's own form
-  std::string domain;    // failure domain, for the registration
-  duration warm_up{0};   // keys that come without a handover are slow for so long; with a registry
+  std::string registry;   // control address of the platform stand-in; empty: the product's own form
+  std::string domain;     // failure domain, for the registration
+  std::string advertise;  // address in the registration; empty: where it listens
+  duration warm_up{0};    // keys that come without a handover are slow for so long; with a registry
   double late_orders = 0;              // share of orders without an answer, carried out late
   duration late = milliseconds(2000);  // by so much
-  bool drain = false;                  // refuses new work
-  bool shed = false;                   // the same, and says so
+  // Shares of answers and of refusals of which a copy comes where the next answer on the
+  // connection is due. Only of answers that fit into one piece.
+  double copy_answers = 0;
+  double copy_refusals = 0;
+  bool drain = false;  // refuses new work
+  bool shed = false;   // the same, and says so
   double limit = 0;  // requests a second that it says it takes; it runs more all the same. 0: none
   bool leaving = false;  // says in all answers that it leaves; it runs requests all the same
   // It turns all requests away and says that it wants none for so many seconds. 0: it doesn't.
--- a/src/standin/upstream_settings.cc
+++ b/src/standin/upstream_settings.cc
@@ -55,6 +55,8 @@
   changed.slowness = reader.number("slowness", 0, 1e6, options.slowness);
   changed.late_orders = reader.number("late_orders", 0, 1, options.late_orders);
   changed.late = duration(reader.integer("late_us", 0, most, options.late.count()));
+  changed.copy_answers = reader.number("copy_answers", 0, 1, options.copy_answers);
+  changed.copy_refusals = reader.number("copy_refusals", 0, 1, options.copy_refusals);
   changed.check_fence = reader.boolean("check_fence", options.check_fence);
   changed.drain = reader.boolean("drain", options.drain);
   changed.shed = reader.boolean("shed", options.shed);
@@ -80,6 +82,8 @@
                                       {"class_busy_us", std::move(class_busy)},
                                       {"slowness", options.slowness},
                                       {"check_fence", options.check_fence},
+                                      {"copy_answers", options.copy_answers},
+                                      {"copy_refusals", options.copy_refusals},
                                       {"drain", options.drain},
                                       {"shed", options.shed},
                                       {"limit", options.limit},
