Harness: processes are launched without a wait; the relay in the form of the users' platform

What a randomized run of whole processes needs: restarts at once that don't hold up the next fault, links to the platform and to upstreams that registered themselves through the relay, and an exchange in two halves, so that a client can send further requests before it reads.

--- a/src/harness/cluster.cc
+++ b/src/harness/cluster.cc
@@ -139,8 +139,11 @@
     int number = 1;
     for (auto& [name, entry] : entries) {
       entry.store = "127.0.1." + std::to_string(number++);
-      std::ofstream(entry.settings_file)
-          << settings_of(entry, entry.store + port_of(platform_address));
+      const auto store = layout_.relayed
+                             ? add_route(name + "-platform", platform_address)
+                             : result<std::string>(entry.store + port_of(platform_address));
+      if (!store) return store.error();
+      std::ofstream(entry.settings_file) << settings_of(entry, *store);
     }
     return std::nullopt;
   }
@@ -211,6 +214,15 @@
 }
 
 std::optional<error> cluster::start_upstream(const std::string& name) {
+  if (auto bad = launch_upstream(name)) return bad;
+  const auto up = [&] {
+    return web_get(upstreams.at(name).address, "/control/counters").has_value();
+  };
+  if (wait_until(start_timeout, up)) return std::nullopt;
+  return error{errc::timed_out, step::listen, name, "the upstream doesn't answer"};
+}
+
+std::optional<error> cluster::launch_upstream(const std::string& name) {
   running_upstream& upstream = upstreams.at(name);
   std::vector<std::string> arguments{bin_ + "/plantainpaddle-standin",
                                      "upstream",
@@ -225,28 +237,31 @@
                                      "--set",
                                      layout_.upstream_settings};
   if (layout_.desired) {
-    arguments.insert(arguments.end(),
-                     {"--register", platform_control, "--domain", upstream.domain});
+    arguments.insert(arguments.end(), {"--register", platform_control, "--domain", upstream.domain,
+                                       "--advertise", upstream.table_address});
   }
   if (!upstream.checks_fence) arguments.emplace_back("--no-fence-check");
   auto started = child_process::start(arguments, file("upstream-" + name + ".log"));
   if (!started) return started.error();
   upstream.process = std::move(*started);
-  const auto up = [&] { return web_get(upstream.address, "/control/counters").has_value(); };
-  if (wait_until(start_timeout, up)) return std::nullopt;
-  return error{errc::timed_out, step::listen, name, "the upstream doesn't answer"};
+  return std::nullopt;
 }
 
 std::optional<error> cluster::start_entry(const std::string& name) {
+  if (auto bad = launch_entry(name)) return bad;
+  const auto up = [&] { return web_get(entries.at(name).operators, "/healthz").has_value(); };
+  if (wait_until(start_timeout, up)) return std::nullopt;
+  return error{errc::timed_out, step::listen, name, "the entry doesn't answer"};
+}
+
+std::optional<error> cluster::launch_entry(const std::string& name) {
   running_entry& entry = entries.at(name);
   auto started =
       child_process::start({bin_ + "/plantainpaddle-entry", "--settings", entry.settings_file},
                            file("entry-" + name + ".log"));
   if (!started) return started.error();
   entry.process = std::move(*started);
-  const auto up = [&] { return web_get(entry.operators, "/healthz").has_value(); };
-  if (wait_until(start_timeout, up)) return std::nullopt;
-  return error{errc::timed_out, step::listen, name, "the entry doesn't answer"};
+  return std::nullopt;
 }
 
 std::optional<error> cluster::list_instances(const std::string& leaving) {
--- a/src/harness/cluster.h
+++ b/src/harness/cluster.h
@@ -37,9 +37,9 @@
   // If there is one, the system runs in the form of the users' platform: upstreams register
   // themselves and are granted ranges of keys. Of the services' rows only names count then.
   std::optional<desired_state> desired;
-  // Connections to the platform and between peers pass through relay routes "<entry>-platform" and
-  // "<entry>><entry>"; those to upstreams through "<upstream>". A relay takes connections also
-  // while its target is dead, which hides a refused connection.
+  // Connections to the platform and, without a desired state, between peers pass through relay
+  // routes "<entry>-platform" and "<entry>><entry>"; those to upstreams through "<upstream>". A
+  // relay takes connections also while its target is dead, which hides a refused connection.
   bool relayed = false;
   bool relayed_upstreams = false;
 };
@@ -89,6 +89,9 @@
 
   std::optional<error> start_entry(const std::string& name);
   std::optional<error> start_upstream(const std::string& name);
+  // Start the process without waiting for its answer.
+  std::optional<error> launch_entry(const std::string& name);
+  std::optional<error> launch_upstream(const std::string& name);
   std::optional<error> start_platform();
   // JSON for POST /control/faults of the platform, and for POST /control/fault of the relay.
   std::optional<error> set_platform_fault(const std::string& fault) const;
--- a/src/load/exchange.cc
+++ b/src/load/exchange.cc
@@ -55,34 +55,6 @@
   return message;
 }
 
-struct sent_body {
-  beast::error_code code;
-  std::uint64_t checksum = 0;
-};
-
-asio::awaitable<sent_body> write_request(load_connection& connection, const exchange_spec& spec) {
-  auto message = head_of(spec);
-  http::request_serializer<http::buffer_body> serializer(message);
-  running_checksum checksum;
-  std::vector<char> piece(std::min<std::uint64_t>(piece_size(spec), spec.upload_bytes));
-  const std::uint64_t seed = pattern_seed(spec.id);
-  std::uint64_t done = 0;
-  while (true) {
-    const auto length =
-        static_cast<std::size_t>(std::min<std::uint64_t>(piece.size(), spec.upload_bytes - done));
-    fill_pattern(seed, done, piece.data(), length);
-    checksum.add({piece.data(), length});
-    done += length;
-    message.body().data = length == 0 ? nullptr : piece.data();
-    message.body().size = length;
-    message.body().more = done < spec.upload_bytes;
-    auto [code, size] = co_await http::async_write(connection.stream, serializer, as_result);
-    if (code && code != http::error::need_buffer) co_return sent_body{code, 0};
-    if (done == spec.upload_bytes) co_return sent_body{{}, checksum.value()};
-    co_await pace(connection, spec, length);
-  }
-}
-
 // Compares the bytes of an answer with what the stand-in must say.
 class answer_check {
  public:
@@ -170,9 +142,37 @@
 
 asio::awaitable<exchange_answer> run_exchange(load_connection& connection,
                                               const exchange_spec& spec) {
-  exchange_answer answer;
+  const sent_request sent = co_await send_request(connection, spec);
+  co_return co_await read_answer(connection, spec, sent);
+}
+
+asio::awaitable<sent_request> send_request(load_connection& connection, const exchange_spec& spec) {
   connection.stream.expires_after(spec.give_up);
-  const sent_body sent = co_await write_request(connection, spec);
+  auto message = head_of(spec);
+  http::request_serializer<http::buffer_body> serializer(message);
+  running_checksum checksum;
+  std::vector<char> piece(std::min<std::uint64_t>(piece_size(spec), spec.upload_bytes));
+  const std::uint64_t seed = pattern_seed(spec.id);
+  std::uint64_t done = 0;
+  while (true) {
+    const auto length =
+        static_cast<std::size_t>(std::min<std::uint64_t>(piece.size(), spec.upload_bytes - done));
+    fill_pattern(seed, done, piece.data(), length);
+    checksum.add({piece.data(), length});
+    done += length;
+    message.body().data = length == 0 ? nullptr : piece.data();
+    message.body().size = length;
+    message.body().more = done < spec.upload_bytes;
+    auto [code, size] = co_await http::async_write(connection.stream, serializer, as_result);
+    if (code && code != http::error::need_buffer) co_return sent_request{code, 0};
+    if (done == spec.upload_bytes) co_return sent_request{{}, checksum.value()};
+    co_await pace(connection, spec, length);
+  }
+}
+
+asio::awaitable<exchange_answer> read_answer(load_connection& connection, const exchange_spec& spec,
+                                             const sent_request& sent) {
+  exchange_answer answer;
   // An early answer (a refusal) may stand in the buffer although the body wasn't taken.
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
--- a/src/load/exchange.h
+++ b/src/load/exchange.h
@@ -48,9 +48,21 @@
   bool reusable = false;  // the connection may carry another request
 };
 
+struct sent_request {
+  boost::beast::error_code code;
+  std::uint64_t checksum = 0;  // of the body
+};
+
 boost::asio::awaitable<exchange_answer> run_exchange(load_connection& connection,
                                                      const exchange_spec& spec);
 
+// The two halves of run_exchange(), for a caller that sends further requests in between.
+boost::asio::awaitable<sent_request> send_request(load_connection& connection,
+                                                  const exchange_spec& spec);
+boost::asio::awaitable<exchange_answer> read_answer(load_connection& connection,
+                                                    const exchange_spec& spec,
+                                                    const sent_request& sent);
+
 // True if the other side neither closed the idle connection nor sent anything on it.
 bool is_quiet(load_connection& connection);
 
