A fault soak of whole processes, first version

Clients keep their connections until they are closed, pipeline, upload, and wait before the first request. Checks are those of the load tool and LOST as the users' rules have it; check.cc lists the excuses.

--- /dev/null
+++ b/src/soak/check.h
@@ -0,0 +1,60 @@
+// Checks a soak: what callers saw, against the upstreams' journals and the faults that were made.
+//
+//   soak_verdict verdict = check_soak(requests, runs, history);
+//   for (const auto& finding : verdict.findings) std::cerr << finding << '\n';
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "load/checker.h"
+#include "soak/clients.h"
+#include "standin/journal.h"
+
+namespace plantainpaddle {
+
+// From the signal that stops a process to the SIGKILL that may follow.
+inline constexpr duration shutdown_time = seconds(6);
+
+// Times are of the host's monotonic clock.
+struct soak_history {
+  struct signal {
+    std::string name;  // of the instance
+    int number = 0;
+    duration at{0};
+  };
+  // Of a process or of its connections: unplanned ones excuse, those of the store only requests
+  // with keys.
+  struct impairment {
+    std::string name;
+    duration from{0};
+    duration to{0};
+  };
+  std::map<std::string, std::string> instances;  // names by address
+  std::vector<signal> signals;
+  std::vector<duration> state_changes;
+  std::vector<impairment> impairments;
+  std::vector<impairment> store_impairments;
+  std::vector<std::string> own_ends;  // processes that ended without a signal
+};
+
+struct soak_verdict {
+  std::uint64_t requests = 0;
+  std::uint64_t complete = 0;
+  std::uint64_t around_stops =
+      0;  // requests that a planned stop of their instance may have touched
+  check_report promises;
+  std::uint64_t lost = 0;
+  std::uint64_t closed_without_answer = 0;  // in calm, on kept connections
+  std::vector<std::string> findings;        // each broken promise with its traces
+
+  bool clean() const { return findings.empty(); }
+};
+
+soak_verdict check_soak(const std::vector<soak_request>& requests,
+                        const std::vector<run_record>& runs, const soak_history& history);
+
+}  // namespace plantainpaddle
