--- a/src/soak/check.cc
+++ b/src/soak/check.cc
@@ -19,6 +19,8 @@
 #include <optional>
 #include <unordered_map>
 
+#include "load/checker.h"
+
 namespace plantainpaddle {
 namespace {
 
@@ -29,7 +31,7 @@
 constexpr duration late_work_sent = seconds(3);
 constexpr duration last_sixth = shutdown_time / 6;
 constexpr std::uint64_t closed_without_answer_allowed = 3;
-constexpr std::size_t max_findings = 20;
+constexpr std::uint64_t max_traces = 8;  // of each promise
 
 using runs_by_id = std::unordered_map<std::string, std::vector<const run_record*>>;
 
@@ -54,18 +56,14 @@
     if (signal != nullptr) ++verdict.around_stops;
     if (has_upstreams_answer(seen) || request.sent.count() == 0 || is_excused(request)) return;
     if (signal != nullptr) {
-      if (!worked_late(request, *signal)) {
-        ++verdict.lost;
-        find("LOST", request);
-      }
+      if (!worked_late(request, *signal)) find("LOST", request);
     } else if (is_calm(request) && seen.status == 0 && is_passed_on(seen) && request.before > 0) {
       if (++verdict.closed_without_answer > closed_without_answer_allowed) find("LOST", request);
     }
   }
 
   void find(const std::string& promise, const soak_request& request) {
-    if (verdict.findings.size() >= max_findings) return;
-    verdict.findings.push_back(promise + ": " + describe(request));
+    verdict.add(promise, describe(request));
   }
 
   soak_verdict verdict;
@@ -110,8 +108,8 @@
       if (signal.name != instance || request.seen.end < signal.at) continue;
       const bool stops = signal.number == SIGTERM &&
                          request.seen.end <= signal.at + shutdown_time + after_shutdown;
-      const bool reloads = signal.number == SIGHUP && request.sent <= signal.at + apply_time &&
-                           request.seen.scheduled >= signal.at - quiet_period;
+      const bool reloads =
+          signal.number == SIGHUP && request.seen.scheduled <= signal.at + apply_time;
       if (stops || reloads) return &signal;
     }
     return nullptr;
@@ -194,6 +192,10 @@
 
 }  // namespace
 
+void soak_verdict::add(const std::string& promise, const std::string& trace) {
+  if (++broken[promise] <= max_traces) findings.push_back(promise + ": " + trace);
+}
+
 soak_verdict check_soak(const std::vector<soak_request>& requests,
                         const std::vector<run_record>& runs, const soak_history& history) {
   soak_checker checker(runs, history);
@@ -207,15 +209,12 @@
     checker.check(request);
   }
   soak_verdict verdict = std::move(checker.verdict);
-  verdict.promises = check_promises(runs, records);
-  if (verdict.promises.two_owners > 0) {
-    for (const auto& example : verdict.promises.examples) {
-      if (example.starts_with("two owners")) verdict.findings.push_back("OWNER: " + example);
-    }
-  }
-  for (const auto& name : history.own_ends) {
-    verdict.findings.push_back("ended by itself: " + name);
+  // The others have been found request by request.
+  const check_report report = check_promises(runs, records);
+  for (const auto& example : report.examples) {
+    if (example.starts_with("two owners")) verdict.add("OWNER", example);
   }
+  for (const auto& name : history.own_ends) verdict.add("ended by itself", name);
   return verdict;
 }
 
--- a/src/soak/check.h
+++ b/src/soak/check.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "base/time.h"
-#include "load/checker.h"
 #include "soak/clients.h"
 #include "standin/journal.h"
 
@@ -46,12 +45,12 @@
   std::uint64_t complete = 0;
   std::uint64_t around_stops =
       0;  // requests that a planned stop of their instance may have touched
-  check_report promises;
-  std::uint64_t lost = 0;
-  std::uint64_t closed_without_answer = 0;  // in calm, on kept connections
-  std::vector<std::string> findings;        // each broken promise with its traces
+  std::uint64_t closed_without_answer = 0;      // in calm, on kept connections
+  std::map<std::string, std::uint64_t> broken;  // by promise
+  std::vector<std::string> findings;            // with their traces, a bounded number of each
 
-  bool clean() const { return findings.empty(); }
+  bool clean() const { return broken.empty(); }
+  void add(const std::string& promise, const std::string& trace);
 };
 
 soak_verdict check_soak(const std::vector<soak_request>& requests,
--- a/src/soak/plan.cc
+++ b/src/soak/plan.cc
@@ -34,7 +34,7 @@
   void write() {
     const duration length = plan_.options.length;
     const auto size = plan_.options.size == soak_size::full ? 3 : 1;
-    const auto stories = static_cast<std::size_t>(length / seconds(1)) * size;
+    const auto stories = static_cast<std::size_t>(length / milliseconds(1500)) * size;
     for (std::size_t i = 0; i < stories; ++i) {
       const duration at = between(quiet_start, length - quiet_end);
       if (plan_.unplanned && chance(50)) {
--- a/src/soak/run.cc
+++ b/src/soak/run.cc
@@ -242,7 +242,7 @@
   const auto runs = system.runs();
   if (!runs) return runs.error();
   soak_verdict verdict = check_soak(requests, *runs, faults.history);
-  if (!served) verdict.findings.emplace_back("not all keys are served again in time");
+  if (!served) verdict.add("RECOVER", "not all keys are served again in time");
   std::ofstream out(folder + "/findings.txt");
   for (const auto& finding : verdict.findings) out << finding << '\n';
   return verdict;
