--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr duration retire_period = seconds(1);  // between checks for idle upstream connections
+constexpr duration skipped_line_period = milliseconds(20);
 
 // Gives the pointer a control block of this thread's own, so that copying it doesn't contend with
 // other threads for a cache line.
@@ -59,6 +60,7 @@
 
 void worker::finish(bool abort_connections) {
   finishing_ = true;
+  if (phase_ == drain_phase::draining) phase_ = drain_phase::no_connections;
   if (abort_connections) abort_sessions();
   if (sessions_.empty()) io_.stop();
 }
@@ -83,6 +85,7 @@
 }
 
 void worker::abort_sessions() {
+  if (draining()) phase_ = drain_phase::closing;
   for (auto& [id, open] : sessions_) open->abort();
   if (sessions_.empty()) work_.reset();
 }
@@ -104,11 +107,22 @@
   }
 }
 
+std::optional<duration> worker::since_drain_began(monotonic_time at) const {
+  if (!draining()) return std::nullopt;
+  return at - drain_began_;
+}
+
 request_scope* worker::find(std::uint64_t id) {
   const auto place = scopes_.find(id);
   return place == scopes_.end() ? nullptr : place->second;
 }
 
+bool worker::may_log_skipped_response(monotonic_time now) {
+  if (now < next_skipped_line_) return false;
+  next_skipped_line_ = now + skipped_line_period;
+  return true;
+}
+
 void worker::add_scope(request_scope& scope) { scopes_.emplace(scope.id(), &scope); }
 
 void worker::remove_scope(std::uint64_t id) { scopes_.erase(id); }
@@ -136,20 +150,23 @@
 
 void worker::begin_drain() {
   asio::post(io_, [this] {
-    draining_ = true;
-    const auto close_at = monotonic_now() + settings().limits.drain_idle_time;
+    phase_ = drain_phase::draining;
+    drain_began_ = monotonic_now();
+    const auto close_at = drain_began_ + settings().limits.drain_idle_time;
     for (auto& [id, open] : sessions_) open->begin_drain(close_at);
   });
 }
 
 void worker::release_ready_responses() {
   asio::post(io_, [this] {
+    if (draining()) phase_ = drain_phase::releasing;
     for (auto& [id, open] : sessions_) open->release_ready_responses();
   });
 }
 
 void worker::end_waits() {
   asio::post(io_, [this] {
+    if (draining()) phase_ = drain_phase::ending_waits;
     for (auto& [id, open] : sessions_) open->end_waits();
   });
 }
