Harness: addresses stay reserved while their processes are restarted

Three benches at once: the entry instance of one was being restarted, another took its port, and "Address already in use" ended the first; clients of one bench reached processes of the other. free_address() looked for a port that is free at that moment. Now a bound socket that doesn't listen keeps it until the program ends; with SO_REUSEADDR the processes can listen all the same.

--- a/src/harness/loopback.cc
+++ b/src/harness/loopback.cc
@@ -15,27 +15,32 @@
 constexpr int last_port = 27'999;
 constexpr duration poll_period = milliseconds(50);
 
-// A port of the range that nobody listens on now. Several benches at once start at different
-// places.
-int free_port() {
+// A port of the range that nobody listens on or has reserved. Several benches at once start at
+// different places. The socket stays bound, without listening, as long as this program runs: it
+// keeps others from the port while the process that uses it is being restarted.
+int reserve_port() {
   static int next = first_port + getpid() * 613 % (last_port - first_port);
   for (int i = first_port; i <= last_port; ++i) {
     next = next == last_port ? first_port : next + 1;
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(next));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+      // Processes that set the option too may listen on the port.
+      const int on = 1;
+      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+      return next;
+    }
     close(fd);
-    if (free) return next;
   }
   return 0;
 }
 
 }  // namespace
 
-std::string free_address() { return "127.0.0.1:" + std::to_string(free_port()); }
+std::string free_address() { return "127.0.0.1:" + std::to_string(reserve_port()); }
 
 std::string read_file(const std::string& name) {
   std::ifstream in(name);
--- a/src/harness/loopback.h
+++ b/src/harness/loopback.h
@@ -8,7 +8,7 @@
 
 namespace plantainpaddle {
 
-// "127.0.0.1:PORT" that nobody listens on now.
+// "127.0.0.1:PORT" that nobody listens on; it is reserved until this program ends.
 std::string free_address();
 std::string read_file(const std::string& name);
 // Asks again and again; false: not done in that time.
