--- a/src/soak/check.cc
+++ b/src/soak/check.cc
@@ -10,6 +10,7 @@
 //  - the request was sent within late_work_sent of the signal and its upstream was still at work in
 //    the last sixth of the shutdown time;
 //  - it was sent behind another on its connection and not passed on;
+//  - the instance answered it, unless that was after a SIGTERM and the upstream had begun to work;
 //  - it wasn't written whole.
 // An upstream that copies answers, sheds or is slow excuses nothing.
 #include "soak/check.h"
@@ -52,12 +53,14 @@
     ++verdict.requests;
     if (seen.outcome == load_outcome::complete) ++verdict.complete;
     check_promises_of(request);
-    const auto* signal = planned_stop_of(request);
-    if (signal != nullptr) ++verdict.around_stops;
+    const auto signals = planned_stops_of(request);
+    if (!signals.empty()) ++verdict.around_stops;
     if (has_upstreams_answer(seen) || request.sent.count() == 0 || is_excused(request)) return;
-    if (signal != nullptr) {
-      if (!worked_late(request, *signal)) find("LOST", request);
-    } else if (is_calm(request) && seen.status == 0 && is_passed_on(seen) && request.before > 0) {
+    if (std::any_of(signals.begin(), signals.end(),
+                    [&](const auto* signal) { return !is_allowed(request, *signal); })) {
+      find("LOST", request);
+    } else if (signals.empty() && is_calm(request) && !is_answered(seen) && is_passed_on(seen) &&
+               request.before > 0) {
       if (++verdict.closed_without_answer > closed_without_answer_allowed) find("LOST", request);
     }
   }
@@ -87,6 +90,11 @@
            seen.detail.find("\"upstream\"") != std::string::npos;
   }
 
+  // By the instance itself.
+  static bool is_answered(const load_record& seen) {
+    return seen.status != 0 && !seen.detail.starts_with("broken body");
+  }
+
   std::string instance_of(const load_record& seen) const {
     const auto place = history_->instances.find(seen.target);
     return place == history_->instances.end() ? seen.target : place->second;
@@ -101,18 +109,20 @@
     if (seen.outcome == load_outcome::complete && ran == 0) find("MIXED", request);
   }
 
-  // The signal of planned work around which the request ended.
-  const soak_history::signal* planned_stop_of(const soak_request& request) const {
+  // The signals of planned work around which the request ended. A further SIGTERM to a process that
+  // is leaving changes nothing of its times.
+  std::vector<const soak_history::signal*> planned_stops_of(const soak_request& request) const {
     const std::string instance = instance_of(request.seen);
+    std::vector<const soak_history::signal*> found;
     for (const auto& signal : history_->signals) {
-      if (signal.name != instance || request.seen.end < signal.at) continue;
+      if (signal.name != instance || signal.repeats || request.seen.end < signal.at) continue;
       const bool stops = signal.number == SIGTERM &&
                          request.seen.end <= signal.at + shutdown_time + after_shutdown;
       const bool reloads =
           signal.number == SIGHUP && request.seen.scheduled <= signal.at + apply_time;
-      if (stops || reloads) return &signal;
+      if (stops || reloads) found.push_back(&signal);
     }
-    return nullptr;
+    return found;
   }
 
   static bool overlaps(const std::vector<soak_history::impairment>& impairments,
@@ -137,10 +147,12 @@
     return !last.end || last.how == run_end::stopped;
   }
 
-  bool worked_late(const soak_request& request, const soak_history::signal& signal) const {
+  bool is_allowed(const soak_request& request, const soak_history::signal& signal) const {
     const auto& runs = runs_of(request.seen.id);
-    return signal.number == SIGTERM && !runs.empty() &&
-           request.sent <= signal.at + late_work_sent &&
+    const load_record& seen = request.seen;
+    const bool stops = signal.number == SIGTERM;
+    if (is_answered(seen) && (!stops || runs.empty() || runs.back()->start > seen.end)) return true;
+    return stops && !runs.empty() && request.sent <= signal.at + late_work_sent &&
            runs.back()->end >= signal.at + shutdown_time - last_sixth;
   }
 
--- a/src/soak/check.h
+++ b/src/soak/check.h
@@ -24,6 +24,7 @@
     std::string name;  // of the instance
     int number = 0;
     duration at{0};
+    bool repeats = false;  // a SIGTERM to a process that has had one
   };
   // Of a process or of its connections: unplanned ones excuse, those of the store only requests
   // with keys.
--- a/src/soak/run.cc
+++ b/src/soak/run.cc
@@ -130,7 +130,8 @@
     const auto& process = system_.entries.at(state.name).process;
     if (state.start) return;  // it doesn't run
     if (fault.signal == SIGTERM || fault.signal == SIGHUP) {
-      history.signals.push_back({state.name, fault.signal, now()});
+      const bool repeats = fault.signal == SIGTERM && state.stop;
+      history.signals.push_back({state.name, fault.signal, now(), repeats});
     }
     if (fault.signal == SIGTERM && !state.stop) state.stop = now();
     if (fault.signal == SIGKILL || fault.signal == SIGTERM) state.expected = true;
--- a/src/soak/testing/check_test.cc
+++ b/src/soak/testing/check_test.cc
@@ -59,6 +59,17 @@
   request.seen.detail = R"({"code":"unavailable"})";
   BOOST_TEST((broken() == lost));
   BOOST_TEST((broken(false) == none));
+  run.how = run_end::complete;
+  BOOST_TEST((broken() == lost));
+  run.start = request.seen.end + milliseconds(1);
+  BOOST_TEST((broken() == none));
+  run.start = signal_at + milliseconds(102);
+  history.signals.push_back({"edge-1", SIGTERM, signal_at + milliseconds(50), true});
+  BOOST_TEST((broken() == lost));
+  history.signals = {{"edge-1", SIGHUP, signal_at}};
+  BOOST_TEST((broken() == none));
+  request.seen.detail = "broken body: end of stream";
+  BOOST_TEST((broken() == lost));
   request.seen.detail = R"({"error":"the grant ended","upstream":"u"})";
   BOOST_TEST((broken() == none));
 }
@@ -119,6 +130,8 @@
   request.seen.end = signal_at + milliseconds(5500);
   run.end = request.seen.end;
   BOOST_TEST((broken() == none));
+  history.signals.push_back({"edge-1", SIGTERM, signal_at + seconds(2), true});
+  BOOST_TEST((broken() == none));
   request.sent = signal_at + milliseconds(3001);
   BOOST_TEST((broken() == lost));
 }
