Failing test: an upload in an upstream's queue is answered 502

No promise is broken, 502 promises nothing, but the upload is broken off although its upstream is alive.

Cause: the upstream reads the body when it runs the request, so its window closes. TCP_USER_TIMEOUT (500 ms) ends connections also while the window stays closed, whatever is acknowledged.

--- a/src/harness/testing/registered_cluster_test.cc
+++ b/src/harness/testing/registered_cluster_test.cc
@@ -14,6 +14,7 @@
 #include "harness/web.h"
 #include "load/checker.h"
 #include "load/runner.h"
+#include "standin/answer_body.h"
 
 using namespace plantainpaddle;
 
@@ -306,6 +307,34 @@
   }
 }
 
+// Guards against an upload that is answered 502 since its upstream, which has it in its queue,
+// reads nothing of it yet: its machine counts as dead although it acknowledges what it gets.
+BOOST_FIXTURE_TEST_CASE(an_upload_waits_for_its_place_in_an_upstreams_queue, fixture) {
+  constexpr duration busy = milliseconds(1500);
+  constexpr duration most = seconds(4);
+  std::vector<std::future<result<http_response>>> others;
+  for (const auto& [name, upstream] : system->upstreams) {
+    if (upstream.service != "plan-room") continue;
+    BOOST_TEST(web_post(upstream.address, "/control/settings", R"({"slots":1})").has_value());
+    http_request other{"GET", "/drawings/1", {}, "", ""};
+    other.headers.push_back({std::string(standin_busy_header), std::to_string(busy.count())});
+    others.push_back(std::async(std::launch::async, [&address = upstream.address, other, most] {
+      return web_call(address, other, most);
+    }));
+  }
+  pause(milliseconds(100));
+  route_row route;
+  route.host = "localhost";
+  route.path_prefix = "/drawings/";
+  http_request upload = make_registered_request(route, 1);
+  upload.method = "PUT";
+  upload.body.assign(1 << 20, 'x');
+  const auto answer = web_call(system->entries.at("north-0").callers, upload, most);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->status == 200U);
+  for (auto& other : others) BOOST_TEST(other.get().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(settings_are_read_again_without_a_cut, fixture) {
   const auto seen = play(seconds(4), [&] {
     for (auto& [name, entry] : system->entries) {
