--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -111,7 +111,8 @@
 }
 
 // Reads until the head of the final response is found. The wait ends at the deadline or after the
-// class's silence limit, whichever is earlier.
+// class's silence limit, whichever is earlier. What has arrived by then is read all the same, since
+// the event loop may be late.
 task<std::optional<exchange::attempt_end>> exchange::read_response_head(const destination& to) {
   const auto klass = static_cast<std::size_t>(match_.route->klass);
   const auto silent_at = monotonic_now() + worker_.settings().limits.first_byte_timeout[klass];
@@ -138,16 +139,17 @@
         co_return broken_protocol(to, "the response belongs to another request");
     }
     if (!code) {
-      co_await socket.async_wait(tcp_socket::wait_read, as_task);
+      if (!caller_.expired()) co_await socket.async_wait(tcp_socket::wait_read, as_task);
       if (caller_.caller_gone()) {
         co_return failed(to, step::read_answer, run_state::unknown,
                          "the caller closed the connection", std::nullopt);
       }
-      if (caller_.expired()) {
+      buffer.end += socket.read_some(buffer.space(), code);
+      if (code == asio::error::would_block && caller_.expired()) {
+        count_dropped_response(caller_, buffer, "head");
         co_return failed(to, step::read_answer, run_state::unknown, "no response in time",
                          silence_first ? failure_kind::silent : failure_kind::timeout);
       }
-      buffer.end += socket.read_some(buffer.space(), code);
     }
     if (code && code != asio::error::would_block) {
       // An upstream may close an idle connection just as it is reused: no sign of a failure.
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -56,9 +56,15 @@
   notify_change();
 }
 
-void session::begin_drain(monotonic_time close_idle_at) {
-  if (idle_) deadline_.set(std::min(deadline_.due(), close_idle_at));
+void session::begin_drain() {
+  // A head that is awaited behind other requests has no deadline and is never taken.
+  const bool has_deadline = deadline_.due() != monotonic_time::max();
+  if (awaits_head_ && has_deadline) {
+    const auto latest = idle_ ? home_.close_idle_at() : home_.last_request();
+    deadline_.set(std::min(deadline_.due(), latest));
+  }
   deadline_.set_idle(false);
+  for (const auto& work : exchanges_) work->begin_drain();
 }
 
 void session::release_ready_responses() {
@@ -102,7 +108,9 @@
   while (!closing_) {
     while (!closing_ && must_pause_reading()) co_await wait_for_change();
     if (closing_) break;
+    awaits_head_ = true;
     const head_result read = co_await read_head();
+    awaits_head_ = false;
     if (read.status == head_status::closed) break;
     if (read.status != head_status::complete) {
       co_await reject_head(read);
@@ -124,12 +132,8 @@
 void session::become_idle() {
   idle_ = true;
   idle_since_ = monotonic_now();
-  deadline_.set(idle_since_ + home_.limits().idle_time);
-  if (home_.draining()) {
-    deadline_.set(idle_since_ + home_.settings().limits.drain_idle_time);
-  } else {
-    deadline_.set_idle(true);
-  }
+  deadline_.set(std::min(idle_since_ + home_.limits().idle_time, home_.close_idle_at()));
+  deadline_.set_idle(!home_.draining());
 }
 
 void session::refresh_idle_time() {
@@ -137,12 +141,13 @@
 }
 
 // Waits without a buffer, so that idle connections cost little memory. An exchange on this
-// connection may cancel operations on the socket that they share: the wait then starts again.
+// connection may cancel operations on the socket that they share: the wait then starts again. True
+// also when the deadline is over: what has arrived by then is read first.
 task<bool> session::wait_readable() {
   while (true) {
     auto [code] = co_await socket_.async_wait(tcp_socket::wait_read, as_task);
-    if (closing_ || deadline_.expired()) co_return false;
-    if (!code) co_return true;
+    if (closing_) co_return false;
+    if (!code || deadline_.expired()) co_return true;
     if (code != asio::error::operation_aborted) co_return false;
   }
 }
@@ -159,10 +164,11 @@
     const bool readable = co_await wait_readable();
     idle_ = false;
     deadline_.set_idle(false);
-    if (!readable) co_return head_result{};
+    const bool idle_too_long = deadline_.expired() && peek_peer(socket_) != peer_state::has_data;
+    if (!readable || idle_too_long) co_return head_result{};
     buffer_ = home_.buffers().take();
   }
-  deadline_.set(monotonic_now() + home_.limits().head_time);
+  deadline_.set(std::min(monotonic_now() + home_.limits().head_time, home_.last_request()));
   while (true) {
     const head_result seen = check_buffered_head(searched);
     if (seen.status != head_status::closed) {
@@ -172,8 +178,8 @@
     boost::system::error_code code;
     buffer_->end += socket_.read_some(buffer_->space(), code);
     if (code == asio::error::would_block) {
+      if (deadline_.expired()) co_return head_result{head_status::timed_out};
       if (co_await wait_readable()) continue;
-      if (deadline_.expired() && !closing_) co_return head_result{head_status::timed_out};
       co_return head_result{};
     }
     if (code) co_return head_result{};
@@ -211,9 +217,9 @@
   outgoing pieces;
   pieces.add(text);
   deadline_.set(monotonic_now() + home_.settings().limits.body_time);
-  while (pieces.write_some(socket_) == asio::error::would_block) {
+  while (pieces.write_some(socket_) == asio::error::would_block && !deadline_.expired()) {
     auto [code] = co_await socket_.async_wait(tcp_socket::wait_write, as_task);
-    if (code || deadline_.expired()) break;
+    if (code && !deadline_.expired()) break;
   }
 }
 
