--- a/src/soak/check.cc
+++ b/src/soak/check.cc
@@ -54,6 +54,7 @@
     if (seen.outcome == load_outcome::complete) ++verdict.complete;
     check_promises_of(request);
     const auto signals = planned_stops_of(request);
+    if (is_impaired(seen)) return;
     if (!signals.empty()) ++verdict.around_stops;
     if (has_upstreams_answer(seen) || request.sent.count() == 0 || is_excused(request)) return;
     if (std::any_of(signals.begin(), signals.end(),
@@ -132,11 +133,14 @@
     });
   }
 
+  bool is_impaired(const load_record& seen) const {
+    const bool keyed = seen.service == "counter-desk";
+    return overlaps(history_->impairments, seen) ||
+           (keyed && overlaps(history_->store_impairments, seen));
+  }
+
   bool is_excused(const soak_request& request) const {
     const load_record& seen = request.seen;
-    const bool keyed = seen.service == "counter-desk";
-    if (overlaps(history_->impairments, seen)) return true;
-    if (keyed && overlaps(history_->store_impairments, seen)) return true;
     if (seen.end - seen.scheduled >= request.budget) return true;
     const auto& runs = runs_of(seen.id);
     if (runs.empty()) {
--- a/src/soak/check.h
+++ b/src/soak/check.h
@@ -44,8 +44,8 @@
 struct soak_verdict {
   std::uint64_t requests = 0;
   std::uint64_t complete = 0;
-  std::uint64_t around_stops =
-      0;  // requests that a planned stop of their instance may have touched
+  // Requests that ended around planned work without an unplanned impairment.
+  std::uint64_t around_stops = 0;
   std::uint64_t closed_without_answer = 0;      // in calm, on kept connections
   std::map<std::string, std::uint64_t> broken;  // by promise
   std::vector<std::string> findings;            // with their traces, a bounded number of each
