--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -90,7 +90,7 @@
     std::uint64_t connection = 0;  // number of the upstream's connection; 0: none
     std::uint64_t use = 0;         // which request on that connection, from 1
     std::uint64_t written = 0;     // bytes of the head and the held body
-    unsigned response = 0;         // status of the upstream's last final response; 0: none
+    unsigned response = 0;         // status of the upstream's response; 0: none
   };
 
   // How a request to an upstream with a limit goes on. Neither: an upstream is chosen again.
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -48,10 +48,12 @@
       return search_result::malformed;
     }
     const bool final = response.status() >= 200;
-    if (final) trace_.response = response.status();
     const bool own =
         !names().echoes_request_id || response.find(names().request_id) == messages_.request_id;
-    if (final && own) return search_result::found;
+    if (final && own) {
+      trace_.response = response.status();
+      return search_result::found;
+    }
     if (++search_.skipped > max_skipped_responses) return search_result::foreign;
     if (final) {
       worker_.counters().add("foreign_answers_total", {});
