Answer an upload under way at the end of a drain

What callers saw: at the end of a drain an upload whose bytes keep coming isn't answered; its connection is closed with it (LOST).

But the progress window of the relay had a copy of the deadline from its beginning, and each 1,024 bytes of the body set the deadline anew from that copy.

The test, in which a caller sends 2,000 bytes each millisecond, failed in 5 of 5 runs: the answer came after more than a second, at the route's time-out. It passes in 5 of 5 now.

The window refers to the deadline instead of copying it, and can't be made from a temporary.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -416,7 +416,7 @@
     pieces.add(response.body());
   }
   const caller_socket_use used(caller_);
-  progress_window progress(caller_, monotonic_time::max());
+  progress_window progress(caller_, progress_window::no_limit);
   auto relayed = co_await write_pieces(pieces, caller_.socket(), caller_, progress,
                                        relay_end::caller_failed, relay_end::caller_slow);
   if (relayed == relay_end::complete && !response.is_done()) {
--- a/src/entry/body_relay.cc
+++ b/src/entry/body_relay.cc
@@ -54,7 +54,7 @@
 
 }  // namespace
 
-progress_window::progress_window(request_scope& caller, monotonic_time latest)
+progress_window::progress_window(request_scope& caller, const monotonic_time& latest)
     : caller_(caller), limits_(caller.owning_worker().settings().limits), latest_(latest) {
   restart();
 }
@@ -104,7 +104,7 @@
 
 task<relay_end> relay_request_pieces(request_scope& caller, message_parser<true>& request,
                                      tcp_socket& upstream, std::size_t window,
-                                     std::uint64_t body_limit, monotonic_time deadline,
+                                     std::uint64_t body_limit, const monotonic_time& deadline,
                                      const response_watch& watch) {
   progress_window progress(caller, deadline);
   wire_buffer& buffer = caller.buffer();
@@ -143,7 +143,7 @@
 
 task<relay_end> relay_request_body(request_scope& caller, message_parser<true>& request,
                                    tcp_socket& upstream, std::size_t window,
-                                   std::uint64_t body_limit, monotonic_time deadline,
+                                   std::uint64_t body_limit, const monotonic_time& deadline,
                                    const early_reader& early) {
   const caller_socket_use used(caller);
   const auto watch = watch_for_response(caller, upstream, early);
@@ -156,7 +156,7 @@
 task<relay_end> relay_response_body(request_scope& caller, message_parser<false>& response,
                                     tcp_socket& upstream, wire_buffer& buffer) {
   const caller_socket_use used(caller);
-  progress_window progress(caller, monotonic_time::max());
+  progress_window progress(caller, progress_window::no_limit);
   const auto& limits = caller.owning_worker().settings().limits;
   for (int parts = 1; !response.is_done(); ++parts) {
     const bool too_long =
--- a/src/entry/body_relay.h
+++ b/src/entry/body_relay.h
@@ -29,14 +29,18 @@
 // for every body_progress bytes.
 class progress_window {
  public:
-  progress_window(request_scope& caller, monotonic_time latest);
+  static constexpr monotonic_time no_limit = monotonic_time::max();
+
+  // The upper bound of the deadline may change while it holds.
+  progress_window(request_scope& caller, const monotonic_time& latest);
+  progress_window(request_scope& caller, monotonic_time&& latest) = delete;
   void on_bytes(std::size_t bytes);
   void restart();
 
  private:
   request_scope& caller_;
   const proxy_limits& limits_;
-  monotonic_time latest_;  // upper bound of the deadline
+  const monotonic_time& latest_;
   std::size_t bytes_ = 0;
 };
 
@@ -58,7 +62,7 @@
 // are decoded already. `window` is the offset of the body in the caller's buffer, behind the head.
 task<relay_end> relay_request_body(request_scope& caller, message_parser<true>& request,
                                    tcp_socket& upstream, std::size_t window,
-                                   std::uint64_t body_limit, monotonic_time deadline,
+                                   std::uint64_t body_limit, const monotonic_time& deadline,
                                    const early_reader& early);
 
 // Reads and parses the next bytes of the response's body; complete means that some came, or the end
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -536,7 +536,7 @@
   outgoing pieces;
   pieces.add(text);
   const caller_socket_use used(caller_);
-  progress_window progress(caller_, monotonic_time::max());
+  progress_window progress(caller_, progress_window::no_limit);
   const auto sent = co_await write_pieces(pieces, caller_.socket(), caller_, progress,
                                           relay_end::caller_failed, relay_end::caller_slow);
   co_return sent == relay_end::complete&& keep;
--- a/src/entry/testing/promise_test.cc
+++ b/src/entry/testing/promise_test.cc
@@ -169,6 +169,32 @@
   BOOST_TEST(!got.has("Retry-After"));
 }
 
+// Guards against an upload that goes on after the end of a drain, since each byte of it sets its
+// deadline anew, and is closed with its connection without a response.
+BOOST_AUTO_TEST_CASE(an_upload_under_way_is_answered_at_the_end_of_a_drain) {
+  std::atomic<int> begun{0};
+  scripted_upstream upstream(begin_at_head(begun));
+  proxy_fixture proxy({upstream.address()});
+  proxy.service.routes[0].body_limit = std::uint64_t{1} << 40;
+  proxy.publish();
+  auto caller = proxy.caller();
+  caller.send("POST /stock/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n");
+  std::atomic<bool> stop{false};
+  std::thread sender([&] {
+    const std::string piece(2000, 'x');
+    while (!stop && caller.send(piece)) std::this_thread::sleep_for(milliseconds(1));
+  });
+  while (begun == 0) std::this_thread::sleep_for(milliseconds(2));
+  proxy.traffic->begin_drain(true);
+  const auto ended_at = monotonic_now();
+  proxy.traffic->end_waits();
+  const auto got = caller.read_answer();
+  BOOST_TEST((monotonic_now() - ended_at < seconds(1)));
+  BOOST_TEST(got.status() == 504);
+  stop = true;
+  sender.join();
+}
+
 // Guards against an upload that is never sent whole, since a late copy of an earlier response,
 // whole or in pieces, or an interim response arrives while it is sent.
 BOOST_AUTO_TEST_CASE(an_upload_goes_on_after_a_late_copy_of_another_response) {
