A response's head and its connection's end agree

A caller whose response was being written when a drain began had its connection closed after it, although the response didn't say so; its next request was reset.

Cause: can_keep_alive() was asked twice, for the head and after the last byte, with the drain's begin between. The answer that the head gave is kept now; such a connection takes one more request, which says that it is the last.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -527,11 +527,12 @@
   }
   const body_frame frame = frame_for(response);
   const auto outcome = reported_outcome(to.via_dispatcher, response.find(names().outcome));
-  const bool keep = can_keep_alive();
+  keeps_alive_ = can_keep_alive();
   messages_.head.clear();
-  write_response_head(messages_.head, response,
-                      {.request_id = messages_.request_id, .outcome = outcome, .close = !keep},
-                      frame, names());
+  write_response_head(
+      messages_.head, response,
+      {.request_id = messages_.request_id, .outcome = outcome, .close = !keeps_alive_}, frame,
+      names());
   outgoing pieces;
   pieces.add(messages_.head);
   if (frame.kind == body_framing::chunked) {
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -113,7 +113,9 @@
     attempt_end end = co_await attempt(to);
     report_health(to, end);
     may_have_run_ |= end.known == run_state::unknown;
-    if (end.answered) co_return end.known == run_state::complete&& can_keep_alive();
+    if (end.answered) {
+      co_return end.known == run_state::complete&& keeps_alive_ && !caller_.caller_gone();
+    }
     log_attempt(to, end);
     if (caller_.caller_gone()) {
       worker_.counters().add("cancelled_total", {});
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -176,6 +176,7 @@
   bool request_sent_ = false;           // the last attempt sent the whole request
   bool awaits_response_ = false;        // the last attempt waits for the response's head
   monotonic_time response_ready_at_{};  // when the last attempt's response could be relayed
+  bool keeps_alive_ = false;            // as the response's head told the caller
   bool reads_held_body_ = false;
   bool request_read_ = false;   // the request was read to its end
   std::size_t held_bytes_ = 0;  // body bytes charged to the worker's memory budget
