Connections in the backlog are served at the end of a drain

A caller that had connected just before an instance stopped accepting had its connection reset if no other connection was open: nothing of its request was read.

Cause: finish() posts the acceptor's close, which takes in the backlog, and stopped the event loop itself before that ran, since it saw no session. It looks behind the close now, and counts connections that have been accepted but have no session yet.

--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -61,7 +61,13 @@
   finishing_ = true;
   if (phase_ == drain_phase::draining) phase_ = drain_phase::no_connections;
   if (abort_connections) abort_sessions();
-  if (sessions_.empty()) io_.stop();
+  // Behind the acceptor's close, which takes in the backlog.
+  asio::post(io_, [this] { stop_if_finished(); });
+}
+
+// A connection that has been accepted but has no session yet counts too.
+void worker::stop_if_finished() {
+  if (finishing_ && shared_.connections == 0) io_.stop();
 }
 
 void worker::stop() {
@@ -136,7 +142,7 @@
       if (thrown) log_line(log_level::error, {.message = "unhandled exception on a connection"});
       sessions_.erase(id);
       --shared_.connections;
-      if (finishing_ && sessions_.empty()) io_.stop();
+      stop_if_finished();
     });
   });
 }
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -114,6 +114,7 @@
                               monotonic_time now);
   void wake_owner_waiters();
   void abort_sessions();
+  void stop_if_finished();
 
   traffic_state& shared_;
   metrics& counters_;
