A dispatcher's refusal isn't relayed after an attempt that may have run

What callers saw, in the form of the system with dispatchers: 503 with the outcome not-run and a Retry-After for a request whose first attempt had lost its response and may have run.

Cause: the dispatcher knows only the attempt that went through it, and its own response was relayed as it was. The class is the one of the statuses: a promise chosen apart from all that is known. Found by review.

Such a response now counts as a failed attempt, and what the caller is told is settled with the rest.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -109,6 +109,7 @@
   if (no_head) co_return *no_head;
   read_statement(to);
   if (auto end = refused_by_upstream(to)) co_return *end;
+  if (auto end = refused_by_dispatcher(to)) co_return *end;
   co_return co_await relay_response(to);
 }
 
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -152,6 +152,7 @@
   void note_pause(const upstream_id& upstream, duration length);
   void note_limit(const upstream_id& upstream, std::optional<double> rate);
   std::optional<attempt_end> refused_by_upstream(const destination& to);
+  std::optional<attempt_end> refused_by_dispatcher(const destination& to);
   task<attempt_end> relay_response(const destination& to);
   void release_connection(bool reusable);
   void leave_gate(bool observe);
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -203,4 +203,13 @@
   return end;
 }
 
+// A dispatcher knows only the attempt that went through it: what it says of that one isn't relayed
+// if an earlier attempt may have run.
+std::optional<exchange::attempt_end> exchange::refused_by_dispatcher(const destination& to) {
+  const bool refused = to.via_dispatcher && messages_.response->find(names().outcome) ==
+                                                outcome_name(run_outcome::not_run);
+  if (!refused || !may_have_run_) return std::nullopt;
+  return failed(to, step::read_answer, run_state::not_run, "the dispatcher refused", std::nullopt);
+}
+
 }  // namespace plantainpaddle
--- a/src/entry/testing/promise_test.cc
+++ b/src/entry/testing/promise_test.cc
@@ -228,6 +228,27 @@
   }
 }
 
+// Guards against "not-run" from a dispatcher that is relayed after an attempt that may have run.
+BOOST_AUTO_TEST_CASE(a_dispatchers_refusal_after_an_unknown_attempt_promises_nothing) {
+  std::atomic<int> arrived{0};
+  scripted_upstream dispatcher([&](scripted_connection& side) {
+    for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
+      if (++arrived == 1) return;  // runs it, and the response is lost
+      side.answer("busy", "Plantainpaddle-Outcome: not-run\r\nRetry-After: 1\r\n", 503);
+    }
+  });
+  proxy_fixture entry({"127.0.0.1:1"});
+  entry.service.service.dispatch = dispatch_mode::dispatcher;
+  entry.service.dispatchers[0] = dispatcher.address();
+  entry.publish();
+  const auto got = entry.caller().get("/stock/1");
+  BOOST_TEST(arrived >= 2);
+  BOOST_TEST(got.status() >= 400);
+  BOOST_TEST(!promises_not_run(got.status()));
+  BOOST_TEST(!got.has("Plantainpaddle-Outcome: not-run"));
+  BOOST_TEST(!got.has("Retry-After"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle::testing
