Send nothing for a caller that left while its request waited

What could be seen: a request reaches its upstream at once, and before its permit is due, because its caller has closed the connection; the upstream then works for nobody, and at the end of a drain the request holds its session until its deadline.

Cause: the end of the caller's connection ends each wait, but the wait for a permit and the one for an owner didn't look at why they had ended.

--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -99,6 +99,7 @@
     const destination to = std::get<destination>(std::move(chosen));
     auto permit = co_await take_permit(to);
     if (permit.refusal) co_return co_await respond(std::move(*permit.refusal));
+    if (caller_.caller_gone()) co_return end_cancelled();
     if (!permit.may_send) continue;
     // Every further attempt counts against the retry budget, whatever caused it.
     const bool has_token = std::exchange(has_retry_token_, false);
@@ -116,11 +117,7 @@
       co_return end.known == run_state::complete&& keeps_alive_ && !caller_.caller_gone();
     }
     log_attempt(to, end);
-    if (caller_.caller_gone()) {
-      worker_.counters().add("cancelled_total", {});
-      record(0, "cancelled", 0);
-      co_return false;
-    }
+    if (caller_.caller_gone()) co_return end_cancelled();
     if (end.too_late && attempts_ > 1) {
       // Reports what delayed the request. A named variable, because g++ 12 destroys an aggregate
       // that is created inside co_await twice.
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -166,6 +166,8 @@
   task<std::optional<local_response>> plan_retry(const attempt_end& end);
 
   task<bool> respond(local_response own);
+  // Records that the caller has left before it got a response. Returns false.
+  bool end_cancelled();
   void record(unsigned status, std::string_view outcome, std::uint64_t answer_bytes);
   void log_local_response(const local_response& own) const;
   void log_request_end(unsigned status, std::string_view outcome, duration taken) const;
--- a/src/entry/exchange_log.cc
+++ b/src/entry/exchange_log.cc
@@ -27,6 +27,12 @@
   log_request_end(status, outcome, now - started_at_);
 }
 
+bool exchange::end_cancelled() {
+  worker_.counters().add("cancelled_total", {});
+  record(0, "cancelled", 0);
+  return false;
+}
+
 // Logs the end of a request: at debug level if it was served, else at info level, since an
 // overloaded log drops debug lines first.
 void exchange::log_request_end(unsigned status, std::string_view outcome, duration taken) const {
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -521,6 +521,34 @@
   }
 }
 
+// Guards against a request that is sent to its upstream after its caller has left, which it did
+// while the request waited for a permit.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_during_the_wait_for_a_permit_sends_nothing) {
+  std::atomic<int> arrived{0};
+  scripted_upstream limited([&](scripted_connection& side) {
+    for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
+      ++arrived;
+      side.answer("limited", echo_id(head) + "Server-Limit: 4\r\n");
+    }
+  });
+  shared_fixture shared({limited.address()}, true);
+  std::atomic<int> asked{0};
+  shared.traffic->set_permit_source([&](const permit_request&, const auto& done) {
+    ++asked;
+    done({true, milliseconds(600)});
+  });
+  shared.set_owner("u0");
+  shared.caller().ask(request("GET", "first"));
+  BOOST_TEST(arrived == 1);
+  auto caller = shared.caller();
+  caller.send(request("GET", "second"));
+  while (asked == 0) std::this_thread::sleep_for(milliseconds(2));
+  std::this_thread::sleep_for(milliseconds(50));
+  caller.close();
+  std::this_thread::sleep_for(milliseconds(900));
+  BOOST_TEST(arrived == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle::testing
