The end of waits in a drain ends the wait for an owner

What callers saw: a request for a key that has no owner just then, which had been passed on and refused with 421, could have its connection closed without a response at the end of a drain (LOST).

Cause: the end of the wait for an owner was fixed when the wait began, 400 ms ahead; the connections are closed 200 ms after the waits are ended. Found by review.

--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -455,7 +455,9 @@
   if (owner_wait_end_ == monotonic_time{}) {
     owner_wait_end_ = std::min(deadline_, now + worker_.settings().limits.owner_wait);
   }
-  if (now >= owner_wait_end_ || caller_.caller_gone()) {
+  // A drain may have cut the deadline since the wait began.
+  const auto wait_end = std::min(owner_wait_end_, deadline_);
+  if (now >= wait_end || caller_.caller_gone()) {
     local_response given_up{503, cause, run_outcome::not_run};
     if (now < deadline_) given_up.retry_after = worker_.settings().limits.retry_after;
     co_return given_up;
@@ -468,7 +470,7 @@
     owner_pause_ = std::clamp(owner_pause_ * 2, min_owner_pause, max_owner_pause);
     waiting.insert(caller_.id());
     caller_.set_deadline(deadline_);
-    co_await caller_.pause_until(std::min(owner_wait_end_, now + owner_pause_));
+    co_await caller_.pause_until(std::min(wait_end, now + owner_pause_));
     waiting.erase(caller_.id());
   }
   co_return route_request();
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -521,6 +521,22 @@
   }
 }
 
+// Guards against a request whose connection is closed without a response at the end of a drain,
+// since its wait for an owner of its key goes on.
+BOOST_AUTO_TEST_CASE(the_end_of_waits_in_a_drain_ends_the_wait_for_an_owner) {
+  scripted_upstream upstream(scripted_upstream::echo);
+  shared_fixture shared({upstream.address(), upstream.address()}, true);
+  shared.set_owner("u0", {"u1"});  // a move that isn't over; owner_wait is 300 ms
+  auto caller = shared.caller();
+  caller.send(request("GET", "a"));
+  std::this_thread::sleep_for(milliseconds(40));
+  shared.traffic->begin_drain(true);
+  shared.traffic->end_waits();
+  const auto ended = monotonic_now();
+  BOOST_TEST(caller.read_answer().status() == 503);
+  BOOST_TEST((monotonic_now() - ended < milliseconds(150)));
+}
+
 // Guards against a request that is sent to its upstream after its caller has left, which it did
 // while the request waited for a permit.
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_during_the_wait_for_a_permit_sends_nothing) {
