--- a/src/bench/soak_bench.cc
+++ b/src/bench/soak_bench.cc
@@ -46,6 +46,7 @@
             << verdict->around_stops << " around planned stops";
   for (const auto& [promise, count] : verdict->broken) std::cout << ", " << promise << " " << count;
   std::cout << std::endl;
+  for (const auto& note : verdict->notes) std::cout << "  " << note << '\n';
   for (const auto& finding : verdict->findings) std::cout << "  " << finding << '\n';
   if (verdict->clean()) {
     std::filesystem::remove_all(folder);
--- a/src/soak/check.cc
+++ b/src/soak/check.cc
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <csignal>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 #include "load/checker.h"
@@ -54,7 +55,7 @@
     if (seen.outcome == load_outcome::complete) ++verdict.complete;
     check_promises_of(request);
     const auto signals = planned_stops_of(request);
-    if (is_impaired(seen)) return;
+    if (is_impaired(seen)) return check_beside(request);
     if (!signals.empty()) ++verdict.around_stops;
     if (has_upstreams_answer(seen) || request.sent.count() == 0 || is_excused(request)) return;
     if (std::any_of(signals.begin(), signals.end(),
@@ -66,6 +67,20 @@
     }
   }
 
+  // An impairment of another process or link excuses a request too. That it would have counted as
+  // lost is noted, since the impairment may have had no part in it.
+  void check_beside(const soak_request& request) {
+    if (has_upstreams_answer(request.seen) || request.sent.count() == 0 || is_excused(request) ||
+        is_near_impairment(request)) {
+      return;
+    }
+    const auto signals = planned_stops_of(request);
+    if (std::any_of(signals.begin(), signals.end(),
+                    [&](const auto* signal) { return !is_allowed(request, *signal); })) {
+      verdict.notes.push_back("lost beside an impairment elsewhere: " + describe(request));
+    }
+  }
+
   void find(const std::string& promise, const soak_request& request) {
     verdict.add(promise, describe(request));
   }
@@ -139,6 +154,20 @@
            (keyed && overlaps(history_->store_impairments, seen));
   }
 
+  // Of its instance, of an upstream that began to work on it, or of their links; or of the store.
+  bool is_near_impairment(const soak_request& request) const {
+    if (overlaps(history_->store_impairments, request.seen)) return true;
+    std::set<std::string> names{instance_of(request.seen)};
+    for (const auto* run : runs_of(request.seen.id)) names.insert(run->upstream);
+    std::vector<soak_history::impairment> near;
+    for (const auto& impairment : history_->impairments) {
+      for (const auto& name : names) {
+        if (impairment.name.find(name) != std::string::npos) near.push_back(impairment);
+      }
+    }
+    return overlaps(near, request.seen);
+  }
+
   bool is_excused(const soak_request& request) const {
     const load_record& seen = request.seen;
     if (seen.end - seen.scheduled >= request.budget) return true;
--- a/src/soak/check.h
+++ b/src/soak/check.h
@@ -50,6 +50,8 @@
   std::map<std::string, std::uint64_t> broken;  // by promise
   std::vector<std::string> findings;            // with their traces, a bounded number of each
 
+  std::vector<std::string> notes;  // what breaks no promise and is worth a look
+
   bool clean() const { return broken.empty(); }
   void add(const std::string& promise, const std::string& trace);
 };
--- a/src/soak/testing/check_test.cc
+++ b/src/soak/testing/check_test.cc
@@ -124,6 +124,15 @@
   BOOST_TEST((broken() == none));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_loss_beside_an_impairment_elsewhere_is_noted, fixture) {
+  history.impairments.push_back({"link v", signal_at, signal_at + seconds(1)});
+  const auto elsewhere = check_soak({request}, {run}, history);
+  BOOST_TEST(elsewhere.clean());
+  BOOST_TEST(elsewhere.notes.size() == 1U);
+  history.impairments.push_back({"link u", signal_at, signal_at + seconds(1)});
+  BOOST_TEST(check_soak({request}, {run}, history).notes.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(work_in_the_last_sixth_excuses_requests_of_the_first_three_seconds,
                         fixture) {
   request.budget = seconds(10);
