--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -405,11 +405,12 @@
   }
   const body_frame frame = frame_for(response);
   const auto outcome = reported_outcome(to.via_dispatcher, response.find(names().outcome));
-  const bool keep = can_keep_alive();
+  keeps_alive_ = can_keep_alive();
   messages_.head.clear();
-  write_response_head(messages_.head, response,
-                      {.request_id = messages_.request_id, .outcome = outcome, .close = !keep},
-                      frame, names());
+  write_response_head(
+      messages_.head, response,
+      {.request_id = messages_.request_id, .outcome = outcome, .close = !keeps_alive_}, frame,
+      names());
   outgoing pieces;
   pieces.add(messages_.head);
   if (frame.kind == body_framing::chunked) {
@@ -418,7 +419,7 @@
     pieces.add(response.body());
   }
   const caller_socket_use used(caller_);
-  progress_window progress(caller_, monotonic_time::max());
+  progress_window progress(caller_, progress_window::no_limit);
   auto relayed = co_await write_pieces(pieces, caller_.socket(), caller_, progress,
                                        relay_end::caller_failed, relay_end::caller_slow);
   if (relayed == relay_end::complete && !response.is_done()) {
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -112,7 +112,9 @@
     attempt_end end = co_await attempt(to);
     report_health(to, end);
     may_have_run_ |= end.known == run_state::unknown;
-    if (end.answered) co_return end.known == run_state::complete&& can_keep_alive();
+    if (end.answered) {
+      co_return end.known == run_state::complete&& keeps_alive_ && !caller_.caller_gone();
+    }
     log_attempt(to, end);
     if (caller_.caller_gone()) {
       worker_.counters().add("cancelled_total", {});
@@ -552,7 +554,7 @@
   outgoing pieces;
   pieces.add(text);
   const caller_socket_use used(caller_);
-  progress_window progress(caller_, monotonic_time::max());
+  progress_window progress(caller_, progress_window::no_limit);
   const auto sent = co_await write_pieces(pieces, caller_.socket(), caller_, progress,
                                           relay_end::caller_failed, relay_end::caller_slow);
   co_return sent == relay_end::complete&& keep;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -94,7 +94,7 @@
     std::uint64_t connection = 0;  // number of the upstream's connection; 0: none
     std::uint64_t use = 0;         // which request on that connection, from 1
     std::uint64_t written = 0;     // bytes of the head and the held body
-    unsigned response = 0;         // status of the upstream's last final response; 0: none
+    unsigned response = 0;         // status of the upstream's response; 0: none
   };
 
   // How a request to an upstream with a limit goes on. Neither: an upstream is chosen again.
@@ -207,6 +207,7 @@
   bool request_sent_ = false;           // the last attempt sent the whole request
   bool awaits_response_ = false;        // the last attempt waits for the response's head
   monotonic_time response_ready_at_{};  // when the last attempt's response could be relayed
+  bool keeps_alive_ = false;            // as the response's head told the caller
   bool reads_held_body_ = false;
   bool request_read_ = false;   // the request was read to its end
   std::size_t held_bytes_ = 0;  // body bytes charged to the worker's memory budget
