An upstream that leaves a long request unread isn't taken for dead

What callers saw: an upload that waited for a slot at its upstream was answered 502 after some 700 ms, "the upstream's machine doesn't acknowledge data", and ran afterwards; around a SIGTERM of the instance it is a request that is broken off while its upstream works (LOST).

Cause: TCP_USER_TIMEOUT (500 ms) ends connections not only when data isn't acknowledged, but also while the receiver's window stays closed. The upstream's machine acknowledged all that it got.

Evidence: an_upload_waits_for_its_place_in_an_upstreams_queue failed in 3 of 3 runs before and passes in 3 of 3 now.

The limit holds for requests that fit into any receive window (16 KiB) only. A longer one to a machine that is gone now ends at its deadline; it is one that may have run either way.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -4,6 +4,7 @@
 // written, and it may have from then on unless the upstream says that it didn't.
 #include <boost/asio/ip/tcp.hpp>
 #include <charconv>
+#include <limits>
 
 #include "entry/exchange.h"
 #include "entry/heads.h"
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr unsigned status_unavailable = 503;
+constexpr std::uint64_t max_unread_request = 16 << 10;  // bytes, fit into any receive window
+constexpr std::uint64_t unknown_size = std::numeric_limits<std::uint64_t>::max();
 
 // The outcome that a dispatcher reported, reduced to the known names. A response that comes from an
 // upstream itself is always complete.
@@ -234,10 +237,6 @@
     auto [code] = co_await connection_->socket.async_connect(*endpoint, as_task);
     if (!code) {
       prepare_socket(connection_->socket);
-      if (limits.tcp_user_timeout > duration::zero()) {
-        limit_unacknowledged(connection_->socket,
-                             std::chrono::ceil<milliseconds>(limits.tcp_user_timeout));
-      }
       co_return std::nullopt;
     }
   }
@@ -257,6 +256,18 @@
   }
 }
 
+// An upstream whose slots are taken may leave a long request unread. Its window then stays closed,
+// which TCP_USER_TIMEOUT takes for a dead machine although it acknowledges all that it gets.
+void exchange::limit_silence(std::uint64_t request_size) {
+  const auto limit =
+      request_size <= max_unread_request
+          ? std::chrono::ceil<milliseconds>(worker_.settings().limits.tcp_user_timeout)
+          : milliseconds(0);
+  if (limit == connection_->unacknowledged_limit) return;
+  limit_unacknowledged(connection_->socket, limit);
+  connection_->unacknowledged_limit = limit;
+}
+
 task<std::optional<exchange::attempt_end>> exchange::send_request(const destination& to) {
   auto& request = *messages_.request;
   const auto now = monotonic_now();
@@ -288,6 +299,7 @@
   outgoing pieces;
   pieces.add(messages_.head);
   const bool whole = request_read_;
+  limit_silence(whole ? messages_.head.size() + messages_.body.size() : unknown_size);
   if (frame.kind == body_framing::chunked) {
     pieces.add_chunk(messages_.body);
   } else {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -139,6 +139,7 @@
   std::optional<request_identity> identity() const;
   task<std::optional<attempt_end>> connect(const destination& to);
   std::optional<attempt_end> check_pause(const destination& to);
+  void limit_silence(std::uint64_t request_size);
   task<std::optional<attempt_end>> send_request(const destination& to);
   task<std::optional<attempt_end>> read_response_head(const destination& to);
   void begin_search();
--- a/src/entry/proxy_settings.h
+++ b/src/entry/proxy_settings.h
@@ -23,9 +23,9 @@
   duration body_time = seconds(10);
   std::size_t body_progress = 1024;
   duration connect_time = milliseconds(250);
-  // TCP_USER_TIMEOUT of connections to upstreams: bytes that the upstream's machine doesn't
-  // acknowledge for so long end the connection. 0: the system's default. Where it is set, it is
-  // twice the time after which a lost packet is sent again.
+  // TCP_USER_TIMEOUT of connections to upstreams, but for long requests: bytes that the upstream's
+  // machine doesn't acknowledge for so long end the connection. 0: the system's default. Where it
+  // is set, it is twice the time after which a lost packet is sent again.
   duration tcp_user_timeout{0};
   duration sweep_period = deadline_sweeper::sweep_period;  // between checks of deadlines
   // Requests are taken for so long in a drain, unless its begin says otherwise.
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -36,6 +36,7 @@
   std::unique_ptr<wire_buffer> buffer;  // only while an answer is read
   monotonic_time idle_since{};
   duration keep_for{0};  // the other side closes it when it was idle for so long; 0: not stated
+  std::chrono::milliseconds unacknowledged_limit{0};  // TCP_USER_TIMEOUT; 0: the system's default
   bool reused = false;
 };
 
