--- a/src/entry/testing/promise_test.cc
+++ b/src/entry/testing/promise_test.cc
@@ -249,6 +249,44 @@
   BOOST_TEST(!got.has("Retry-After"));
 }
 
+// Guards against a late copy of a response with a body that is read as one without where the
+// response to HEAD is due.
+BOOST_AUTO_TEST_CASE(a_copy_with_a_body_before_the_response_to_head_is_skipped) {
+  scripted_upstream upstream([&](scripted_connection& side) {
+    const auto first = side.read_request();
+    side.answer("first", echo_id(first));
+    const auto second = side.read_request();
+    side.answer("first", echo_id(first));
+    side.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + echo_id(second) + "\r\n");
+    side.read_request();
+  });
+  shared_fixture shared({upstream.address()});
+  shared.desired.routes[0].policy.max_attempts = 1;
+  shared.publish();
+  auto caller = shared.caller();
+  BOOST_TEST(caller.ask(request("GET", "a")).status() == 200);
+  BOOST_TEST(caller.ask(request("HEAD", "b"), true).status() == 200);
+}
+
+// The same for the copy of a response to HEAD where the response to GET is due.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_response_to_head_before_one_with_a_body_is_skipped) {
+  scripted_upstream upstream([&](scripted_connection& side) {
+    const auto first = side.read_request();
+    const auto bare = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + echo_id(first) + "\r\n";
+    side.send(bare);
+    const auto second = side.read_request();
+    side.send(bare);
+    side.answer("second", echo_id(second));
+    side.read_request();
+  });
+  shared_fixture shared({upstream.address()});
+  shared.desired.routes[0].policy.max_attempts = 1;
+  shared.publish();
+  auto caller = shared.caller();
+  BOOST_TEST(caller.ask(request("HEAD", "a"), true).status() == 200);
+  BOOST_TEST(caller.ask(request("GET", "b")).body == "second");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle::testing
