--- a/src/soak/testing/soak_test.cc
+++ b/src/soak/testing/soak_test.cc
@@ -16,6 +16,10 @@
 constexpr const char* second_signal =
     "LOST: a second SIGTERM closed connections whose requests were at work";
 
+constexpr const char* closed_window =
+    "LOST: an upload that its upstream didn't read for a while was broken off; suspected cause: "
+    "TCP_USER_TIMEOUT also ends connections whose window stays closed";
+
 struct known_seed {
   std::uint64_t seed;
   duration length;
@@ -40,6 +44,7 @@
     {12, seconds(20), copied_refusal}, {101, seconds(20), second_signal},
     {102, seconds(20), second_signal}, {103, seconds(20), second_signal},
     {104, seconds(20), second_signal}, {105, seconds(20), second_signal},
+    {209, seconds(12), closed_window},
 };
 
 std::ostream& operator<<(std::ostream& out, const known_seed& known) {
