--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -139,6 +139,7 @@
   std::optional<request_identity> identity() const;
   task<std::optional<attempt_end>> connect(const destination& to);
   std::optional<attempt_end> check_pause(const destination& to);
+  void limit_silence(std::uint64_t request_size);
   task<std::optional<attempt_end>> send_request(const destination& to);
   task<std::optional<attempt_end>> read_response_head(const destination& to);
   void begin_search();
@@ -152,6 +153,7 @@
   void note_pause(const upstream_id& upstream, duration length);
   void note_limit(const upstream_id& upstream, std::optional<double> rate);
   std::optional<attempt_end> refused_by_upstream(const destination& to);
+  std::optional<attempt_end> refused_by_dispatcher(const destination& to);
   task<attempt_end> relay_response(const destination& to);
   void release_connection(bool reusable);
   void leave_gate(bool observe);
@@ -165,6 +167,8 @@
   task<std::optional<local_response>> plan_retry(const attempt_end& end);
 
   task<bool> respond(local_response own);
+  // Records that the caller has left before it got a response. Returns false.
+  bool end_cancelled();
   void record(unsigned status, std::string_view outcome, std::uint64_t answer_bytes);
   void log_local_response(const local_response& own) const;
   void log_request_end(unsigned status, std::string_view outcome, duration taken) const;
