Requests without a response get one at the end of proxy::drain()

Callers' connections were cut without a word when the time of a drain in the system's own form was over.

Cause: drain() waited until connections were gone or the time was over, and left the rest to stop(), which aborts. The phases that the other form has (ready responses first, then the requests that wait) weren't there. drain() enters them now, with the times of drain_schedule.

--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -8,6 +8,7 @@
 #include "entry/traffic_state.h"
 #include "entry/worker.h"
 #include "metrics/labels.h"
+#include "routing/drain_schedule.h"
 
 namespace plantainpaddle {
 
@@ -131,14 +132,18 @@
 
 bool proxy::drain(duration bound) {
   const auto now = monotonic_now();
-  const auto end = now + bound;
+  drain_schedule schedule(make_drain_times(bound, bound), now);
   const auto close_idle_at = now + impl_->shared.settings().limits.drain_idle_time;
-  const auto last_request = std::max(close_idle_at, now + bound / 2);
+  const auto last_request = std::max(close_idle_at, schedule.last_request());
   impl_->caller_acceptor->close();
   impl_->forward_acceptor->close();
   for (const auto& one : impl_->workers) one->begin_drain(close_idle_at, last_request);
-  while (connections() != 0 && monotonic_now() < end)
+  while (connections() != 0 && schedule.phase() != drain_phase::closing) {
     std::this_thread::sleep_for(drain_poll_period);
+    const auto phase = schedule.advance(monotonic_now());
+    if (phase == drain_phase::releasing) release_ready_responses();
+    if (phase == drain_phase::ending_waits) end_waits();
+  }
   return connections() == 0;
 }
 
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -72,8 +72,8 @@
   void set_snapshot(std::shared_ptr<const routing_snapshot> snapshot);
 
   // Accepts no more connections, answers each request in flight with "Connection: close", and waits
-  // until no connection is left. Idle connections are closed after drain_idle_time. False if some
-  // are left after `bound`.
+  // until no connection is left. Idle connections are closed after drain_idle_time, and requests
+  // without a response get one shortly before the end. False if connections are left after `bound`.
   bool drain(duration bound);
   // Stops accepting, aborts all connections and joins the threads. With own_thread false, only
   // stops accepting and the io_context: run() returns, and open connections stay open until the
