--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -39,13 +39,12 @@
 struct set_platform {
   std::string fault;
 };
-// Of the connections to an upstream, or of an instance to the platform. until: the time of the
-// event that ends it.
+// Of the connections to an upstream, or of an instance to the platform.
 struct set_relay {
   bool to_platform = false;
   std::size_t index = 0;
   std::string fault;  // members of the relay's fault; empty: none
-  bool ends = false;
+  bool ends = false;  // an earlier fault
 };
 // SIGHUP, with other settings in the file.
 struct change_settings {
