Settings and interfaces for contended capacity, cold rates and evacuations

The settings and the desired state say where the features of docs/design/contended-capacity.md are active: the platform's contracts places and pressure, the bounds warmup-overrun, warmup-slack and evacuate, a service's warmup-per-s, and a route of priority 0.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -329,7 +329,8 @@
   }
   const registry_config config{
       .instances = known_instances,
-      .leaving_grace = share_of(settings.bounds.drain, leaving_grace_share)};
+      .leaving_grace = share_of(settings.bounds.drain, leaving_grace_share),
+      .contended = settings.contended};
   auto snapshot = std::make_shared<routing_snapshot>(make_registry_snapshot(
       *view.desired(), view.upstreams(), ranges, leaving_upstreams, config, now));
   for (const auto& [id, since] : leaving_upstreams) {
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -5,6 +5,7 @@
 
 #include "base/json.h"
 #include "http/address.h"
+#include "platform/contracts.h"
 
 namespace plantainpaddle {
 namespace {
@@ -61,6 +62,14 @@
   bounds.descriptors =
       static_cast<std::uint32_t>(read.integer("descriptors", 64, max_count, bounds.descriptors));
   bounds.cores = read.number("cores", 0.001, 1024, bounds.cores);
+  const auto& members = value->as_object();
+  if (members.contains("warmup_overrun")) {
+    bounds.cold_overrun = read.number("warmup_overrun", 0.1, 100, 1);
+  }
+  bounds.cold_slack = read.number("warmup_slack", 0, 1e6, bounds.cold_slack);
+  if (members.contains("evacuate")) {
+    bounds.evacuation = read_duration(read, "evacuate", milliseconds(500), hour, seconds(5));
+  }
   read.finish();
 }
 
@@ -81,6 +90,7 @@
   if (settings.form == platform_form::etcd)
     settings.instances = read_address(platform, "instances");
   read_bounds(platform, settings.bounds, errors);
+  settings.contended = has_contended_upstreams(platform.texts("contracts", false));
   platform.finish();
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -3,6 +3,7 @@
 // docs/OPERATIONS.md lists the names with unit, default and bounds.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,13 @@
   std::uint32_t memory_mb = 256;    // MiB, of the process
   std::uint32_t descriptors = 4096;
   double cores = 1;  // that this instance may use
+  // Set where upstreams state how many requests they take while they are cold: in any second, all
+  // instances together send one at most the stated rate times cold_overrun, plus cold_slack.
+  std::optional<double> cold_overrun;
+  double cold_slack = 0;  // requests
+  // From an order to evacuate a failure domain to the last request to its upstreams. Unset: the
+  // platform gives no such orders.
+  std::optional<duration> evacuation;
 
   bool operator==(const platform_bounds&) const = default;
 };
@@ -50,6 +58,9 @@
   std::string instances;  // address of the platform's instance list; platform_form::etcd only
   platform_form form = platform_form::etcd;
   platform_bounds bounds;
+  // Whether instances share what they observe of upstreams and admit requests by priority.
+  // platform_form::items only.
+  bool contended = false;
   std::uint32_t threads = 2;  // for traffic; 1 with platform_form::items
   log_level level = log_level::info;
 
--- a/src/entry/testing/settings_test.cc
+++ b/src/entry/testing/settings_test.cc
@@ -102,6 +102,9 @@
   BOOST_TEST((read->bounds.hold_max == seconds(8)));
   BOOST_TEST(read->bounds.retry_share == 0.1);
   BOOST_TEST(read->threads == 1U);
+  BOOST_TEST(!read->contended);
+  BOOST_TEST(!read->bounds.cold_overrun.has_value());
+  BOOST_TEST(!read->bounds.evacuation.has_value());
   const auto check_replaced = [&](const std::string& from, const std::string& to,
                                   const std::string& where) {
     std::string changed = text;
@@ -116,4 +119,18 @@
   check_replaced("\"8000ms\"", "\"1ms\"", "$.platform.bounds.hold_max");
 }
 
+// Guards against a feature that takes effect where the platform doesn't ask for it, or the reverse.
+BOOST_AUTO_TEST_CASE(features_are_on_where_the_settings_ask_for_them) {
+  const auto read = parse_entry_settings(R"({"name":"a","cluster":"c","region":"r","domain":"d",
+    "listen":{"callers":"1.1.1.1:1","operators":"1.1.1.1:3","peers":"1.1.1.1:4"},
+    "platform":{"form":"items","store":["1.1.1.1:5"],"contracts":["base","places"],
+                "bounds":{"warmup_overrun":1.5,"warmup_slack":8,"evacuate":"5000ms"}}})",
+                                         "here");
+  BOOST_REQUIRE_MESSAGE(read.has_value(), (read ? "" : to_string(read.error())));
+  BOOST_TEST(read->contended);
+  BOOST_TEST(read->bounds.cold_overrun.value_or(0) == 1.5);
+  BOOST_TEST(read->bounds.cold_slack == 8);
+  BOOST_TEST((read->bounds.evacuation == seconds(5)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/platform/platform_codec.cc
+++ b/src/platform/platform_codec.cc
@@ -100,6 +100,7 @@
   service.connections = static_cast<std::uint32_t>(reader.whole("max-connections", 100));
   service.keyed = reader.flag("sharded");
   if (service.keyed) service.key_header = platform_key_header;
+  if (reader.find("warmup-per-s") != nullptr) service.cold_rate = reader.number("warmup-per-s");
   if (reader.fault()) return *reader.fault();
   return service;
 }
@@ -190,6 +191,8 @@
   for (std::size_t i = 0; i < routes.size(); ++i) {
     auto route = read_route(routes[i], reader.path("routes", i));
     if (!route) return route.error();
+    const bool states_priority = routes[i].as_object().contains("priority");
+    state.ranked = state.ranked || (states_priority && route->policy.priority == 0);
     state.routes.push_back(std::move(*route));
   }
   std::uint64_t body_bytes = std::uint64_t{64} << 20;
--- a/src/platform/testing/platform_codec_test.cc
+++ b/src/platform/testing/platform_codec_test.cc
@@ -38,6 +38,20 @@
 
 BOOST_AUTO_TEST_SUITE(platform_codecs)
 
+// Guards against admission by priority where no route is declared most urgent, as in deployments
+// that state priorities without asking for it.
+BOOST_AUTO_TEST_CASE(a_route_of_priority_0_makes_a_desired_state_ranked) {
+  BOOST_TEST(!parse_desired_state(config)->ranked);
+  const auto urgent = replaced(config, R"("priority":2)", R"("priority":0)");
+  BOOST_TEST(parse_desired_state(urgent)->ranked);
+}
+
+BOOST_AUTO_TEST_CASE(a_service_may_state_the_rate_of_cold_upstreams) {
+  BOOST_TEST(parse_desired_state(config)->services[0].cold_rate == 0);
+  const auto stated = replaced(config, R"("warm":"5s")", R"("warm":"5s","warmup-per-s":3.9)");
+  BOOST_TEST(parse_desired_state(stated)->services[0].cold_rate == 3.9);
+}
+
 BOOST_AUTO_TEST_CASE(a_desired_state_becomes_routes_services_and_limits) {
   const auto read = parse_desired_state(config);
   BOOST_REQUIRE_MESSAGE(read.has_value(), (read ? "" : to_string(read.error())));
--- a/src/routing/desired_state.h
+++ b/src/routing/desired_state.h
@@ -16,6 +16,8 @@
   std::uint32_t connections = 100;  // accepted by each upstream from all instances together
   bool keyed = false;               // divided by numbered keys
   std::string key_header;           // header that holds a request's key
+  // Requests per second that a cold upstream takes from all instances together; 0: not stated.
+  double cold_rate = 0;
   bool operator==(const declared_service&) const = default;
 };
 
@@ -31,6 +33,9 @@
   std::vector<declared_service> services;
   std::vector<declared_route> routes;
   caller_limits limits;
+  // A route is declared to be of the most urgent priority, 0, so that requests are to be admitted
+  // by priority.
+  bool ranked = false;
   bool operator==(const desired_state&) const = default;
 };
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -13,6 +13,7 @@
 #include "routing/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -34,19 +35,25 @@
 }  // namespace
 
 std::optional<reported_load> parse_reported_load(std::string_view text) {
-  reported_load load;
-  std::uint32_t* const fields[] = {&load.running, &load.waiting, &load.slots};
-  for (auto* field : fields) {
+  constexpr std::size_t least_figures = 3;
+  constexpr double percent = 100;
+  std::array<std::uint32_t, least_figures + 1> figures{};
+  std::size_t count = 0;
+  while (count < figures.size()) {
     while (text.starts_with(' ')) text.remove_prefix(1);
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), *field);
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), figures[count]);
     if (parsed.ec != std::errc()) return std::nullopt;
     text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
-    const bool last = field == fields[2];
-    if (last) break;
-    if (!text.starts_with(',')) return std::nullopt;
+    ++count;
+    if (!text.starts_with(',')) break;
     text.remove_prefix(1);
+    if (text.empty()) return std::nullopt;
   }
-  return text.empty() ? std::optional(load) : std::nullopt;
+  if (!text.empty() || count < least_figures) return std::nullopt;
+  reported_load load{figures[0], figures[1], figures[2], {}};
+  const auto slowdown = figures[least_figures];
+  if (count > least_figures && slowdown > 0) load.slowdown = slowdown / percent;
+  return load;
 }
 
 void placement::set_upstreams(const std::vector<placement_upstream>& upstreams, monotonic_time) {
@@ -336,4 +343,17 @@
   }
 }
 
+void placement::observe(const upstream_id& upstream, const upstream_observation& seen,
+                        monotonic_time now) {
+  const auto it = observations_.find(upstream);
+  if (it == observations_.end()) return;
+  auto& state = it->second;
+  const auto reported_at = now - seen.age;
+  if (reported_at <= state.reported_at) return;
+  const double reported = seen.load.running + seen.load.waiting;
+  state.mean_load += config_.time_smoothing * 2 * (reported - state.mean_load);
+  state.reported = reported;
+  state.reported_at = reported_at;
+}
+
 }  // namespace plantainpaddle
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -98,10 +98,21 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  // How long work takes on the upstream's machine at this moment, relative to the usual time; empty
+  // if it wasn't stated.
+  std::optional<double> slowdown;
   bool operator==(const reported_load&) const = default;
 };
 
-// Parses "running,waiting,slots", such as "3,0,8". Returns nullopt if the text is malformed.
+// What another instance has heard of an upstream.
+struct upstream_observation {
+  reported_load load;
+  duration age{0};  // of the report, when it is taken in
+  bool operator==(const upstream_observation&) const = default;
+};
+
+// Parses "running,waiting,slots", such as "3,0,8", or with a fourth figure that states the slowdown
+// in percent, 100 meaning as usual. Returns nullopt if the text is malformed.
 std::optional<reported_load> parse_reported_load(std::string_view text);
 
 // How an attempt at an upstream ended.
@@ -137,6 +148,9 @@
   void on_sent(const upstream_id& upstream);
   // An attempt has ended.
   void on_end(const upstream_id& upstream, const attempt_report& report, monotonic_time now);
+  // Takes in what another instance has heard of the upstream. An observation that is older than the
+  // latest known report is ignored, as is one of an upstream that isn't listed.
+  void observe(const upstream_id& upstream, const upstream_observation& seen, monotonic_time now);
 
   // Sets the requests per second that the upstream takes from all instances; nullopt: no limit.
   void set_limit(const upstream_id& upstream, std::optional<double> rate, monotonic_time now);
--- a/src/routing/registry_snapshot.cc
+++ b/src/routing/registry_snapshot.cc
@@ -85,6 +85,7 @@
   routing_snapshot snapshot;
   snapshot.version = desired.version;
   snapshot.limits = desired.limits;
+  snapshot.contended = config.contended || desired.ranked;
   std::map<service_id, std::uint32_t> index;
   for (const auto& declared : desired.services) {
     index[declared.name] = static_cast<std::uint32_t>(snapshot.services.size());
--- a/src/routing/registry_snapshot.h
+++ b/src/routing/registry_snapshot.h
@@ -18,6 +18,7 @@
   // A leaving owner still gets requests for its keys for this long after its notice was seen, as
   // the keys may be moving to another owner.
   duration leaving_grace = milliseconds(700);
+  bool contended = false;  // as the settings say; a ranked desired state has the same effect
   double connection_share = 0.85;  // share of an upstream's connections for all instances together
 };
 
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -92,6 +92,8 @@
   std::vector<split_route> split_routes;
   std::optional<caller_limits> limits;  // nullopt: those of the settings apply
   std::uint64_t version = 0;            // of the desired state; 0: not versioned as a whole
+  // Whether instances share what they observe of upstreams and admit requests by priority.
+  bool contended = false;
   bool known = true;  // false: nothing was read yet, so no route may be reported as missing
 };
 
