Evacuations of failure domains, and the rate of cold upstreams

Nothing read op/evacuate/ or warmup-per-s. The feed of the desired state now covers all that operators write where the settings have an evacuation bound; upstreams of an evacuated domain get no requests, the planner moves their keys, and owners there serve for 0.6 of the bound at most. Requests to a cold upstream need a permit at the stated rate. Not tested yet beyond compiling.

--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -126,7 +126,14 @@
   local_response unavailable_response(const std::string& detail, const std::string& peer) const;
   task<std::optional<local_response>> wait_for_owner(const error& cause);
 
-  // Permits to send to upstreams that name a limit.
+  // A limit on the requests to an upstream.
+  struct rate_limit {
+    double rate = 0;  // requests per second
+    duration age{0};  // since it was stated
+  };
+
+  // Permits to send to upstreams that name a limit, or are cold.
+  std::optional<rate_limit> limit_of(const destination& to, monotonic_time now) const;
   task<permit_outcome> take_permit(const destination& to);
   task<std::optional<permit_decision>> ask_permit(const permit_request& request);
   permit_outcome refuse_permit(const destination& to, const permit_decision& decision);
--- a/src/entry/exchange_limit.cc
+++ b/src/entry/exchange_limit.cc
@@ -87,21 +87,34 @@
              {"status", response.status()}});
 }
 
+// Returns the limit that holds for requests to the upstream now: the one that it named, or its rate
+// while it is cold.
+std::optional<exchange::rate_limit> exchange::limit_of(const destination& to,
+                                                       monotonic_time now) const {
+  const auto& limits = worker_.shared().named_limits.all();
+  const auto named = limits.find(service().upstreams[to.upstream].name);
+  const double cold_rate = service().cold_rate;
+  const bool cold =
+      cold_rate > 0 && !service().warm_since.empty() && now < service().warm_since[to.upstream];
+  if (named == limits.end()) {
+    return cold ? std::optional(rate_limit{cold_rate, duration::zero()}) : std::nullopt;
+  }
+  const rate_limit limit{named->second.rate, now - named->second.named};
+  return cold && cold_rate < limit.rate ? rate_limit{cold_rate, duration::zero()} : limit;
+}
+
 // After a wait an upstream is chosen again, since the key may have moved or the upstream may leave;
 // the permit is used if the choice is the same.
 task<exchange::permit_outcome> exchange::take_permit(const destination& to) {
   const auto& name = service().upstreams[to.upstream].name;
   if (std::exchange(permit_, std::nullopt) == name) co_return permit_outcome{true, {}};
-  const auto& shared = worker_.shared();
-  const auto limited = shared.named_limits.all().find(name);
-  if (limited == shared.named_limits.all().end() || !shared.ask_permit) {
-    co_return permit_outcome{true, {}};
-  }
   const auto asked_at = monotonic_now();
+  const auto limit = limit_of(to, asked_at);
+  if (!limit || !worker_.shared().ask_permit) co_return permit_outcome{true, {}};
   const auto target =
       std::chrono::duration_cast<duration>(match_.policy.target_latency * target_share);
   const auto left = std::max(duration::zero(), (deadline_ - asked_at) / left_divisor);
-  const permit_request request{name, limited->second.rate, asked_at - limited->second.named,
+  const permit_request request{name, limit->rate, limit->age,
                                target == duration::zero() ? left : std::min(target, left)};
   ++permits_asked_;
   const auto decision = co_await ask_permit(request);
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -47,6 +47,9 @@
 // when the notice can have been given at the earliest.
 constexpr double leaving_grace_share = 0.35;
 constexpr double leaving_limit_share = 0.85;
+// Share of the time that an evacuation may take for which owners of keys there get requests. The
+// rest is for requests that wait for a connection and for those under way.
+constexpr double evacuation_share = 0.6;
 constexpr duration report_timeout = milliseconds(400);
 // Instances register under a lease, so that each knows how many there are.
 constexpr duration instance_lease = seconds(8);
@@ -258,7 +261,7 @@
 
 void range_instance::impl::on_store_change(const store_change& changed) {
   if (changed.desired) update_services();
-  if (changed.desired || changed.upstreams) update_upstreams();
+  if (changed.desired || changed.upstreams || changed.evacuations) update_upstreams();
   for (auto& [service, runner] : runners) runner->on_store_change();
   if (changed.instances || changed.desired) update_retry_budget();
   relay.on_store_change(changed.instances);
@@ -303,8 +306,9 @@
     }
     const auto& service = known.entry.service;
     const auto* observed = is_assigner(service) ? observations_of(service) : nullptr;
-    by_service[service].push_back(
-        {estimate_capacity(known.entry, observed, now), known.entry.address});
+    auto facts = estimate_capacity(known.entry, observed, now);
+    if (view.evacuations().contains(known.entry.domain)) facts.serving = false;
+    by_service[service].push_back({std::move(facts), known.entry.address});
   }
   leaving_upstreams = std::move(still_leaving);
   for (auto& [service, runner] : runners) runner->set_upstreams(by_service[service]);
@@ -327,10 +331,16 @@
     const auto* seen = view.record(service.name);
     if (seen != nullptr) ranges[service.name] = update_range_view(ranges[service.name], *seen, now);
   }
-  const registry_config config{
-      .instances = known_instances,
-      .leaving_grace = share_of(settings.bounds.drain, leaving_grace_share),
-      .contended = settings.contended};
+  registry_config config{.instances = known_instances,
+                         .leaving_grace = share_of(settings.bounds.drain, leaving_grace_share),
+                         .cold_rates = settings.bounds.cold_overrun.has_value(),
+                         .contended = settings.contended};
+  for (const auto& [domain, since] : view.evacuations()) {
+    const auto until =
+        since + share_of(settings.bounds.evacuation.value_or(duration::zero()), evacuation_share);
+    config.evacuated[domain] = until;
+    if (until > now) next_publish = std::min(next_publish, until);
+  }
   auto snapshot = std::make_shared<routing_snapshot>(make_registry_snapshot(
       *view.desired(), view.upstreams(), ranges, leaving_upstreams, config, now));
   for (const auto& [id, since] : leaving_upstreams) {
--- a/src/entry/range_settings.cc
+++ b/src/entry/range_settings.cc
@@ -51,7 +51,12 @@
 
 store_view_timing store_view_timing_for(const entry_settings& settings) {
   constexpr double hashes = 1ULL << 32;
+  constexpr duration cold_again_margin = milliseconds(500);
   return {.bounds = {.desired = settings.bounds.apply, .leaving = settings.bounds.drain},
+          .upstreams = {.cold_again_margin = settings.bounds.cold_overrun
+                                                 ? std::optional<duration>(cold_again_margin)
+                                                 : std::nullopt},
+          .evacuations = settings.bounds.evacuation.has_value(),
           .spread = static_cast<double>(hash64(settings.name) >> 32) / hashes};
 }
 
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -48,13 +48,14 @@
     : store_(store),
       on_change_(std::move(on_change)),
       timing_(timing),
-      feeds_({.desired = std::string(desired_state_key),
+      feeds_({.desired = std::string(timing_.evacuations ? operator_key_prefix : desired_state_key),
               .upstreams = std::string(upstream_key_prefix),
               .own = std::string(own_key_prefix),
               .assigners = std::string(assigner_key_prefix)},
              timing_.bounds, timing_.feed, timing_.spread),
       log_(random_number() | 1, feed_prefixes(feeds_)),
-      calls_(feeds_.size()) {}
+      calls_(feeds_.size()),
+      upstreams_(timing_.upstreams) {}
 
 const range_record* store_view::record(const service_id& service) const {
   const auto found = records_.find(service);
@@ -149,14 +150,19 @@
 bool store_view::take_news(const news_answer& answer, monotonic_time asked_at) {
   const auto now = monotonic_now();
   const auto known_before = feeds_.upstreams().known_at();
+  const auto operators_known_before = feeds_[store_reader::desired_feed].known_at();
   const auto items = plantainpaddle::take_news(answer, asked_at, feeds_, versions_, now);
   if (!items) return false;
   std::vector<watch_event> events;
+  std::vector<watch_event> operator_events;
   for (const auto& item : *items) {
-    events.push_back({item.removed, {item.key, item.value.value_or(""), item.version}});
+    auto& feed = item.key.starts_with(operator_key_prefix) ? operator_events : events;
+    feed.push_back({item.removed, {item.key, item.value.value_or(""), item.version}});
   }
   if (!feeds_.upstreams().is_stale(now)) on_contact(feeds_.upstreams().revision());
-  notify(apply(events, known_before));
+  auto changed = apply(operator_events, operators_known_before);
+  apply(events, known_before, changed);
+  notify(changed);
   tick();
   return true;
 }
@@ -276,10 +282,15 @@
 
 store_change store_view::apply(const std::vector<watch_event>& events, monotonic_time known_at) {
   store_change changed;
-  for (const auto& event : events) apply_event(event, known_at, changed);
+  apply(events, known_at, changed);
   return changed;
 }
 
+void store_view::apply(const std::vector<watch_event>& events, monotonic_time known_at,
+                       store_change& changed) {
+  for (const auto& event : events) apply_event(event, known_at, changed);
+}
+
 void store_view::apply_event(const watch_event& event, monotonic_time known_at,
                              store_change& changed) {
   const auto& key = event.value.key;
@@ -288,6 +299,8 @@
   bool is_news = true;
   if (key == desired_state_key) {
     if (!event.removed) apply_desired(event.value, changed);
+  } else if (key.starts_with(evacuation_key_prefix)) {
+    apply_evacuation(event, known_at, changed);
   } else if (key.starts_with(upstream_key_prefix)) {
     is_news = apply_upstream(event, known_at, changed);
   } else if (key.starts_with(own_key_prefix)) {
@@ -320,6 +333,24 @@
   changed.desired = true;
 }
 
+// known_at: the order was acknowledged later, as it wasn't there then.
+void store_view::apply_evacuation(const watch_event& event, monotonic_time known_at,
+                                  store_change& changed) {
+  const domain_id domain{event.value.key.substr(evacuation_key_prefix.size())};
+  const auto now = monotonic_now();
+  changed.evacuations = true;
+  if (event.removed) {
+    evacuations_.erase(domain);
+  } else {
+    evacuations_.try_emplace(domain, known_at);
+  }
+  const bool first = known_at == monotonic_time{};  // nothing tells how old the order is
+  log_event(log_level::info, event.removed ? "evacuation ends" : "evacuation begins",
+            {{"failure_domain", domain.value},
+             {"revision", event.value.version},
+             {"known_before_ms", first ? std::nullopt : std::optional<duration>(now - known_at)}});
+}
+
 bool store_view::apply_upstream(const watch_event& event, monotonic_time known_at,
                                 store_change& changed) {
   const auto now = monotonic_now();
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -45,13 +45,16 @@
   bool upstreams = false;
   bool instances = false;
   bool records = false;
-  bool any() const { return desired || upstreams || instances || records; }
+  bool evacuations = false;
+  bool any() const { return desired || upstreams || instances || records || evacuations; }
 };
 
 struct store_view_timing {
   news_bounds bounds;
   feed_timing feed;
-  double spread = 0;  // of store_reader
+  upstream_list_timing upstreams;
+  bool evacuations = false;  // whether orders to evacuate failure domains are read
+  double spread = 0;         // of store_reader
   duration store_lost_after =
       milliseconds(1800);  // without a response, as entries may lapse unseen
 };
@@ -81,6 +84,9 @@
 
   const std::optional<desired_state>& desired() const { return desired_; }
   const upstream_list& upstreams() const { return upstreams_; }
+  // Returns the failure domains that are evacuated, each with the earliest time at which the store
+  // can have acknowledged the order.
+  const std::map<domain_id, monotonic_time>& evacuations() const { return evacuations_; }
   // Returns the latest record that is known, of any era; null if there is none.
   const range_record* record(const service_id& service) const;
   // Whether the router's own keys have been read in the present era. The next three are valid then.
@@ -121,10 +127,13 @@
   void on_failure(const due_read& asked, const error& e);
   // known_at: up to when the feed was known before the events were read.
   store_change apply(const std::vector<watch_event>& events, monotonic_time known_at);
+  void apply(const std::vector<watch_event>& events, monotonic_time known_at,
+             store_change& changed);
   void apply_event(const watch_event& event, monotonic_time known_at, store_change& changed);
   void apply_desired(const stored_value& value, store_change& changed);
   // Returns whether the entry means something else than the one before.
   bool apply_upstream(const watch_event& event, monotonic_time known_at, store_change& changed);
+  void apply_evacuation(const watch_event& event, monotonic_time known_at, store_change& changed);
   void apply_own_key(const watch_event& event, store_change& changed);
   void apply_record(const watch_event& event, store_change& changed);
   void pass_over(std::string_view key, std::uint64_t version);
@@ -140,6 +149,7 @@
   std::vector<std::map<std::uint64_t, std::shared_ptr<http_call>>> calls_;
   std::optional<desired_state> desired_;
   upstream_list upstreams_;
+  std::map<domain_id, monotonic_time> evacuations_;
   key_versions versions_;
   std::uint64_t passed_over_ = 0;
   std::map<service_id, range_record> records_;
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -147,8 +147,8 @@
     const auto& row = service.upstreams[i];
     const auto warm = service.warm_since.empty() ? monotonic_time{} : service.warm_since[i];
     const auto life = service.lives.empty() ? 0 : service.lives[i];
-    facts.push_back(
-        {row.name, row.domain, row.slots, row.state == upstream_state::active, warm, life});
+    facts.push_back({row.name, row.domain, row.slots, row.state == upstream_state::active, warm,
+                     life, service.cold_rate});
   }
   made.placed->set_upstreams(facts, now);
   return made;
--- a/src/ownership/store_feed.h
+++ b/src/ownership/store_feed.h
@@ -137,7 +137,7 @@
 
 // Where the parts of the store stand.
 struct store_layout {
-  std::string desired;    // key of the desired state
+  std::string desired;    // key of the desired state, or prefix of all that operators write
   std::string upstreams;  // prefix of the entries of upstreams
   std::string own;        // prefix of what the instances write
   std::string assigners;  // prefix, within `own`, of the keys that name assigners
--- a/src/ownership/upstream_list.cc
+++ b/src/ownership/upstream_list.cc
@@ -77,9 +77,12 @@
   auto same = entry;
   same.warm_up_left = known.entry.warm_up_left;
   same.sequence = known.entry.sequence;
-  const bool changed = same != known.entry || known.lapsed_until;
+  bool changed = same != known.entry || known.lapsed_until;
   if (entry.life == known.entry.life) {
-    fresh.warm_since = known.warm_since;
+    const bool cold_again = timing_.cold_again_margin && entry.warm_up_left > duration::zero() &&
+                            fresh.warm_since > known.warm_since + *timing_.cold_again_margin;
+    changed = changed || cold_again;
+    if (!cold_again) fresh.warm_since = known.warm_since;
     if (entry.leaving && known.entry.leaving) fresh.leaving_since = known.leaving_since;
   }
   known = fresh;
--- a/src/ownership/upstream_list.h
+++ b/src/ownership/upstream_list.h
@@ -39,6 +39,9 @@
 struct upstream_list_timing {
   duration back_after = milliseconds(2200);  // grace period after the store is reachable again
   duration departed_memory = seconds(60);    // longer than a copy of the store is old
+  // Whether an upstream that says that it has become cold within a life is cold again. Entries are
+  // read late at times, so only one that ends its cold start later by this margin says so.
+  std::optional<duration> cold_again_margin;
 };
 
 class upstream_list {
--- a/src/platform/platform_codec.h
+++ b/src/platform/platform_codec.h
@@ -18,6 +18,9 @@
 
 inline constexpr std::string_view desired_state_key = "op/config";
 inline constexpr std::string_view upstream_key_prefix = "servers/";
+// All that operators write: the desired state and orders to evacuate a failure domain.
+inline constexpr std::string_view operator_key_prefix = "op/";
+inline constexpr std::string_view evacuation_key_prefix = "op/evacuate/";
 
 // Names that this version doesn't know are passed over; what it needs must be there and
 // well-formed.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -191,8 +191,12 @@
 double placement::share_within_limit(const placement_upstream& upstream,
                                      const upstream_observations& state,
                                      const placement_request& request) const {
-  if (!state.limit || request.now - state.limit_seen >= config_.limit_check_after) return 1;
-  const double running = *state.limit * micros(service_time(request.work)) / micros(seconds(1));
+  const bool named = state.limit && request.now - state.limit_seen < config_.limit_check_after;
+  const bool cold = upstream.cold_rate > 0 && request.now < upstream.warm_since;
+  if (!named && !cold) return 1;
+  double rate = named ? *state.limit : upstream.cold_rate;
+  if (named && cold) rate = std::min(rate, upstream.cold_rate);
+  const double running = rate * micros(service_time(request.work)) / micros(seconds(1));
   return std::min(1.0, running / std::max(1U, upstream.slots));
 }
 
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -69,6 +69,7 @@
   bool usable = true;           // false: no new requests, as it is leaving or lost
   monotonic_time warm_since{};  // end of its cold start
   std::uint64_t life = 0;       // incarnation: rises with each start under the same name
+  double cold_rate = 0;         // requests per second that it takes while cold; 0: not limited
   bool operator==(const placement_upstream&) const = default;
 };
 
--- a/src/routing/registry_snapshot.cc
+++ b/src/routing/registry_snapshot.cc
@@ -21,6 +21,7 @@
   service_snapshot snapshot;
   snapshot.service.name = declared.name;
   snapshot.service.keyed = declared.keyed;
+  snapshot.cold_rate = config.cold_rates ? declared.cold_rate : 0;
   for (const auto& [id, known] : list.all()) {
     if (known.entry.service != declared.name) continue;
     snapshot.upstreams.push_back(
@@ -29,7 +30,9 @@
          .domain = known.entry.domain,
          .slots = known.entry.slots,
          .connections = connection_share(declared, config),
-         .state = known.entry.leaving ? upstream_state::drain : upstream_state::active});
+         .state = known.entry.leaving || config.evacuated.contains(known.entry.domain)
+                      ? upstream_state::drain
+                      : upstream_state::active});
     snapshot.warm_since.push_back(known.warm_since);
     snapshot.lives.push_back(known.entry.life);
   }
@@ -46,6 +49,10 @@
   for (std::uint32_t i = 0; i < service.upstreams.size(); ++i) {
     index[service.upstreams[i].name] = i;
   }
+  const auto is_evacuated = [&](std::uint32_t upstream) {
+    const auto it = config.evacuated.find(service.upstreams[upstream].domain);
+    return it != config.evacuated.end() && now >= it->second;
+  };
   numbered_keys keys;
   for (const auto& entry : ranges.record.ranges) {
     keys.first_keys.push_back(entry.first);
@@ -56,10 +63,13 @@
     if (it != index.end()) {
       const auto since = leaving.find(*entry.owner);
       const bool grace_over = since != leaving.end() && now - since->second >= config.leaving_grace;
-      if (!grace_over) target.upstream = it->second;
+      if (!grace_over && !is_evacuated(it->second)) target.upstream = it->second;
     }
     const auto former = entry.former.empty() ? index.end() : index.find(entry.former.back());
-    if (former != index.end() && !leaving.contains(former->first)) target.former = former->second;
+    if (former != index.end() && !leaving.contains(former->first) &&
+        !is_evacuated(former->second)) {
+      target.former = former->second;
+    }
     service.shards.push_back(target);
   }
   service.keys = std::move(keys);
--- a/src/routing/registry_snapshot.h
+++ b/src/routing/registry_snapshot.h
@@ -18,7 +18,11 @@
   // A leaving owner still gets requests for its keys for this long after its notice was seen, as
   // the keys may be moving to another owner.
   duration leaving_grace = milliseconds(700);
-  bool contended = false;  // as the settings say; a ranked desired state has the same effect
+  bool cold_rates = false;  // whether the rates of cold upstreams are limited
+  bool contended = false;   // as the settings say; a ranked desired state has the same effect
+  // The failure domains that are evacuated, each with the time until which owners of keys there
+  // still get requests, as the keys may be moving.
+  std::map<domain_id, monotonic_time> evacuated;
   double connection_share = 0.85;  // share of an upstream's connections for all instances together
 };
 
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -50,6 +50,7 @@
   std::vector<std::string> dispatchers;
   // For each upstream, the end of its cold start. Empty if that isn't known.
   std::vector<monotonic_time> warm_since;
+  double cold_rate = 0;  // requests per second that a cold upstream takes; 0: not limited
   // For each upstream, its incarnation, which rises with each start. Empty if that isn't known.
   std::vector<std::uint64_t> lives;
   bool operator==(const service_snapshot&) const = default;
