Hold evacuations through restores, and check an upstream again right before sending

Cause: a store that came back from an older copy lost the order in a new reader and kept it for ever in an old one. A request that had waited for a connection went to an upstream whose domain was evacuated meanwhile. The placement refused requests for the keys of an evacuated owner at once, since its upstream was marked as draining, so the grace for owners had no effect.

Each upstream has a time from which it is closed: at once without keys, after 0.6 of the bound for owners of keys, which count as active until then. check_upstream() compares the clock and the newest view with it right before a request is sent; a request that is held back counts neither as an attempt nor against the retry budget. The rest of the bound is for travel and for pauses of the process.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -105,6 +105,7 @@
   }
   if (auto end = co_await connect(to)) co_return *end;
   if (auto end = check_pause(to)) co_return *end;
+  if (auto end = check_still_open(to)) co_return *end;
   if (auto end = co_await send_request(to)) co_return *end;
   awaits_response_ = true;
   const auto no_head = co_await read_response_head(to);
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -118,6 +118,13 @@
     }
     log_attempt(to, end);
     if (caller_.caller_gone()) co_return end_cancelled();
+    if (end.unsent) {
+      last = end.cause;
+      if (auto give_up = co_await choose_after_unsent(end)) {
+        co_return co_await respond(std::move(*give_up));
+      }
+      continue;
+    }
     if (end.too_late && attempts_ > 1) {
       // Reports what delayed the request. A named variable, because g++ 12 destroys an aggregate
       // that is created inside co_await twice.
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -70,6 +70,7 @@
     bool answered = false;
     bool wait_for_owner = false;  // not run, and another owner may take over
     bool too_late = false;        // the gate refused because of the deadline
+    bool unsent = false;          // the upstream was found closed right before it was sent to
     run_state known = run_state::not_run;
     unsigned status = 503;
     error cause;
@@ -146,6 +147,8 @@
   std::optional<request_identity> identity() const;
   task<std::optional<attempt_end>> connect(const destination& to);
   std::optional<attempt_end> check_pause(const destination& to);
+  std::optional<attempt_end> check_still_open(const destination& to);
+  task<std::optional<local_response>> choose_after_unsent(const attempt_end& end);
   void limit_silence(std::uint64_t request_size);
   task<std::optional<attempt_end>> send_request(const destination& to);
   task<std::optional<attempt_end>> read_response_head(const destination& to);
@@ -231,6 +234,7 @@
   monotonic_time owner_wait_end_{};    // end of all waits for an owner, set by the first
   std::optional<upstream_id> permit_;  // the upstream that a permit is held for
   std::uint32_t permits_asked_ = 0;
+  std::uint32_t unsent_attempts_ = 0;
   std::optional<duration> pause_;               // that the last attempt's response asked for
   bool identity_mismatch_ = false;              // another upstream responded at the address
   std::optional<reported_load> reported_load_;  // load that the last attempt's upstream reported
--- /dev/null
+++ b/src/entry/exchange_check.cc
@@ -0,0 +1,46 @@
+// Checks a destination again right before the request is sent, since it may have waited for a
+// connection or a permit, and goes on if the upstream is closed to it now.
+#include "entry/exchange.h"
+#include "entry/worker.h"
+#include "routing/upstream_check.h"
+
+namespace plantainpaddle {
+
+namespace {
+
+// Each choice is made from the newest view, so a second one is rare. The bound keeps a request from
+// choosing for ever while views and the placement disagree.
+constexpr std::uint32_t max_unsent_attempts = 3;
+
+}  // namespace
+
+std::optional<exchange::attempt_end> exchange::check_still_open(const destination& to) {
+  if (!traffic().placed) return std::nullopt;
+  const auto latest = worker_.view();
+  const auto decision = check_upstream(*latest->snapshot, service().service.name,
+                                       service().upstreams[to.upstream].name, monotonic_now());
+  if (decision.verdict == send_verdict::send) return std::nullopt;
+  release_connection(true);
+  worker_.counters().add("requests_held_back_total",
+                         {{"reason", std::string(reason_name(decision.reason))}});
+  auto end = failed(to, step::send_request, run_state::not_run,
+                    decision.reason == send_reason::evacuated
+                        ? "the upstream's failure domain is evacuated"
+                        : "the upstream leaves or is gone",
+                    std::nullopt);
+  end.unsent = true;
+  return end;
+}
+
+// The attempt reached no upstream, so it counts neither as one nor against the retry budget. The
+// owner of a key changes only when the key has moved, which the request waits for.
+task<std::optional<local_response>> exchange::choose_after_unsent(const attempt_end& end) {
+  has_retry_token_ = --attempts_ > 0;
+  if (service().service.keyed) co_return co_await wait_for_owner(end.cause);
+  if (++unsent_attempts_ >= max_unsent_attempts) {
+    co_return unavailable_response(end.cause.detail, end.cause.peer);
+  }
+  co_return route_request();
+}
+
+}  // namespace plantainpaddle
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -47,8 +47,10 @@
 // when the notice can have been given at the earliest.
 constexpr double leaving_grace_share = 0.35;
 constexpr double leaving_limit_share = 0.85;
-// Share of the time that an evacuation may take for which owners of keys there get requests. The
-// rest is for requests that wait for a connection and for those under way.
+// Share of the time that an evacuation may take, counted from the order's earliest possible
+// acknowledgement, for which owners of keys there get requests. The rest (2 s of 5 s) is for a
+// request that was checked just before and travels for up to half a second, and for a process that
+// is paused between the check and the write.
 constexpr double evacuation_share = 0.6;
 constexpr duration report_timeout = milliseconds(400);
 // Instances register under a lease, so that each knows how many there are.
@@ -334,10 +336,11 @@
   registry_config config{.instances = known_instances,
                          .leaving_grace = share_of(settings.bounds.drain, leaving_grace_share),
                          .cold_rates = settings.bounds.cold_overrun.has_value(),
-                         .contended = settings.contended};
-  for (const auto& [domain, since] : view.evacuations()) {
-    const auto until =
-        since + share_of(settings.bounds.evacuation.value_or(duration::zero()), evacuation_share);
+                         .contended = settings.contended,
+                         .evacuates = settings.bounds.evacuation.has_value()};
+  for (const auto& [domain, order] : view.evacuations().all()) {
+    const auto until = order.since + share_of(settings.bounds.evacuation.value_or(duration::zero()),
+                                              evacuation_share);
     config.evacuated[domain] = until;
     if (until > now) next_publish = std::min(next_publish, until);
   }
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -112,6 +112,7 @@
   log_.restart();
   assigners_.clear();
   upstreams_.on_store_restored(now);
+  evacuations_.on_store_restored(now);
   last_contact_ = now;
   for (std::size_t i = 0; i < feeds_.size(); ++i) {
     for (const auto& [id, call] : std::exchange(calls_[i], {})) call->cancel();
@@ -171,6 +172,11 @@
   const auto now = monotonic_now();
   while (const auto due = feeds_.next(now)) read(*due);
   if (upstreams_.expire(now)) notify({.upstreams = true});
+  if (evacuations_.expire(now)) {
+    log_event(log_level::warning, "evacuation ends, as the restored store doesn't have the order",
+              {{"evacuated", evacuations_.all().size()}});
+    notify({.evacuations = true});
+  }
 }
 
 void store_view::read(const due_read& due) {
@@ -337,18 +343,17 @@
 void store_view::apply_evacuation(const watch_event& event, monotonic_time known_at,
                                   store_change& changed) {
   const domain_id domain{event.value.key.substr(evacuation_key_prefix.size())};
-  const auto now = monotonic_now();
+  const bool is_change =
+      event.removed ? evacuations_.on_removed(domain) : evacuations_.on_order(domain, known_at);
+  if (!is_change) return;
   changed.evacuations = true;
-  if (event.removed) {
-    evacuations_.erase(domain);
-  } else {
-    evacuations_.try_emplace(domain, known_at);
-  }
   const bool first = known_at == monotonic_time{};  // nothing tells how old the order is
+  const auto known_before =
+      first ? std::nullopt : std::optional<duration>(monotonic_now() - known_at);
   log_event(log_level::info, event.removed ? "evacuation ends" : "evacuation begins",
             {{"failure_domain", domain.value},
              {"revision", event.value.version},
-             {"known_before_ms", first ? std::nullopt : std::optional<duration>(now - known_at)}});
+             {"known_before_ms", known_before}});
 }
 
 bool store_view::apply_upstream(const watch_event& event, monotonic_time known_at,
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -9,9 +9,9 @@
 // instances, which pass them to update_record().
 //
 // What was in force stays in force when the store comes back from an older copy
-// (on_store_restored()): the desired state goes by its own version, records by their position, and
-// upstreams by the sequence of their entries. Versions of keys are compared within an era only.
-// Everything runs on io's thread.
+// (on_store_restored()): the desired state goes by its own version, records by their position,
+// upstreams by the sequence of their entries, and evacuations last for a while. Versions of keys
+// are compared within an era only. Everything runs on io's thread.
 #pragma once
 
 #include <functional>
@@ -21,6 +21,7 @@
 #include <string>
 #include <vector>
 
+#include "ownership/evacuation_list.h"
 #include "ownership/key_versions.h"
 #include "ownership/news.h"
 #include "ownership/news_source.h"
@@ -84,9 +85,7 @@
 
   const std::optional<desired_state>& desired() const { return desired_; }
   const upstream_list& upstreams() const { return upstreams_; }
-  // Returns the failure domains that are evacuated, each with the earliest time at which the store
-  // can have acknowledged the order.
-  const std::map<domain_id, monotonic_time>& evacuations() const { return evacuations_; }
+  const evacuation_list& evacuations() const { return evacuations_; }
   // Returns the latest record that is known, of any era; null if there is none.
   const range_record* record(const service_id& service) const;
   // Whether the router's own keys have been read in the present era. The next three are valid then.
@@ -149,7 +148,7 @@
   std::vector<std::map<std::uint64_t, std::shared_ptr<http_call>>> calls_;
   std::optional<desired_state> desired_;
   upstream_list upstreams_;
-  std::map<domain_id, monotonic_time> evacuations_;
+  evacuation_list evacuations_;
   key_versions versions_;
   std::uint64_t passed_over_ = 0;
   std::map<service_id, range_record> records_;
--- a/src/entry/testing/shared_fixture.h
+++ b/src/entry/testing/shared_fixture.h
@@ -88,7 +88,7 @@
   // Passes the current state to the proxy as a new snapshot.
   void publish() {
     traffic->set_snapshot(std::make_shared<routing_snapshot>(
-        make_registry_snapshot(desired, upstreams_seen, ranges, leaving, {}, monotonic_now())));
+        make_registry_snapshot(desired, upstreams_seen, ranges, leaving, config, monotonic_now())));
   }
   raw_caller caller() const { return raw_caller(address); }
 
@@ -97,6 +97,7 @@
   upstream_list upstreams_seen;
   std::map<service_id, range_view> ranges;
   std::map<upstream_id, monotonic_time> leaving;
+  registry_config config;
   std::unique_ptr<proxy> traffic;
   std::string address;
   std::uint64_t next_fence = 1;
--- a/src/routing/registry_snapshot.cc
+++ b/src/routing/registry_snapshot.cc
@@ -15,24 +15,34 @@
   return static_cast<std::uint32_t>(std::max(1.0, share));
 }
 
+// Returns from when an upstream of the domain gets no more requests. Owners of keys serve them for
+// a while, as the keys are moving.
+monotonic_time closed_from(const declared_service& service, const domain_id& domain,
+                           const registry_config& config) {
+  const auto it = config.evacuated.find(domain);
+  if (it == config.evacuated.end()) return monotonic_time::max();
+  return service.keyed ? it->second : monotonic_time{};
+}
+
 // Makes the snapshot of a service with its upstreams, as yet without shards.
 service_snapshot list_upstreams(const declared_service& declared, const upstream_list& list,
-                                const registry_config& config) {
+                                const registry_config& config, monotonic_time now) {
   service_snapshot snapshot;
   snapshot.service.name = declared.name;
   snapshot.service.keyed = declared.keyed;
   snapshot.cold_rate = config.cold_rates ? declared.cold_rate : 0;
   for (const auto& [id, known] : list.all()) {
     if (known.entry.service != declared.name) continue;
-    snapshot.upstreams.push_back(
-        {.name = id,
-         .address = known.entry.address,
-         .domain = known.entry.domain,
-         .slots = known.entry.slots,
-         .connections = connection_share(declared, config),
-         .state = known.entry.leaving || config.evacuated.contains(known.entry.domain)
-                      ? upstream_state::drain
-                      : upstream_state::active});
+    const auto closed = closed_from(declared, known.entry.domain, config);
+    snapshot.upstreams.push_back({.name = id,
+                                  .address = known.entry.address,
+                                  .domain = known.entry.domain,
+                                  .slots = known.entry.slots,
+                                  .connections = connection_share(declared, config),
+                                  .state = known.entry.leaving || now >= closed
+                                               ? upstream_state::drain
+                                               : upstream_state::active});
+    if (!config.evacuated.empty()) snapshot.closed_from.push_back(closed);
     snapshot.warm_since.push_back(known.warm_since);
     snapshot.lives.push_back(known.entry.life);
   }
@@ -49,9 +59,8 @@
   for (std::uint32_t i = 0; i < service.upstreams.size(); ++i) {
     index[service.upstreams[i].name] = i;
   }
-  const auto is_evacuated = [&](std::uint32_t upstream) {
-    const auto it = config.evacuated.find(service.upstreams[upstream].domain);
-    return it != config.evacuated.end() && now >= it->second;
+  const auto is_closed = [&](std::uint32_t upstream) {
+    return !service.closed_from.empty() && now >= service.closed_from[upstream];
   };
   numbered_keys keys;
   for (const auto& entry : ranges.record.ranges) {
@@ -63,11 +72,10 @@
     if (it != index.end()) {
       const auto since = leaving.find(*entry.owner);
       const bool grace_over = since != leaving.end() && now - since->second >= config.leaving_grace;
-      if (!grace_over && !is_evacuated(it->second)) target.upstream = it->second;
+      if (!grace_over && !is_closed(it->second)) target.upstream = it->second;
     }
     const auto former = entry.former.empty() ? index.end() : index.find(entry.former.back());
-    if (former != index.end() && !leaving.contains(former->first) &&
-        !is_evacuated(former->second)) {
+    if (former != index.end() && !leaving.contains(former->first) && !is_closed(former->second)) {
       target.former = former->second;
     }
     service.shards.push_back(target);
@@ -96,10 +104,11 @@
   snapshot.version = desired.version;
   snapshot.limits = desired.limits;
   snapshot.contended = config.contended || desired.ranked;
+  snapshot.evacuates = config.evacuates;
   std::map<service_id, std::uint32_t> index;
   for (const auto& declared : desired.services) {
     index[declared.name] = static_cast<std::uint32_t>(snapshot.services.size());
-    auto service = list_upstreams(declared, list, config);
+    auto service = list_upstreams(declared, list, config, now);
     service.table_revision.value = desired.version;
     if (declared.keyed) {
       service.keys = numbered_keys{};
--- a/src/routing/registry_snapshot.h
+++ b/src/routing/registry_snapshot.h
@@ -20,6 +20,7 @@
   duration leaving_grace = milliseconds(700);
   bool cold_rates = false;  // whether the rates of cold upstreams are limited
   bool contended = false;   // as the settings say; a ranked desired state has the same effect
+  bool evacuates = false;   // whether the platform may order evacuations
   // The failure domains that are evacuated, each with the time until which owners of keys there
   // still get requests, as the keys may be moving.
   std::map<domain_id, monotonic_time> evacuated;
--- a/src/routing/send_decision.cc
+++ b/src/routing/send_decision.cc
@@ -18,6 +18,8 @@
       return "evacuated";
     case send_reason::silent:
       return "silent";
+    case send_reason::leaving:
+      return "leaving";
   }
   return "none";
 }
--- a/src/routing/send_decision.h
+++ b/src/routing/send_decision.h
@@ -26,6 +26,7 @@
   cold,             // the upstream is cold and its rate is used up
   evacuated,        // the upstream's failure domain is evacuated
   silent,           // the upstream leaves requests unanswered
+  leaving,          // the upstream leaves, or is gone
 };
 
 std::string_view reason_name(send_reason reason);
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -51,6 +51,9 @@
   // For each upstream, the end of its cold start. Empty if that isn't known.
   std::vector<monotonic_time> warm_since;
   double cold_rate = 0;  // requests per second that a cold upstream takes; 0: not limited
+  // For each upstream, from when it gets no more requests because its failure domain is evacuated;
+  // monotonic_time::max() if it isn't. Empty if no domain is.
+  std::vector<monotonic_time> closed_from;
   // For each upstream, its incarnation, which rises with each start. Empty if that isn't known.
   std::vector<std::uint64_t> lives;
   bool operator==(const service_snapshot&) const = default;
@@ -95,6 +98,9 @@
   std::uint64_t version = 0;            // of the desired state; 0: not versioned as a whole
   // Whether instances share what they observe of upstreams and admit requests by priority.
   bool contended = false;
+  // Whether the platform may order evacuations. Then an upstream is checked again right before a
+  // request is sent to it (routing/upstream_check).
+  bool evacuates = false;
   bool known = true;  // false: nothing was read yet, so no route may be reported as missing
 };
 
--- /dev/null
+++ b/src/routing/upstream_check.cc
@@ -0,0 +1,26 @@
+#include "routing/upstream_check.h"
+
+#include <algorithm>
+
+namespace plantainpaddle {
+
+send_decision check_upstream(const routing_snapshot& latest, const service_id& service,
+                             const upstream_id& upstream, monotonic_time now) {
+  if (!latest.evacuates) return {};
+  constexpr send_decision gone{send_verdict::refuse, send_reason::leaving, {}};
+  const auto declared =
+      std::find_if(latest.services.begin(), latest.services.end(),
+                   [&](const service_snapshot& s) { return s.service.name == service; });
+  if (declared == latest.services.end()) return gone;
+  const auto& rows = declared->upstreams;
+  const auto row = std::find_if(rows.begin(), rows.end(),
+                                [&](const upstream_row& r) { return r.name == upstream; });
+  if (row == rows.end()) return gone;
+  const auto& closed = declared->closed_from;
+  if (!closed.empty() && now >= closed[static_cast<std::size_t>(row - rows.begin())]) {
+    return {send_verdict::refuse, send_reason::evacuated, {}};
+  }
+  return row->state == upstream_state::active ? send_decision{} : gone;
+}
+
+}  // namespace plantainpaddle
