Choose by expected time where upstreams are contended

An upstream that states that its machine is slowed now was chosen as often as any other: the figure was parsed and not used, and the choice knows only smoothed service times. Of the requests to twenty upstreams, each slowed 3 times for 400 ms every 2 s, 12.0 % were sent to one that was slowed then.

Where the view is contended, four upstreams are drawn by capacity and the one with the least expected time gets the request: own work, queue, usual speed, and what the stated slowdown adds, which passes with a time constant of 300 ms. Other domains are considered once the own one costs 15 ms more than the work itself. Reports of other instances count requests of this instance that were sent before.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -85,7 +85,7 @@
   state.outstanding.fetch_add(1, std::memory_order_relaxed);
   if (traffic().placed) {
     const auto& name = service().upstreams[to.upstream].name;
-    traffic().placed->on_sent(name);
+    traffic().placed->on_sent(name, monotonic_now());
     worker_.shared().named_limits.on_sent(name, monotonic_now());
   }
   attempt_end end = co_await attempt_admitted(to);
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -94,6 +94,8 @@
       if (old[i].service.name == service.service.name) previous_service = &previous->services[i];
     }
     made->services.push_back(make_service(service, previous_service, now));
+    const auto& placed = made->services.back().placed;
+    if (placed) placed->set_contended(snapshot->contended);
     const std::lock_guard lock(limits_mutex_);
     limiter_.set_limits(service.service.name, service.limits);
   }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -77,17 +77,19 @@
   return it == observations_.end() ? none : it->second;
 }
 
-double placement::estimated_load(const upstream_observations& state, const placement_config& config,
-                                 monotonic_time now) {
+double placement::estimated_load(const upstream_observations& state, monotonic_time now) const {
   const auto own = static_cast<double>(state.outstanding);
-  const double age = micros(now - state.reported_at) / micros(config.report_decay_time);
+  double decay_us = micros(config_.report_decay_time);
+  // With reports of all instances the time for which one holds matters: about a service time.
+  if (contended_) decay_us = std::max(decay_us, mean_time_us_.value_or(0));
+  const double age = micros(now - state.reported_at) / decay_us;
   const double fresh = std::exp(-std::max(0.0, age));
   const double estimate = state.mean_load + (state.reported - state.mean_load) * fresh;
   return std::max(own, estimate + state.sent_since_report);
 }
 
 double placement::load(const upstream_id& upstream, monotonic_time now) const {
-  return estimated_load(observations_of(upstream), config_, now);
+  return estimated_load(observations_of(upstream), now);
 }
 
 double placement::slowness_of(const upstream_observations& state, monotonic_time now) const {
@@ -182,7 +184,7 @@
   const auto slots = static_cast<double>(std::max(1U, upstream.slots));
   const double cold = now < upstream.warm_since ? 1 / config_.cold_speed : 1;
   const double service = micros(service_time(work)) * slowness_of(state, now) * cold;
-  const double ahead = std::max(0.0, estimated_load(state, config_, now) + 1 - slots) / slots;
+  const double ahead = std::max(0.0, estimated_load(state, now) + 1 - slots) / slots;
   return from_micros(service * (1 + ahead));
 }
 
@@ -205,12 +207,13 @@
   const auto& state = observations_of(upstream.name);
   return upstream.usable && !state.unreachable && now >= state.refusing_until &&
          now >= state.limited_until && now >= state.paused_until && now >= upstream.warm_since &&
-         estimated_load(state, config_, now) + 1 <= config_.local_max_load * upstream.slots &&
+         estimated_load(state, now) + 1 <= config_.local_max_load * upstream.slots &&
          slowness_of(state, now) < config_.local_max_slowness &&
          state.failure_share < config_.local_max_failure_share;
 }
 
 placement_decision placement::choose(const placement_request& request, std::uint64_t random) const {
+  if (contended_) return choose_contended(request, random);
   std::vector<balance_candidate> candidates(upstreams_.size());
   const auto now = request.now;
   std::optional<std::size_t> except;
@@ -234,7 +237,7 @@
       candidates[i] = {
           .weight = upstream.domain == config_.domain ? 1 : config_.remote_domain_weight,
           .slots = upstream.slots,
-          .outstanding = estimated_load(state, config_, now),
+          .outstanding = estimated_load(state, now),
           .share = (now < upstream.warm_since ? config_.cold_speed : 1) / state.slowness *
                    (1 - state.failure_share) * share_within_limit(upstream, state, request),
           .usable = upstream.usable && wanted && accepting && now >= state.paused_until &&
@@ -262,9 +265,10 @@
   return decision;
 }
 
-void placement::on_sent(const upstream_id& upstream) {
+void placement::on_sent(const upstream_id& upstream, std::optional<monotonic_time> now) {
   const auto it = observations_.find(upstream);
   if (it == observations_.end()) return;
+  it->second.last_sent = now;
   ++it->second.outstanding;
   ++it->second.sent_since_report;
 }
@@ -274,7 +278,12 @@
   const double latency = micros(report.latency);
   const auto slots = static_cast<double>(std::max(1U, upstream.slots));
   const double waiting = report.load ? static_cast<double>(report.load->waiting) : 0;
-  const double service_us = latency / (1 + waiting / slots);  // less the wait in its queue
+  double service_us = latency / (1 + waiting / slots);  // less the wait in its queue
+  if (contended_ && report.load && report.load->slowdown) {
+    // What the momentary slowdown added isn't part of the upstream's usual speed.
+    const double slowed_us = std::min(service_us, micros(config_.slowdown_decay_time));
+    service_us -= slowed_us * (1 - 1 / std::max(1.0, *report.load->slowdown));
+  }
   mean_time_us_ = mean_time_us_.value_or(service_us) +
                   work_time_smoothing * (service_us - mean_time_us_.value_or(service_us));
   auto it = work_times_.find(report.work);
@@ -301,6 +310,12 @@
     state.reported = reported;
     state.reported_at = now;
     state.sent_since_report = 0;
+    state.own = *report.load;
+    state.own_reported_at = now;
+    if (report.load->slowdown) {
+      state.slowdown = *report.load->slowdown;
+      state.slowdown_at = now;
+    }
   } else if (state.sent_since_report > 0) {
     --state.sent_since_report;
   }
@@ -347,17 +362,4 @@
   }
 }
 
-void placement::observe(const upstream_id& upstream, const upstream_observation& seen,
-                        monotonic_time now) {
-  const auto it = observations_.find(upstream);
-  if (it == observations_.end()) return;
-  auto& state = it->second;
-  const auto reported_at = now - seen.age;
-  if (reported_at <= state.reported_at) return;
-  const double reported = seen.load.running + seen.load.waiting;
-  state.mean_load += config_.time_smoothing * 2 * (reported - state.mean_load);
-  state.reported = reported;
-  state.reported_at = reported_at;
-}
-
 }  // namespace plantainpaddle
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -57,6 +58,17 @@
   duration refusal_backoff = milliseconds(60);  // no requests for this long after it refused one
   duration initial_service_time = milliseconds(100);  // assumed before the first observation
   double cold_speed = 0.5;                            // relative speed during a cold start
+  // The following are used where upstreams are contended (placement::set_contended()).
+  // Time constant with which a stated slowdown passes: machines were seen slowed for 400 ms at a
+  // time, of which 200 ms are left on average when a report shows it.
+  duration slowdown_decay_time = milliseconds(300);
+  // Upstreams that are drawn for one choice. With a fifth of them slowed, 0.2 % of the draws have
+  // only slowed ones. More would send the requests of several instances to the same upstream.
+  std::uint32_t contended_candidates = 4;
+  // An upstream of another domain is chosen if this much is saved, and considered if the own
+  // domain's costs this much more than its work. Several times the delay between domains, since
+  // traffic between them has a cost, and less than a tenth of a usual request's time.
+  duration remote_cost = milliseconds(15);
 
   bool operator==(const placement_config&) const = default;
 };
@@ -92,6 +104,14 @@
   // With too_late: time for the backlog to shrink. With paused: until the first upstream that could
   // serve the request takes requests again.
   duration retry_after{0};
+  // The following are set where upstreams are contended and an upstream was considered.
+  duration wait{0};  // part of `expected` for which the request waits in the upstream's queue
+  // Load per slot: of all upstreams of the service, or the smoothed one of this upstream if it is
+  // higher.
+  double usage = 0;
+  double load = 0;                        // estimated requests in the upstream
+  std::optional<duration> report_age;     // of the upstream's last report; empty: there was none
+  std::optional<upstream_id> considered;  // the upstream that the estimates are of
 };
 
 // The load that an upstream reports in an answer.
@@ -143,16 +163,26 @@
   // Replaces the list of upstreams.
   void set_upstreams(const std::vector<placement_upstream>& upstreams, monotonic_time now);
 
+  // Whether the instances share observations and admit requests by priority: then choose() takes
+  // the upstream of the least expected time among several random ones, and not otherwise.
+  void set_contended(bool contended) { contended_ = contended; }
+
   // Chooses the upstream for a request. `random` holds 64 random bits.
   placement_decision choose(const placement_request& request, std::uint64_t random) const;
-  // An attempt begins; on_end() must follow.
-  void on_sent(const upstream_id& upstream);
+  // An attempt begins; on_end() must follow. Without a time, later reports of others count as
+  // older.
+  void on_sent(const upstream_id& upstream, std::optional<monotonic_time> now = {});
   // An attempt has ended.
   void on_end(const upstream_id& upstream, const attempt_report& report, monotonic_time now);
   // Takes in what another instance has heard of the upstream. An observation that is older than the
   // latest known report is ignored, as is one of an upstream that isn't listed.
   void observe(const upstream_id& upstream, const upstream_observation& seen, monotonic_time now);
 
+  // Returns the reports that this instance has received after `since` and that are the latest known
+  // ones of their upstreams.
+  std::vector<std::pair<upstream_id, upstream_observation>> heard_since(monotonic_time since,
+                                                                        monotonic_time now) const;
+
   // Sets the requests per second that the upstream takes from all instances; nullopt: no limit.
   void set_limit(const upstream_id& upstream, std::optional<double> rate, monotonic_time now);
   // The upstream's limit is used up: it isn't chosen for so long, unless it owns the request's key.
@@ -202,17 +232,45 @@
     monotonic_time limited_until{};
     std::uint64_t life = 0;
     monotonic_time paused_until{};
+    double slowdown = 1;  // the last stated one
+    monotonic_time slowdown_at{};
+    reported_load own;  // the last one that this instance received itself
+    monotonic_time own_reported_at{};
+    std::optional<monotonic_time> last_sent;
+  };
+
+  // How long a request is expected to take at an upstream.
+  struct time_estimate {
+    duration expected{0};
+    duration wait{0};  // in its queue
+    duration work{0};  // the request's own work at the upstream's usual speed
+  };
+  struct scored_upstream {
+    std::size_t index = 0;
+    time_estimate time;
+    double score = 0;  // expected time over the share of attempts that don't fail
   };
 
   const upstream_observations& observations_of(const upstream_id& upstream) const;
-  static double estimated_load(const upstream_observations& state, const placement_config& config,
-                               monotonic_time now);
+  double estimated_load(const upstream_observations& state, monotonic_time now) const;
   double slowness_of(const upstream_observations& state, monotonic_time now) const;
   duration expected_time(const placement_upstream& upstream, const upstream_observations& state,
                          std::string_view work, monotonic_time now) const;
   double share_within_limit(const placement_upstream& upstream, const upstream_observations& state,
                             const placement_request& request) const;
   std::optional<duration> shortest_pause(const placement_request& request) const;
+  placement_decision choose_contended(const placement_request& request, std::uint64_t random) const;
+  // Fills the weights with which upstreams of the own and of other domains are drawn; false if none
+  // may be.
+  bool fill_weights(const placement_request& request, bool include_refusing,
+                    std::optional<std::size_t> except, std::vector<double>& local,
+                    std::vector<double>& remote) const;
+  std::optional<scored_upstream> draw_best(std::vector<double>& weights, std::uint64_t& random,
+                                           const placement_request& request) const;
+  time_estimate estimate_time(const placement_upstream& upstream,
+                              const upstream_observations& state, std::string_view work,
+                              monotonic_time now) const;
+  double usage(monotonic_time now) const;
   bool has_free_slot(const placement_upstream& upstream, monotonic_time now) const;
   void update_times(upstream_observations& state, const placement_upstream& upstream,
                     const attempt_report& report, monotonic_time now);
@@ -223,6 +281,9 @@
   std::set<fence_number> released_;  // the latest ones; the lowest is dropped first
   std::optional<double> mean_time_us_;
   std::map<std::string, double, std::less<>> work_times_;  // mean service times in microseconds
+  bool contended_ = false;
+  mutable double usage_ = 0;  // kept by usage() for a while
+  mutable monotonic_time usage_at_{};
 };
 
 }  // namespace plantainpaddle
