Capacities of the planner from what all instances observe

The planner of key ranges derived capacities from the few requests that the assigner itself sends: an instance gets an answer of one upstream every several seconds, so that its speeds are mostly chance, and the busiest upstream of a service had 2.8 times the mean load.

Where upstreams are contended, each load report carries the number of answers of each upstream since the last report and their mean time, relative to the mean of the same kind of work. Elsewhere reports and capacities are as before; a report without the field is accepted.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -489,6 +489,7 @@
     report.ended = attempt_outcome::abandoned;
   }
   traffic().placed->on_end(service().upstreams[to.upstream].name, report, now);
+  if (report.ended == attempt_outcome::answered) note_answer(to, report, now);
 }
 
 }  // namespace plantainpaddle
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -171,6 +171,7 @@
   attempt_end relay_failed(const destination& to, relay_end end) const;
   void report_health(const destination& to, const attempt_end& end);
   void report_placement(const destination& to, const attempt_end& end);
+  void note_answer(const destination& to, const attempt_report& report, monotonic_time now);
   task<std::optional<local_response>> plan_retry(const attempt_end& end);
 
   task<bool> respond(local_response own);
--- a/src/entry/load_report.cc
+++ b/src/entry/load_report.cc
@@ -69,6 +69,31 @@
   return pairs;
 }
 
+// Reads an upstream, a number of answers, and their mean relative time from each item.
+bool read_samples(const json::array& items, answer_samples& samples) {
+  constexpr std::size_t figures = 3;
+  if (items.size() > max_answer_samples) return false;
+  for (const auto& item : items) {
+    const auto* parts = item.if_array();
+    if (parts == nullptr || parts->size() != figures || !parts->at(0).is_string()) return false;
+    boost::system::error_code bad_answers;
+    boost::system::error_code bad_time;
+    const auto answers = parts->at(1).to_number<std::uint32_t>(bad_answers);
+    const auto time = parts->at(2).to_number<double>(bad_time);
+    if (bad_answers || bad_time || answers == 0 || !(time > 0)) return false;
+    samples[{std::string(parts->at(0).get_string())}] = {answers, time};
+  }
+  return true;
+}
+
+json::array format_samples(const answer_samples& samples) {
+  json::array items;
+  for (const auto& [name, sample] : samples) {
+    items.push_back(json::array{name.value, sample.answers, sample.relative_time});
+  }
+  return items;
+}
+
 }  // namespace
 
 std::string format_load_report(const load_report_message& report) {
@@ -80,6 +105,7 @@
                        {"keys", std::move(keys)}};
   if (!report.limits.empty()) message["limits"] = format_by_upstream(report.limits);
   if (!report.leaving.empty()) message["leaving"] = format_by_upstream(report.leaving);
+  if (!report.speeds.empty()) message["speeds"] = format_samples(report.speeds);
   return json::serialize(message);
 }
 
@@ -149,6 +175,10 @@
     if (leaving != nullptr && !read_by_upstream(*leaving, report.leaving)) {
       reader.fail("leaving", "pairs of upstream and life are wanted");
     }
+    const auto* speeds = reader.array("speeds", false);
+    if (speeds != nullptr && !read_samples(*speeds, report.speeds)) {
+      reader.fail("speeds", "upstreams with answers and relative time are wanted");
+    }
   });
   if (!parsed) return parsed.error();
   return report;
--- a/src/entry/load_report.h
+++ b/src/entry/load_report.h
@@ -4,7 +4,8 @@
 // to either says which record the receiver has, by its position.
 //
 //   {"service": "desk", "address": "10.1.0.18:7200", "known": [1, 3, 14], "keys": [[17, 3]],
-//    "limits": [["desk-1", 14.9]], "leaving": [["desk-2", 1764942000123]]}
+//    "limits": [["desk-1", 14.9]], "leaving": [["desk-2", 1764942000123]],
+//    "speeds": [["desk-1", 3, 1.21]]}
 //   {"service": "desk", "version": 812, "base": [1, 3, 14], "unchanged": [0, 2], "record": "..."}
 //   {"known": [1, 3, 17]}
 #pragma once
@@ -18,6 +19,7 @@
 
 #include "base/error.h"
 #include "base/ids.h"
+#include "ownership/observed_speeds.h"
 #include "ownership/range_record.h"
 
 namespace plantainpaddle {
@@ -32,6 +34,9 @@
   std::map<upstream_id, double> limits;
   // Lives of upstreams of the service that have said in a response that they leave.
   std::map<upstream_id, std::uint64_t> leaving;
+  // Answers that upstreams of the service gave the sender since its last report; empty unless the
+  // sender's snapshot is contended.
+  answer_samples speeds;
   bool operator==(const load_report_message&) const = default;
 };
 
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -100,6 +100,7 @@
   void update_services();
   void update_upstreams();
   const placement* observations_of(const service_id& service) const;
+  bool is_contended() const { return traffic.view()->snapshot->contended; }
   void publish(monotonic_time now);
   void update_retry_budget();
   void register_instance(monotonic_time now);
@@ -306,7 +307,9 @@
     }
     const auto& service = known.entry.service;
     const auto* observed = is_assigner(service) ? observations_of(service) : nullptr;
-    auto facts = estimate_capacity(known.entry, observed, now);
+    auto facts = observed != nullptr && is_contended()
+                     ? estimate_capacity(known.entry, observed, runners[service]->speeds(), now)
+                     : estimate_capacity(known.entry, observed, now);
     if (view.evacuations().contains(known.entry.domain)) facts.serving = false;
     by_service[service].push_back({std::move(facts), known.entry.address});
   }
@@ -417,9 +420,11 @@
                                .limits = limits_of(name),
                                .leaving = view.upstreams().noticed()};
     keep_service(report.leaving, name);
+    if (current->snapshot->contended) report.speeds = current->services[i].answers->take();
     if (runner->second->is_assigner()) {
       for (const auto& [key, count] : report.keys) runner->second->count(key, count);
       runner->second->note_limits(report.limits);
+      runner->second->note_speeds(report.speeds);
       continue;
     }
     // Without a word of the assigner only the store tells whether the record has changed.
@@ -465,6 +470,7 @@
   if (runner == runners.end()) return format_known_record({});
   for (const auto& [key, count] : report->keys) runner->second->count(key, count);
   runner->second->note_limits(report->limits);
+  if (is_contended()) runner->second->note_speeds(report->speeds);
   for (const auto& [upstream, life] : report->leaving) {
     view.note_leaving(upstream, life, report->address);
   }
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -19,6 +19,7 @@
 #include "entry/store_view.h"
 #include "http/client.h"
 #include "ownership/candidacy.h"
+#include "ownership/observed_speeds.h"
 #include "ownership/range_assigner.h"
 #include "ownership/range_tenure.h"
 #include "platform/store_client.h"
@@ -58,6 +59,9 @@
   // Takes in the limits, in requests per second, that upstreams have named. They count until they
   // haven't been noted for a while.
   void note_limits(const std::map<upstream_id, double>& limits);
+  // Takes in the times of answers that an instance reports.
+  void note_speeds(const answer_samples& samples) { speeds_.add(samples, monotonic_now()); }
+  const observed_speeds& speeds() const { return speeds_; }
   // Ends the candidacy. An assigner relinquishes its term at once if the store has confirmed its
   // leadership recently (range_assigner::may_relinquish). Otherwise it goes on assigning and
   // renewing its lease, and each tick() checks again.
@@ -122,6 +126,7 @@
   std::map<upstream_id, std::string> addresses_;  // last known, including removed upstreams
   link_number last_link_ = 0;
   key_load load_;
+  observed_speeds speeds_;
   struct noted_limit {
     double rate = 0;
     monotonic_time noted{};
--- a/src/entry/testing/shared_upstreams_test.cc
+++ b/src/entry/testing/shared_upstreams_test.cc
@@ -506,7 +506,8 @@
   const load_report_message report{.service = {"desk"},
                                    .address = "127.0.0.1:7200",
                                    .known = {1, 3, 14},
-                                   .keys = {{17, 3}, {65535, 1}}};
+                                   .keys = {{17, 3}, {65535, 1}},
+                                   .speeds = {{{"desk-1"}, {3, 1.25}}}};
   BOOST_TEST((*parse_load_report(format_load_report(report)) == report));
   pushed_record pushed{{"desk"}, 812, {1, 3, 14}, {make_range_record(), {0}}};
   move_range(pushed.record.changes, 5, 9, {"u1"});
@@ -521,6 +522,26 @@
   }
 }
 
+// Guards against a report without observed speeds being refused, and against samples that a faulty
+// sender makes up.
+BOOST_AUTO_TEST_CASE(samples_of_answers_are_optional_and_checked) {
+  const auto parse = [](const std::string& more) {
+    return parse_load_report(R"({"service":"d","address":"a","known":[0,1,2],"keys":[])" + more +
+                             "}");
+  };
+  const auto without = parse("");
+  BOOST_TEST_REQUIRE(without.has_value());
+  BOOST_TEST(without->speeds.empty());
+  BOOST_TEST(parse(R"(,"speeds":[["u",3,0.8]])").has_value());
+  for (const auto* bad : {R"(["u",3])", R"(["u",0,1.5])", R"(["u",3,0])", R"(["u",3,-1])",
+                          R"(["u",1.5,1])", R"([1,3,1])", "4"}) {
+    BOOST_TEST(!parse(R"(,"speeds":[)" + std::string(bad) + "]").has_value(), bad);
+  }
+  std::string many = R"(["u",1,1])";
+  for (std::size_t i = 0; i < max_answer_samples; ++i) many += R"(,["u",1,1])";
+  BOOST_TEST(!parse(R"(,"speeds":[)" + many + "]").has_value());
+}
+
 // Guards against a request whose connection is closed without a response at the end of a drain,
 // since its wait for an owner of its key goes on.
 BOOST_AUTO_TEST_CASE(the_end_of_waits_in_a_drain_ends_the_wait_for_an_owner) {
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -142,6 +142,7 @@
   made.placed = previous != nullptr
                     ? previous->placed
                     : std::make_shared<placement>(placement_config{.domain = settings_.domain});
+  made.answers = previous != nullptr ? previous->answers : std::make_shared<answer_times>();
   std::vector<placement_upstream> facts;
   for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
     const auto& row = service.upstreams[i];
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -22,6 +22,7 @@
 #include "entry/gate.h"
 #include "entry/proxy_settings.h"
 #include "entry/shard_counts.h"
+#include "ownership/observed_speeds.h"
 #include "routing/balance.h"
 #include "routing/health.h"
 #include "routing/limiter.h"
@@ -91,6 +92,8 @@
   // Set with proxy_settings::shared_upstreams only: it chooses upstreams by an estimate of their
   // load. A placement has no lock, so there is only one traffic thread then.
   std::shared_ptr<placement> placed;
+  // Set with `placed`: times of answers, for load reports.
+  std::shared_ptr<answer_times> answers;
 };
 
 // A snapshot together with the shared state of its services.
--- a/src/routing/upstream_capacity.cc
+++ b/src/routing/upstream_capacity.cc
@@ -9,6 +9,16 @@
 constexpr double min_relative_speed = 0.2;
 constexpr double max_relative_speed = 2.5;
 
+range_upstream make_facts(const registered_upstream& entry, const placement* observed,
+                          double speed) {
+  range_upstream facts{entry.id, entry.slots * speed, !entry.leaving, {}};
+  const auto mean = observed == nullptr ? std::nullopt : observed->mean_service_time();
+  if (mean && *mean > duration::zero()) {
+    facts.most_requests_per_s = facts.capacity / std::chrono::duration<double>(*mean).count();
+  }
+  return facts;
+}
+
 }  // namespace
 
 range_upstream estimate_capacity(const registered_upstream& entry, const placement* observed,
@@ -16,12 +26,12 @@
   const double speed = observed == nullptr ? 1
                                            : std::clamp(observed->speed(entry.id, now),
                                                         min_relative_speed, max_relative_speed);
-  range_upstream facts{entry.id, entry.slots * speed, !entry.leaving, {}};
-  const auto mean = observed == nullptr ? std::nullopt : observed->mean_service_time();
-  if (mean && *mean > duration::zero()) {
-    facts.most_requests_per_s = facts.capacity / std::chrono::duration<double>(*mean).count();
-  }
-  return facts;
+  return make_facts(entry, observed, speed);
+}
+
+range_upstream estimate_capacity(const registered_upstream& entry, const placement* observed,
+                                 const observed_speeds& speeds, monotonic_time now) {
+  return make_facts(entry, observed, speeds.speed(entry.id, now));
 }
 
 }  // namespace plantainpaddle
--- a/src/routing/upstream_capacity.h
+++ b/src/routing/upstream_capacity.h
@@ -2,6 +2,7 @@
 // requests to it show it.
 #pragma once
 
+#include "ownership/observed_speeds.h"
 #include "ownership/range_planner.h"
 #include "ownership/upstream_list.h"
 #include "routing/placement.h"
@@ -12,5 +13,8 @@
 // equally fast.
 range_upstream estimate_capacity(const registered_upstream& entry, const placement* observed,
                                  monotonic_time now);
+// The same with the speeds that all instances observed. `observed` gives the mean time of work.
+range_upstream estimate_capacity(const registered_upstream& entry, const placement* observed,
+                                 const observed_speeds& speeds, monotonic_time now);
 
 }  // namespace plantainpaddle
