--- a/src/harness/cluster.cc
+++ b/src/harness/cluster.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
 #include <filesystem>
@@ -43,7 +44,8 @@
 }
 
 // Where upstreams register themselves.
-std::string settings_of(const running_entry& entry, const std::string& platform) {
+std::string settings_of(const running_entry& entry, const std::string& platform,
+                        const json::value& bounds) {
   return json::serialize(json::object{
       {"name", entry.name},
       {"cluster", cluster_name},
@@ -52,7 +54,7 @@
       {"log_level", "debug"},
       {"listen",
        {{"callers", entry.callers}, {"operators", entry.operators}, {"peers", entry.peers}}},
-      {"platform", {{"form", "items"}, {"store", json::array{platform}}}}});
+      {"platform", {{"form", "items"}, {"store", json::array{platform}}, {"bounds", bounds}}}});
 }
 
 std::string port_of(const std::string& address) { return address.substr(address.find(':')); }
@@ -137,13 +139,14 @@
   if (layout_.desired) {
     // Each calls the platform at an address of its own, so that it can be turned away alone.
     int number = 1;
+    const auto bounds = json::parse(layout_.entry_bounds);
     for (auto& [name, entry] : entries) {
       entry.store = "127.0.1." + std::to_string(number++);
       const auto store = layout_.relayed
                              ? add_route(name + "-platform", platform_address)
                              : result<std::string>(entry.store + port_of(platform_address));
       if (!store) return store.error();
-      std::ofstream(entry.settings_file) << settings_of(entry, *store);
+      std::ofstream(entry.settings_file) << settings_of(entry, *store, bounds);
     }
     return std::nullopt;
   }
--- a/src/harness/cluster.h
+++ b/src/harness/cluster.h
@@ -37,6 +37,7 @@
   // If there is one, the system runs in the form of the users' platform: upstreams register
   // themselves and are granted ranges of keys. Of the services' rows only names count then.
   std::optional<desired_state> desired;
+  std::string entry_bounds = "{}";  // JSON, `platform.bounds` of all entries; with `desired` only
   // Connections to the platform and, without a desired state, between peers pass through relay
   // routes "<entry>-platform" and "<entry>><entry>"; those to upstreams through "<upstream>". A
   // relay takes connections also while its target is dead, which hides a refused connection.
--- a/src/harness/process.cc
+++ b/src/harness/process.cc
@@ -8,7 +8,9 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <thread>
 #include <utility>
 
@@ -95,4 +97,20 @@
   return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t child_process::peak_resident_bytes() const {
+  constexpr std::string_view name = "VmHWM:";
+  constexpr std::uint64_t kib = 1024;
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(in, line);) {
+    if (line.starts_with(name)) return std::stoull(line.substr(name.size())) * kib;
+  }
+  return 0;
+}
+
+std::size_t child_process::open_descriptors() const {
+  std::error_code code;
+  const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd", code);
+  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 }  // namespace plantainpaddle
--- a/src/harness/process.h
+++ b/src/harness/process.h
@@ -32,8 +32,10 @@
   bool running();
   // The exit code, 128 + the signal's number, or nothing if it still runs after the time.
   std::optional<int> wait(duration most);
-  void kill();                           // SIGKILL and wait
-  std::uint64_t resident_bytes() const;  // 0 if it has ended
+  void kill();                                // SIGKILL and wait
+  std::uint64_t resident_bytes() const;       // 0 if it has ended
+  std::uint64_t peak_resident_bytes() const;  // since its start; 0 if it has ended
+  std::size_t open_descriptors() const;       // 0 if it has ended
 
  private:
   explicit child_process(pid_t pid) : pid_(pid) {}
