A response without a length isn't complete if its request wasn't sent whole

Cause: an upstream that answers an upload at once with a 200 without length and resets while the upload is written looks complete to the caller. The failed write takes the connection's error, and the next read reports an orderly end, which ends a body without a length. A status below 100 counted as an interim response, and one above 599 was passed on.

Change: the end of a connection ends such a body only if the whole request was sent before (close_meaning); otherwise the response is cut off: 502 if nothing of it was passed on, else a chunked response without its last chunk. A status outside 100 to 599 is a malformed response. An upstream that refuses an upload early without a length now also gives 502.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -373,8 +373,8 @@
   auto& response = *messages_.response;
   caller_.set_deadline(deadline_);
   while (!response.is_done() && !response_buffer_->full()) {
-    const auto read =
-        co_await read_response_part(caller_, response, connection_->socket, *response_buffer_);
+    const auto read = co_await read_response_part(caller_, response, connection_->socket,
+                                                  *response_buffer_, meaning_of_close());
     if (read != relay_end::complete) {
       co_return failed(
           to, step::read_answer, run_state::unknown, "the response was cut off",
@@ -436,8 +436,8 @@
   auto relayed = co_await write_pieces(pieces, caller_.socket(), caller_, progress,
                                        relay_end::caller_failed, relay_end::caller_slow);
   if (relayed == relay_end::complete && !response.is_done()) {
-    relayed =
-        co_await relay_response_body(caller_, response, connection_->socket, *response_buffer_);
+    relayed = co_await relay_response_body(caller_, response, connection_->socket,
+                                           *response_buffer_, meaning_of_close());
     if (relayed == relay_end::complete) release_connection(reusable());
     leave_gate(relayed == relay_end::complete);
   }
--- a/src/entry/body_relay.cc
+++ b/src/entry/body_relay.cc
@@ -161,7 +161,8 @@
 }
 
 task<relay_end> relay_response_body(request_scope& caller, message_parser<false>& response,
-                                    tcp_socket& upstream, wire_buffer& buffer) {
+                                    tcp_socket& upstream, wire_buffer& buffer,
+                                    close_meaning close) {
   const caller_socket_use used(caller);
   progress_window progress(caller, progress_window::no_limit);
   const auto& limits = caller.owning_worker().settings().limits;
@@ -173,7 +174,7 @@
     response.clear_body();
     buffer.move_unread(0);
     if (buffer.full()) co_return relay_end::upstream_failed;
-    const auto read = co_await read_response_part(caller, response, upstream, buffer);
+    const auto read = co_await read_response_part(caller, response, upstream, buffer, close);
     if (read != relay_end::complete) co_return read;
     progress.on_bytes(buffer.end);
     outgoing pieces;
@@ -186,7 +187,7 @@
 }
 
 task<relay_end> read_response_part(request_scope& caller, message_parser<false>& response,
-                                   tcp_socket& upstream, wire_buffer& buffer) {
+                                   tcp_socket& upstream, wire_buffer& buffer, close_meaning close) {
   while (true) {
     boost::system::error_code code;
     const auto size = upstream.read_some(buffer.space(), code);
@@ -204,7 +205,7 @@
     }
     boost::beast::error_code parse_code;
     // A body without a length ends with an orderly close; after a reset it is incomplete.
-    if (code == asio::error::eof && response.need_eof()) {
+    if (code == asio::error::eof && response.need_eof() && close == close_meaning::end_of_body) {
       response.put_eof(parse_code);
       co_return parse_code ? relay_end::upstream_failed : relay_end::complete;
     }
--- a/src/entry/body_relay.h
+++ b/src/entry/body_relay.h
@@ -70,13 +70,18 @@
 void count_dropped_response(request_scope& caller, const wire_buffer& buffer,
                             std::string_view part);
 
+// What the end of an upstream's connection says about a response without a length. It ends the body
+// only if the whole request was sent before: after a reset, the failed write of the request takes
+// the connection's error, and the next read reports an orderly end.
+enum class close_meaning { end_of_body, cut_off };
+
 // Reads and parses the next bytes of the response's body; complete means that some came, or the end
 // of the body.
 task<relay_end> read_response_part(request_scope& caller, message_parser<false>& response,
-                                   tcp_socket& upstream, wire_buffer& buffer);
+                                   tcp_socket& upstream, wire_buffer& buffer, close_meaning close);
 
 // Sends the rest of the response's body to the caller. `buffer` receives the upstream's bytes.
 task<relay_end> relay_response_body(request_scope& caller, message_parser<false>& response,
-                                    tcp_socket& upstream, wire_buffer& buffer);
+                                    tcp_socket& upstream, wire_buffer& buffer, close_meaning close);
 
 }  // namespace plantainpaddle
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -162,6 +162,9 @@
   std::optional<attempt_end> refused_by_upstream(const destination& to);
   std::optional<attempt_end> refused_by_dispatcher(const destination& to);
   task<attempt_end> relay_response(const destination& to);
+  close_meaning meaning_of_close() const {
+    return request_sent_ ? close_meaning::end_of_body : close_meaning::cut_off;
+  }
   void release_connection(bool reusable);
   void leave_gate(bool observe);
   std::optional<attempt_end> enter_lease(const destination& to);
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -17,6 +17,8 @@
 // Of an upstream's interim responses, and of those to earlier requests, before the one expected.
 constexpr int max_skipped_responses = 8;
 constexpr std::uint64_t max_skipped_body = 1 << 20;
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
 
 }  // namespace
 
@@ -44,7 +46,8 @@
     boost::beast::error_code code;
     if (messages_.request->method() == http::verb::head) response.skip(true);
     if (size != 0) response.parse_head(buffer, size, code);
-    if (size == 0 || code || (response.need_eof() && !names().allows_unframed)) {
+    const bool is_status = response.status() >= min_status && response.status() <= max_status;
+    if (size == 0 || code || !is_status || (response.need_eof() && !names().allows_unframed)) {
       return search_result::malformed;
     }
     const bool final = response.status() >= 200;
