Exchange observations of upstreams between instances

An instance knew an upstream from its own responses only: with some 26 requests a second for hundreds of upstreams it hears from one every several seconds, while a report is out of date after 200 ms.

Where the view is contended, the instances of a domain send what they heard to one of them each 150 ms and get what others heard; collectors of different domains ask each other each 450 ms about their own domain's upstreams. An observation takes 8 bytes. Ages are stated as durations, and each side adds the longest time that a message can have been under way, so that frozen senders, links and receivers make figures older, never younger. Elsewhere nothing is sent or kept.

Processor time in a deployment isn't measured.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -14,6 +14,7 @@
 #include "base/log.h"
 #include "entry/load_report.h"
 #include "entry/news_relay.h"
+#include "entry/observation_client.h"
 #include "entry/permit_client.h"
 #include "entry/proxy.h"
 #include "entry/range_runner.h"
@@ -83,6 +84,7 @@
         relay(io.get_executor(), orders, store, view, registration()),
         pusher(orders, std::string(record_target)),
         permits(orders, instance_key(settings.name)),
+        observations(orders, registration()),
         operators(io.get_executor()),
         peers(io.get_executor()),
         signals(io, SIGTERM, SIGINT),
@@ -144,6 +146,7 @@
   news_relay relay;
   record_pusher pusher;
   permit_client permits;
+  observation_client observations;
   http_server operators;
   http_server peers;
   asio::signal_set signals;
@@ -242,6 +245,7 @@
   }
   view.tick();
   relay.tick();
+  observations.tick(traffic.view());
   for (auto& [service, runner] : runners) runner->tick();
   if (now >= next_publish) publish(now);
   if (now >= next_speed_update) {
@@ -265,6 +269,7 @@
   for (auto& [service, runner] : runners) runner->on_store_change();
   if (changed.instances || changed.desired) update_retry_budget();
   relay.on_store_change(changed.instances);
+  if (changed.instances) observations.set_instances(view.instances_by_name());
   publish(monotonic_now());
 }
 
@@ -527,6 +532,8 @@
     co_return co_await relay.serve(std::move(request.body));
   } else if (post && request.target == permit_target) {
     co_return json_response(200, permits.handle(request.body));
+  } else if (post && request.target == observation_target) {
+    co_return observations.handle(request.body, traffic.view());
   } else if (!post && request.target == "/status") {
     co_return json_response(200, status_json());
   } else {
@@ -562,6 +569,17 @@
   add("news_asked_total", static_cast<double>(relay.counts().asked));
   add("news_failed_total", static_cast<double>(relay.counts().failed));
   add("news_answered_total", static_cast<double>(relay.counts().answered));
+  if (observations.active()) {
+    const auto& counts = observations.counts();
+    add("observation_collector", observations.collects() ? 1 : 0);
+    add("observation_collector_changes_total", static_cast<double>(counts.collector_changes));
+    add("observations_asked_total", static_cast<double>(counts.asked));
+    add("observations_failed_total", static_cast<double>(counts.failed));
+    add("observations_answered_total", static_cast<double>(counts.answered));
+    add("observations_received_total", static_cast<double>(counts.received));
+    add("observation_bytes_sent_total", static_cast<double>(counts.sent_bytes));
+    add("observation_bytes_received_total", static_cast<double>(counts.received_bytes));
+  }
   for (const auto& [prefix, reads] : view.reads())
     add("store_reads_total{prefix=\"" + prefix + "\"}", static_cast<double>(reads));
   for (const auto& [prefix, at] : view.known_at())
