Limit a hot key to its share of its owner

A single key with 0.16 of a service's requests asks for ten times what its owner serves. It fills the owner's slots and queue, so that the requests of the owner's other keys are rejected or late, and no move of the key helps.

Each instance now counts its own requests of each key (routing/key_share, at most 512 keys, memory 4 s). While the estimated load of the owner is at or above its slots, a key with at least 0.4 of that owner's requests here is refused first, with reason key_share and a spread Retry-After; below that load nobody is refused, and a key whose owner holds no other key may use the queue as well. sends_refused_total{reason="key_share"} counts the refusals, one line a second gives the inputs, and the router's response names them for each request.

--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -162,7 +162,7 @@
     return not_run(417, errc::bad_input, step::parse_request, "unsupported Expect value");
   }
   if (auto refusal = route_request()) return refusal;
-  if (service().service.keyed) traffic().counts->add(shard_, *key_);
+  if (service().service.keyed) count_key();
   if (auto refusal = check_deadline()) return refusal;
   const auto length = request.content_length();
   if (length && *length > match_.route->body_limit) {
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -121,6 +121,8 @@
   choice choose_by_gate(const std::optional<upstream_id>& failed);
   choice choose_by_load(const std::optional<upstream_id>& failed);
   choice choose_former(const shard_target& owner, placement_request question);
+  void count_key();
+  std::optional<local_response> check_key_share(std::size_t owner, monotonic_time now);
 
   std::optional<std::size_t> index_of(const upstream_id& name) const;
   local_response unavailable_response(const std::string& detail, const std::string& peer) const;
--- a/src/entry/exchange_choice.cc
+++ b/src/entry/exchange_choice.cc
@@ -78,6 +78,7 @@
       return no_owner{
           {errc::not_owner, step::ownership, name.value, "the owner doesn't have the key yet"}};
     }
+    if (auto refusal = check_key_share(owner->upstream, now)) return std::move(*refusal);
     to.owner = *owner;
     question.only = name;
   } else if (permit_) {
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -143,6 +143,8 @@
                     ? previous->placed
                     : std::make_shared<placement>(placement_config{.domain = settings_.domain});
   made.answers = previous != nullptr ? previous->answers : std::make_shared<answer_times>();
+  made.key_shares =
+      previous != nullptr ? previous->key_shares : std::make_shared<key_share>(key_share_config{});
   std::vector<placement_upstream> facts;
   for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
     const auto& row = service.upstreams[i];
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -25,6 +25,7 @@
 #include "ownership/observed_speeds.h"
 #include "routing/balance.h"
 #include "routing/health.h"
+#include "routing/key_share.h"
 #include "routing/limiter.h"
 #include "routing/placement.h"
 #include "routing/retry.h"
@@ -94,6 +95,8 @@
   std::shared_ptr<placement> placed;
   // Set with `placed`: times of answers, for load reports.
   std::shared_ptr<answer_times> answers;
+  // Set with `placed`: the requests of each key.
+  std::shared_ptr<key_share> key_shares;
 };
 
 // A snapshot together with the shared state of its services.
