Admit requests by priority where upstreams are contended

In a burst the most urgent kind waited in upstreams' queues for longer than its target latency, behind less urgent requests: a route's priority was read by no decision, and a request was sent as long as its deadline could be met.

A request may now wait in its upstream's queue as far as its route's target latency allows. While the load per slot goes from 0.75 to 1, less urgent priorities get a part only of the wait that the most urgent one can afford, and requests that are late in any case get free slots only. The rest is refused at once with a spread Retry-After; callers that return after one go half a rank ahead. Without a report of the last second nothing is refused. Refusals are counted by reason and priority, and the request's log line has the reason.

Not run: a deployment.

--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -18,6 +18,7 @@
 #include "entry/session.h"
 #include "entry/traffic_state.h"
 #include "routing/placement.h"
+#include "routing/send_decision.h"
 #include "upstream/pool.h"
 
 namespace plantainpaddle {
@@ -121,6 +122,7 @@
   choice choose_by_gate(const std::optional<upstream_id>& failed);
   choice choose_by_load(const std::optional<upstream_id>& failed);
   choice choose_former(const shard_target& owner, placement_request question);
+  std::optional<local_response> check_admission(const placement_decision& chosen);
 
   std::optional<std::size_t> index_of(const upstream_id& name) const;
   local_response unavailable_response(const std::string& detail, const std::string& peer) const;
@@ -231,9 +233,10 @@
   monotonic_time owner_wait_end_{};    // end of all waits for an owner, set by the first
   std::optional<upstream_id> permit_;  // the upstream that a permit is held for
   std::uint32_t permits_asked_ = 0;
-  std::optional<duration> pause_;               // that the last attempt's response asked for
-  bool identity_mismatch_ = false;              // another upstream responded at the address
-  std::optional<reported_load> reported_load_;  // load that the last attempt's upstream reported
+  send_reason refused_for_ = send_reason::none;  // the rule by which the request was refused
+  std::optional<duration> pause_;                // that the last attempt's response asked for
+  bool identity_mismatch_ = false;               // another upstream responded at the address
+  std::optional<reported_load> reported_load_;   // load that the last attempt's upstream reported
 };
 
 }  // namespace plantainpaddle
--- a/src/entry/exchange_choice.cc
+++ b/src/entry/exchange_choice.cc
@@ -89,6 +89,10 @@
     question.only.reset();
     chosen = traffic().placed->choose(question, worker_.random());
   }
+  // A request that has waited for a permit isn't refused after all.
+  if (!permit_) {
+    if (auto refusal = check_admission(chosen)) return std::move(*refusal);
+  }
   if (!chosen.upstream) {
     if (chosen.why == placement_refusal::paused) {
       local_response refusal = unavailable_response("the upstream asked for a pause",
@@ -132,7 +136,9 @@
   to.is_former_owner = true;
   question.only = former.name;
   question.except.reset();
-  if (!traffic().placed->choose(question, worker_.random()).upstream) {
+  const auto chosen = traffic().placed->choose(question, worker_.random());
+  if (auto refusal = check_admission(chosen)) return std::move(*refusal);
+  if (!chosen.upstream) {
     return unavailable_response("the key's former owner has no free slot", question.only->value);
   }
   return to;
--- a/src/entry/exchange_log.cc
+++ b/src/entry/exchange_log.cc
@@ -53,6 +53,7 @@
              {"attempts", attempts_},
              {"status", status},
              {"outcome", outcome},
+             {"reason", refused_for_ == send_reason::none ? no_name : reason_name(refused_for_)},
              {"ms", taken},
              {"read_in_drain_ms", worker_.since_drain_began(started_at_)}});
 }
--- a/src/entry/traffic_state.cc
+++ b/src/entry/traffic_state.cc
@@ -96,6 +96,9 @@
     made->services.push_back(make_service(service, previous_service, now));
     const auto& placed = made->services.back().placed;
     if (placed) placed->set_contended(snapshot->contended);
+    if (snapshot->contended) {
+      made->services.back().profile = make_admission_profile(*snapshot, made->services.size() - 1);
+    }
     const std::lock_guard lock(limits_mutex_);
     limiter_.set_limits(service.service.name, service.limits);
   }
@@ -188,6 +191,14 @@
             {{"upstream", upstream.value}, {"field", field}});
 }
 
+bool traffic_state::may_log_refusal(send_reason reason, monotonic_time now) {
+  constexpr duration log_period = seconds(1);
+  const auto logged = refusal_logged_.find(reason);
+  if (logged != refusal_logged_.end() && now - logged->second < log_period) return false;
+  refusal_logged_[reason] = now;
+  return true;
+}
+
 bool traffic_state::is_usable(const service_id& service, const upstream_id& upstream,
                               monotonic_time now) const {
   const auto current = view();
--- a/src/entry/traffic_state.h
+++ b/src/entry/traffic_state.h
@@ -26,6 +26,7 @@
 #include "routing/health.h"
 #include "routing/limiter.h"
 #include "routing/placement.h"
+#include "routing/priority_admission.h"
 #include "routing/retry.h"
 #include "routing/snapshot.h"
 #include "routing/upstream_limits.h"
@@ -91,6 +92,7 @@
   // Set with proxy_settings::shared_upstreams only: it chooses upstreams by an estimate of their
   // load. A placement has no lock, so there is only one traffic thread then.
   std::shared_ptr<placement> placed;
+  admission_profile profile;  // where upstreams are contended
 };
 
 // A snapshot together with the shared state of its services.
@@ -144,6 +146,10 @@
   // To be called on the one traffic thread.
   void note_unreadable(const upstream_id& upstream, std::string_view field, monotonic_time now);
 
+  // Whether a line about a refusal for this reason may be logged: one each second. To be called on
+  // the one traffic thread.
+  bool may_log_refusal(send_reason reason, monotonic_time now);
+
   std::atomic<std::size_t> connections{0};  // open ones of callers and other instances
 
  private:
@@ -152,6 +158,7 @@
 
   proxy_settings settings_;
   retry_config retry_config_;
+  std::map<send_reason, monotonic_time> refusal_logged_;  // when may_log_refusal() last allowed it
   std::map<upstream_id, monotonic_time> unreadable_logged_;  // when note_unreadable() last logged
   mutable std::mutex mutex_;                                 // guards view_
   std::shared_ptr<const traffic_view> view_;
--- a/src/routing/placement_contended.cc
+++ b/src/routing/placement_contended.cc
@@ -23,6 +23,10 @@
 namespace {
 
 constexpr duration usage_period = milliseconds(50);  // for which the service's usage is kept
+// Without a report for so long no instance has had an answer of the upstream, so that it has little
+// to do, or reports aren't exchanged and its load isn't known. It counts with this instance's own
+// requests then.
+constexpr duration usage_memory = seconds(2);
 constexpr duration min_retry_after = milliseconds(50);
 constexpr double min_success_share = 0.05;
 
@@ -66,7 +70,8 @@
   for (const auto& upstream : upstreams_) {
     const auto& state = observations_of(upstream.name);
     if (!upstream.usable || state.unreachable) continue;
-    load += estimated_load(state, now);
+    const bool recent = now - state.reported_at <= usage_memory;
+    load += recent ? estimated_load(state, now) : state.outstanding;
     slots += upstream.slots;
   }
   usage_at_ = now;
--- a/src/routing/testing/contended_simulation.h
+++ b/src/routing/testing/contended_simulation.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "routing/placement.h"
+#include "routing/priority_admission.h"
 
 namespace plantainpaddle::contended {
 
@@ -23,6 +24,7 @@
   std::int64_t work_ms = 190;
   std::int64_t target_ms = 500;
   std::int64_t budget_ms = 1500;
+  std::size_t rank = 0;
 };
 
 struct scenario {
@@ -32,6 +34,7 @@
   std::size_t upstreams = 20;
   bool states_slowdown = true;
   bool slowed = false;  // each upstream, 3 times, for 400 ms every 2 s
+  bool admits = false;  // refuses by priority_admission
 };
 
 struct kind_result {
@@ -135,8 +138,33 @@
     const auto left = milliseconds(kind.budget_ms - (now - one.begun));
     const auto work = std::to_string(one.kind);
     const auto chosen = service_.choose({.work = work, .left = left, .now = at(now)}, random_());
-    const duration again_in = milliseconds(100);
+    duration again_in = milliseconds(100);
     bool refused = !chosen.upstream;
+    if (scenario_.admits) {
+      auto urgent_wait = duration::max();
+      for (std::size_t k = 0; k < scenario_.kinds.size(); ++k) {
+        const auto& other = scenario_.kinds[k];
+        if (other.rank > 0) continue;
+        urgent_wait =
+            std::min(urgent_wait, affordable_wait(milliseconds(other.target_ms),
+                                                  service_.service_time(std::to_string(k))));
+      }
+      std::size_t ranks = 1;
+      for (const auto& other : scenario_.kinds) ranks = std::max(ranks, other.rank + 1);
+      const auto admitted = decide_by_priority({.expected = chosen.expected,
+                                                .wait = chosen.wait,
+                                                .target = milliseconds(kind.target_ms),
+                                                .left = left,
+                                                .allowed = milliseconds(kind.budget_ms),
+                                                .rank = kind.rank,
+                                                .ranks = ranks,
+                                                .urgent_wait = urgent_wait,
+                                                .usage = chosen.usage,
+                                                .report_age = chosen.report_age},
+                                               random_());
+      refused = refused || admitted.term.verdict == send_verdict::refuse;
+      again_in = admitted.term.again_in;
+    }
     std::size_t index = 0;
     if (!refused) {
       index = std::stoul(chosen.upstream->value.substr(1));
