--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -18,6 +18,7 @@
 #include "entry/session.h"
 #include "entry/traffic_state.h"
 #include "routing/placement.h"
+#include "routing/send_decision.h"
 #include "upstream/pool.h"
 
 namespace plantainpaddle {
@@ -124,6 +125,7 @@
   choice choose_former(const shard_target& owner, placement_request question);
   void count_key();
   std::optional<local_response> check_key_share(std::size_t owner, monotonic_time now);
+  std::optional<local_response> check_admission(const placement_decision& chosen);
 
   std::optional<std::size_t> index_of(const upstream_id& name) const;
   local_response unavailable_response(const std::string& detail, const std::string& peer) const;
@@ -241,9 +243,10 @@
   std::optional<upstream_id> permit_;  // the upstream that a permit is held for
   std::uint32_t permits_asked_ = 0;
   std::uint32_t unsent_attempts_ = 0;
-  std::optional<duration> pause_;               // that the last attempt's response asked for
-  bool identity_mismatch_ = false;              // another upstream responded at the address
-  std::optional<reported_load> reported_load_;  // load that the last attempt's upstream reported
+  send_reason refused_for_ = send_reason::none;  // the rule by which the request was refused
+  std::optional<duration> pause_;                // that the last attempt's response asked for
+  bool identity_mismatch_ = false;               // another upstream responded at the address
+  std::optional<reported_load> reported_load_;   // load that the last attempt's upstream reported
 };
 
 }  // namespace plantainpaddle
