Hold the bound of cold upstreams over instances that start together or are cut off

Cause: permits were issued at the stated rate, though 1.5 times the rate is sent while instances disagree about the issuer and late requests arrive together with those that are due. An instance that knew nobody else sent alone what all may send alone, and one that was cut off from the store issued on after others had replaced it. A request that waited for a connection was sent without a permit when its upstream became cold meanwhile, or with one that was due long before. Upstreams that returned from an evacuation counted as warm until their entries were read.

Change: cold_permit_rate() derives the rate from the bound (3.77/s for 3.9 stated, overrun 1.5 and slack 8). Where a cold rate is limited, an instance neither issues nor sends alone in its first 2 s, and only sends alone with a list of instances older than 12 s; a permit is void 250 ms after it was due; a cold upstream is checked for a good permit right before a request is sent. For all limits, what falls due to an instance alone isn't saved while an issuer is there. Upstreams count as cold for `drain` after an evacuation. The planner gets the rates of cold upstreams as limits. Metrics: cold_upstreams, cold_permits_refused_total, evacuated.

Without the guards the bound is broken.

--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -18,6 +18,7 @@
 #include "entry/session.h"
 #include "entry/traffic_state.h"
 #include "routing/placement.h"
+#include "routing/send_decision.h"
 #include "upstream/pool.h"
 
 namespace plantainpaddle {
@@ -68,9 +69,9 @@
   // caller is told.
   struct attempt_end {
     bool answered = false;
-    bool wait_for_owner = false;  // not run, and another owner may take over
-    bool too_late = false;        // the gate refused because of the deadline
-    bool unsent = false;          // the upstream was found closed right before it was sent to
+    bool wait_for_owner = false;        // not run, and another owner may take over
+    bool too_late = false;              // the gate refused because of the deadline
+    std::optional<send_reason> unsent;  // why the request was held back right before it was sent
     run_state known = run_state::not_run;
     unsigned status = 503;
     error cause;
@@ -129,15 +130,17 @@
 
   // A limit on the requests to an upstream.
   struct rate_limit {
-    double rate = 0;  // requests per second
-    duration age{0};  // since it was stated
+    double rate = 0;    // requests per second
+    duration age{0};    // since it was stated
+    bool cold = false;  // it is the rate of a cold upstream, which no permit may exceed late
   };
 
   // Permits to send to upstreams that name a limit, or are cold.
   std::optional<rate_limit> limit_of(const destination& to, monotonic_time now) const;
   task<permit_outcome> take_permit(const destination& to);
   task<std::optional<permit_decision>> ask_permit(const permit_request& request);
-  permit_outcome refuse_permit(const destination& to, const permit_decision& decision);
+  permit_outcome refuse_permit(const destination& to, const rate_limit& limit,
+                               const permit_decision& decision);
   duration spread_retry_after(duration wait);
 
   // Steps of an attempt. An attempt_end means that the attempt is over.
@@ -233,6 +236,9 @@
   monotonic_time refused_until_{};
   monotonic_time owner_wait_end_{};    // end of all waits for an owner, set by the first
   std::optional<upstream_id> permit_;  // the upstream that a permit is held for
+  monotonic_time permit_until_{};      // the end of that permit
+  // The end of the permit that the present attempt uses; none: it uses none.
+  std::optional<monotonic_time> permitted_until_;
   std::uint32_t permits_asked_ = 0;
   std::uint32_t unsent_attempts_ = 0;
   std::optional<duration> pause_;               // that the last attempt's response asked for
--- a/src/entry/exchange_limit.cc
+++ b/src/entry/exchange_limit.cc
@@ -14,6 +14,11 @@
 constexpr unsigned status_unavailable = 503;
 // Shares of the route's target latency and of the time left for which a request waits for a permit.
 constexpr double target_share = 0.4;
+// The same for a cold upstream. A request that is held for longer is better refused.
+constexpr double cold_target_share = 0.125;
+// A permit for a cold upstream that is used later than this after it was due is void: requests that
+// are delayed together would arrive together.
+constexpr duration cold_permit_life = milliseconds(250);
 constexpr int left_divisor = 4;
 // After a shorter wait than this the upstream isn't chosen again.
 constexpr duration negligible_wait = milliseconds(5);
@@ -96,33 +101,43 @@
   const double cold_rate = service().cold_rate;
   const bool cold =
       cold_rate > 0 && !service().warm_since.empty() && now < service().warm_since[to.upstream];
-  if (named == limits.end()) {
-    return cold ? std::optional(rate_limit{cold_rate, duration::zero()}) : std::nullopt;
-  }
-  const rate_limit limit{named->second.rate, now - named->second.named};
-  return cold && cold_rate < limit.rate ? rate_limit{cold_rate, duration::zero()} : limit;
+  const rate_limit while_cold{cold_rate, duration::zero(), true};
+  if (named == limits.end()) return cold ? std::optional(while_cold) : std::nullopt;
+  const rate_limit limit{named->second.rate, now - named->second.named, cold};
+  return cold && cold_rate < limit.rate ? while_cold : limit;
 }
 
 // After a wait an upstream is chosen again, since the key may have moved or the upstream may leave;
 // the permit is used if the choice is the same.
 task<exchange::permit_outcome> exchange::take_permit(const destination& to) {
   const auto& name = service().upstreams[to.upstream].name;
-  if (std::exchange(permit_, std::nullopt) == name) co_return permit_outcome{true, {}};
   const auto asked_at = monotonic_now();
+  permitted_until_.reset();
+  if (std::exchange(permit_, std::nullopt) == name && asked_at < permit_until_) {
+    if (permit_until_ != monotonic_time::max()) permitted_until_ = permit_until_;
+    co_return permit_outcome{true, {}};
+  }
   const auto limit = limit_of(to, asked_at);
+  if (!worker_.shared().ask_permit) permitted_until_ = monotonic_time::max();
   if (!limit || !worker_.shared().ask_permit) co_return permit_outcome{true, {}};
-  const auto target =
-      std::chrono::duration_cast<duration>(match_.policy.target_latency * target_share);
+  const auto target = std::chrono::duration_cast<duration>(
+      match_.policy.target_latency * (limit->cold ? cold_target_share : target_share));
   const auto left = std::max(duration::zero(), (deadline_ - asked_at) / left_divisor);
   const permit_request request{name, limit->rate, limit->age,
                                target == duration::zero() ? left : std::min(target, left)};
   ++permits_asked_;
   const auto decision = co_await ask_permit(request);
-  if (!decision) co_return refuse_permit(to, {});
-  if (!decision->granted) co_return refuse_permit(to, *decision);
+  if (!decision) co_return refuse_permit(to, *limit, {});
+  if (!decision->granted) co_return refuse_permit(to, *limit, *decision);
   const auto now = monotonic_now();
+  // The permit was given out after asked_at, and a process that was paused got the answer late.
+  permit_until_ =
+      limit->cold ? asked_at + decision->wait + cold_permit_life : monotonic_time::max();
   const bool at_once = decision->wait == duration::zero() && now - asked_at < negligible_wait;
-  if (at_once) co_return permit_outcome{true, {}};
+  if (at_once) {
+    if (limit->cold) permitted_until_ = permit_until_;
+    co_return permit_outcome{true, {}};
+  }
   permit_ = name;
   co_await caller_.pause_until(now + decision->wait);
   co_return permit_outcome{false, route_request()};
@@ -145,18 +160,20 @@
 
 // A request without a key goes to another upstream. Otherwise it is refused at once: waiting longer
 // would only make others wait.
-exchange::permit_outcome exchange::refuse_permit(const destination& to,
+exchange::permit_outcome exchange::refuse_permit(const destination& to, const rate_limit& limit,
                                                  const permit_decision& decision) {
   const auto& name = service().upstreams[to.upstream].name;
   worker_.counters().add("permits_refused_total", {});
+  if (limit.cold) worker_.counters().add("cold_permits_refused_total", {});
   if (!service().service.keyed && !caller_.caller_gone() && permits_asked_ < max_permits_asked) {
     traffic().placed->on_limit_used_up(name, decision.wait, monotonic_now());
     return {false, route_request()};
   }
-  local_response refusal{
-      status_unavailable,
-      {errc::limit_exceeded, step::admit, name.value, "the upstream takes no more requests now"},
-      run_outcome::not_run};
+  local_response refusal{status_unavailable,
+                         {errc::limit_exceeded, step::admit, name.value,
+                          limit.cold ? "the upstream is cold and takes no more requests now"
+                                     : "the upstream takes no more requests now"},
+                         run_outcome::not_run};
   refusal.retry_after = spread_retry_after(decision.wait);
   return {false, std::move(refusal)};
 }
--- a/src/entry/permit_client.cc
+++ b/src/entry/permit_client.cc
@@ -55,11 +55,12 @@
   return decision;
 }
 
-permit_client::permit_client(http_client& client, std::string self)
-    : client_(client), permits_(std::move(self)) {}
+permit_client::permit_client(http_client& client, std::string self, permit_config config)
+    : client_(client), permits_(std::move(self), config) {}
 
-void permit_client::set_instances(const std::map<std::string, std::string>& addresses) {
-  permits_.set_instances(addresses, monotonic_now());
+void permit_client::set_instances(const std::map<std::string, std::string>& addresses,
+                                  monotonic_time known_at) {
+  permits_.set_instances(addresses, monotonic_now(), known_at);
 }
 
 void permit_client::ask(const permit_request& request, handler done) {
@@ -95,7 +96,9 @@
     log_error(log_level::warning, request.error());
     return "{}";
   }
-  return format_permit_decision(permits_.issue(*request, monotonic_now()));
+  const auto now = monotonic_now();
+  if (!permits_.may_issue(now)) return "{}";  // reads as no answer: the next in order is asked
+  return format_permit_decision(permits_.issue(*request, now));
 }
 
 std::map<upstream_id, double> permit_client::limits_asked_for() const {
--- a/src/entry/permit_client.h
+++ b/src/entry/permit_client.h
@@ -34,9 +34,10 @@
  public:
   using handler = std::function<void(permit_decision)>;
 
-  permit_client(http_client& client, std::string self);
+  permit_client(http_client& client, std::string self, permit_config config = {});
 
-  void set_instances(const std::map<std::string, std::string>& addresses);
+  // The instances were known to be all at `known_at`.
+  void set_instances(const std::map<std::string, std::string>& addresses, monotonic_time known_at);
   // Calls `done` once, possibly before it returns.
   void ask(const permit_request& request, handler done);
   // Decides on another instance's request and returns the response's body.
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -84,7 +84,7 @@
         orders(io.get_executor()),
         relay(io.get_executor(), orders, store, view, registration()),
         pusher(orders, std::string(record_target)),
-        permits(orders, instance_key(settings.name)),
+        permits(orders, instance_key(settings.name), permit_config_for(settings)),
         operators(io.get_executor()),
         peers(io.get_executor()),
         signals(io, SIGTERM, SIGINT),
@@ -101,6 +101,7 @@
   void on_store_restored();
   void update_services();
   void update_upstreams();
+  void note_cold_rates(monotonic_time now);
   const placement* observations_of(const service_id& service) const;
   void publish(monotonic_time now);
   void update_retry_budget();
@@ -248,7 +249,7 @@
   if (now >= next_publish) publish(now);
   if (now >= next_speed_update) {
     next_speed_update = now + speed_update_period;
-    permits.set_instances(view.instance_addresses());
+    permits.set_instances(view.instance_addresses(), view.own_keys_known_at());
     update_upstreams();
   }
   register_instance(now);
@@ -313,9 +314,26 @@
     by_service[service].push_back({std::move(facts), known.entry.address});
   }
   leaving_upstreams = std::move(still_leaving);
+  note_cold_rates(now);
   for (auto& [service, runner] : runners) runner->set_upstreams(by_service[service]);
 }
 
+// A cold upstream serves its keys' requests at its rate, so that no more keys should go there than
+// it can serve until it is warm.
+void range_instance::impl::note_cold_rates(monotonic_time now) {
+  if (!settings.bounds.cold_overrun || !view.desired()) return;
+  for (const auto& service : view.desired()->services) {
+    const auto runner = runners.find(service.name);
+    if (service.cold_rate <= 0 || runner == runners.end()) continue;
+    std::map<upstream_id, double> rates;
+    for (const auto& [id, known] : view.upstreams().all()) {
+      const bool cold = known.entry.service == service.name && now < known.warm_since;
+      if (cold) rates[id] = service.cold_rate;
+    }
+    runner->second->note_limits(rates);
+  }
+}
+
 // Returns what this instance has observed of the service's upstreams; null if nothing.
 const placement* range_instance::impl::observations_of(const service_id& service) const {
   const auto current = traffic.view();
@@ -335,9 +353,14 @@
   }
   registry_config config{.instances = known_instances,
                          .leaving_grace = share_of(settings.bounds.drain, leaving_grace_share),
-                         .cold_rates = settings.bounds.cold_overrun.has_value(),
                          .contended = settings.contended,
                          .evacuates = settings.bounds.evacuation.has_value()};
+  if (settings.bounds.cold_overrun) {
+    config.cold = {*settings.bounds.cold_overrun, settings.bounds.cold_slack};
+    for (const auto& [domain, ended] : view.evacuations().ended()) {
+      config.returned[domain] = ended + settings.bounds.drain;
+    }
+  }
   for (const auto& [domain, order] : view.evacuations().all()) {
     const auto until = order.since + share_of(settings.bounds.evacuation.value_or(duration::zero()),
                                               evacuation_share);
@@ -576,6 +599,12 @@
   add("store_values_passed_over_total", static_cast<double>(view.passed_over()));
   add("desired_state_version", view.desired() ? static_cast<double>(view.desired()->version) : 0);
   add("upstreams", static_cast<double>(view.upstreams().all().size()));
+  const auto now = monotonic_now();
+  add("cold_upstreams", static_cast<double>(std::count_if(
+                            view.upstreams().all().begin(), view.upstreams().all().end(),
+                            [&](const auto& known) { return now < known.second.warm_since; })));
+  for (const auto& [domain, order] : view.evacuations().all())
+    add("evacuated{failure_domain=\"" + domain.value + "\"}", 1);
   add("instances", static_cast<double>(view.instances()));
   add("assigned_services",
       static_cast<double>(std::count_if(runners.begin(), runners.end(), [](const auto& runner) {
--- a/src/entry/range_settings.cc
+++ b/src/entry/range_settings.cc
@@ -49,6 +49,18 @@
   return std::chrono::duration_cast<duration>(whole * share);
 }
 
+// Instances that start together have registered, and read of each other, within 2 s. A registration
+// lapses 8 s after its last renewal, and others count on its instance for settle_time from then.
+permit_config permit_config_for(const entry_settings& settings) {
+  constexpr duration quiet_time = milliseconds(2000);
+  constexpr duration list_life = milliseconds(12'000);
+  permit_config config;
+  if (!settings.bounds.cold_overrun) return config;
+  config.quiet_time = quiet_time;
+  config.list_life = list_life;
+  return config;
+}
+
 store_view_timing store_view_timing_for(const entry_settings& settings) {
   constexpr double hashes = 1ULL << 32;
   constexpr duration cold_again_margin = milliseconds(500);
--- a/src/entry/range_settings.h
+++ b/src/entry/range_settings.h
@@ -6,6 +6,7 @@
 #include "entry/store_view.h"
 #include "ownership/candidacy.h"
 #include "ownership/range_assigner.h"
+#include "routing/upstream_permits.h"
 
 namespace plantainpaddle {
 
@@ -16,6 +17,7 @@
 
 proxy_settings traffic_settings(const entry_settings& settings);
 range_timing range_timing_for(const entry_settings& settings);
+permit_config permit_config_for(const entry_settings& settings);
 store_view_timing store_view_timing_for(const entry_settings& settings);
 candidacy_timing candidacy_timing_for(const entry_settings& settings);
 // Returns by how much this instance starts its candidacies later than the earliest ones.
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -82,6 +82,13 @@
   return versions_.under(std::string(era_key_prefix) + service.value + "/");
 }
 
+monotonic_time store_view::own_keys_known_at() const {
+  for (std::size_t i = 0; i < feeds_.size(); ++i) {
+    if (feeds_[i].prefix() == own_key_prefix) return feeds_[i].known_at();
+  }
+  return {};
+}
+
 std::map<std::string, monotonic_time> store_view::known_at() const {
   std::map<std::string, monotonic_time> times;
   for (std::size_t i = 0; i < feeds_.size(); ++i) times[feeds_[i].prefix()] = feeds_[i].known_at();
@@ -343,8 +350,8 @@
 void store_view::apply_evacuation(const watch_event& event, monotonic_time known_at,
                                   store_change& changed) {
   const domain_id domain{event.value.key.substr(evacuation_key_prefix.size())};
-  const bool is_change =
-      event.removed ? evacuations_.on_removed(domain) : evacuations_.on_order(domain, known_at);
+  const bool is_change = event.removed ? evacuations_.on_removed(domain, monotonic_now())
+                                       : evacuations_.on_order(domain, known_at);
   if (!is_change) return;
   changed.evacuations = true;
   const bool first = known_at == monotonic_time{};  // nothing tells how old the order is
--- a/src/ownership/evacuation_list.h
+++ b/src/ownership/evacuation_list.h
@@ -24,6 +24,7 @@
   // so that operators who write it again find it in force; not for ever, as a removed key that the
   // store doesn't have shows no event.
   duration unconfirmed_life = seconds(60);
+  duration ended_memory = seconds(10);  // longer than entries of upstreams take to be read
 };
 
 class evacuation_list {
@@ -36,20 +37,23 @@
 
   explicit evacuation_list(evacuation_timing timing = {}) : timing_(timing) {}
 
-  // These return whether the domains have changed. `known_at`: when the store's orders were last
-  // known before this one was read. A repeated order keeps its time, as nothing shows whether it
-  // had been removed in between.
+  // These return whether the evacuated domains have changed. `known_at`: when the store's orders
+  // were last known before this one was read. A repeated order keeps its time, as nothing shows
+  // whether it had been removed in between.
   bool on_order(const domain_id& domain, monotonic_time known_at);
-  bool on_removed(const domain_id& domain);
+  bool on_removed(const domain_id& domain, monotonic_time now);
   bool expire(monotonic_time now);
   void on_store_restored(monotonic_time now);
 
   const std::map<domain_id, order>& all() const { return orders_; }
+  // Returns the domains whose evacuation has ended within timing.ended_memory, with when it did.
+  const std::map<domain_id, monotonic_time>& ended() const { return ended_; }
   bool contains(const domain_id& domain) const { return orders_.contains(domain); }
 
  private:
   evacuation_timing timing_;
   std::map<domain_id, order> orders_;
+  std::map<domain_id, monotonic_time> ended_;
 };
 
 }  // namespace plantainpaddle
--- a/src/ownership/testing/evacuation_list_test.cc
+++ b/src/ownership/testing/evacuation_list_test.cc
@@ -29,12 +29,14 @@
   evacuation_list orders;
   orders.on_order(north, at(100));
   orders.on_order(south, at(200));
-  BOOST_TEST(orders.on_removed(north));
-  BOOST_TEST(!orders.on_removed(north));
+  BOOST_TEST(orders.on_removed(north, at(4500)));
+  BOOST_TEST(!orders.on_removed(north, at(4500)));
   BOOST_TEST(!orders.contains(north));
+  BOOST_TEST((orders.ended().at(north) == at(4500)));
   BOOST_TEST(orders.contains(south));
   BOOST_TEST(orders.on_order(north, at(5000)));
   BOOST_TEST((orders.all().at(north).since == at(5000)));
+  BOOST_TEST(orders.ended().empty());
 }
 
 // Guards against a domain that gets requests again because the store was restored from a copy that
@@ -57,7 +59,7 @@
   orders.on_store_restored(at(1000));
   BOOST_TEST(!orders.on_order(north, at(900)));
   BOOST_TEST((orders.all().at(north).since == at(100)));
-  BOOST_TEST(orders.on_removed(south));
+  BOOST_TEST(orders.on_removed(south, at(4500)));
   BOOST_TEST(!orders.expire(at(90'000)));
   BOOST_TEST(orders.contains(north));
 }
--- a/src/ownership/testing/upstream_list_test.cc
+++ b/src/ownership/testing/upstream_list_test.cc
@@ -37,6 +37,28 @@
   BOOST_TEST((list.all().at({"a"}).warm_since == at(3500)));
 }
 
+// Guards against an upstream that becomes cold again within a life and gets requests as a warm one;
+// and against one that seems to, as its entries are read late.
+BOOST_AUTO_TEST_CASE(an_upstream_that_states_a_later_end_of_its_cold_start_is_cold_again) {
+  upstream_list list({.cold_again_margin = milliseconds(500)});
+  list.on_contact(at(0));
+  auto cold = entry("a");
+  cold.warm_up_left = milliseconds(3000);
+  list.on_entry(cold, at(0));
+  cold.warm_up_left = milliseconds(2500);
+  BOOST_TEST(!list.on_entry(cold, at(900)));  // 400 ms late
+  BOOST_TEST((list.all().at({"a"}).warm_since == at(3000)));
+  BOOST_TEST(!list.on_entry(entry("a"), at(4000)));
+  cold.warm_up_left = milliseconds(2900);
+  BOOST_TEST(list.on_entry(cold, at(9000)));
+  BOOST_TEST((list.all().at({"a"}).warm_since == at(11'900)));
+  // Without the setting, the first end holds for the life.
+  upstream_list usual;
+  usual.on_entry(cold, at(0));
+  BOOST_TEST(!usual.on_entry(cold, at(9000)));
+  BOOST_TEST((usual.all().at({"a"}).warm_since == at(2900)));
+}
+
 // Guards against a notice whose age is counted from when it was seen: it may be as old as the read
 // before.
 BOOST_AUTO_TEST_CASE(a_notice_may_be_as_old_as_the_last_read_without_it) {
--- a/src/routing/registry_snapshot.cc
+++ b/src/routing/registry_snapshot.cc
@@ -30,7 +30,7 @@
   service_snapshot snapshot;
   snapshot.service.name = declared.name;
   snapshot.service.keyed = declared.keyed;
-  snapshot.cold_rate = config.cold_rates ? declared.cold_rate : 0;
+  snapshot.cold_rate = config.cold ? cold_permit_rate(declared.cold_rate, *config.cold) : 0;
   for (const auto& [id, known] : list.all()) {
     if (known.entry.service != declared.name) continue;
     const auto closed = closed_from(declared, known.entry.domain, config);
@@ -43,7 +43,10 @@
                                                ? upstream_state::drain
                                                : upstream_state::active});
     if (!config.evacuated.empty()) snapshot.closed_from.push_back(closed);
-    snapshot.warm_since.push_back(known.warm_since);
+    const auto returned = config.returned.find(known.entry.domain);
+    const bool may_be_cold = snapshot.cold_rate > 0 && returned != config.returned.end();
+    snapshot.warm_since.push_back(may_be_cold ? std::max(known.warm_since, returned->second)
+                                              : known.warm_since);
     snapshot.lives.push_back(known.entry.life);
   }
   snapshot.dispatchers.resize(snapshot.upstreams.size());
@@ -115,6 +118,7 @@
       const auto view = ranges.find(declared.name);
       if (view != ranges.end()) assign_ranges(service, view->second, leaving, config, now);
     }
+    snapshot.limits_cold = snapshot.limits_cold || service.cold_rate > 0;
     snapshot.services.push_back(std::move(service));
   }
   for (const auto& declared : desired.routes) {
--- a/src/routing/registry_snapshot.h
+++ b/src/routing/registry_snapshot.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "ownership/range_record.h"
 #include "ownership/upstream_list.h"
+#include "routing/cold_rate.h"
 #include "routing/desired_state.h"
 #include "routing/snapshot.h"
 
@@ -18,9 +20,12 @@
   // A leaving owner still gets requests for its keys for this long after its notice was seen, as
   // the keys may be moving to another owner.
   duration leaving_grace = milliseconds(700);
-  bool cold_rates = false;  // whether the rates of cold upstreams are limited
-  bool contended = false;   // as the settings say; a ranked desired state has the same effect
-  bool evacuates = false;   // whether the platform may order evacuations
+  std::optional<cold_bound> cold;  // on requests to cold upstreams; unset: there is none
+  bool contended = false;  // as the settings say; a ranked desired state has the same effect
+  bool evacuates = false;  // whether the platform may order evacuations
+  // The failure domains whose evacuation has ended, each with the time until which its upstreams
+  // count as cold: they may have become so, and their entries not have been read.
+  std::map<domain_id, monotonic_time> returned;
   // The failure domains that are evacuated, each with the time until which owners of keys there
   // still get requests, as the keys may be moving.
   std::map<domain_id, monotonic_time> evacuated;
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -101,7 +101,8 @@
   // Whether the platform may order evacuations. Then an upstream is checked again right before a
   // request is sent to it (routing/upstream_check).
   bool evacuates = false;
-  bool known = true;  // false: nothing was read yet, so no route may be reported as missing
+  bool limits_cold = false;  // whether a service limits the rate of its cold upstreams
+  bool known = true;         // false: nothing was read yet, so no route may be reported as missing
 };
 
 // The route of a request. All pointers are into the snapshot.
--- a/src/routing/testing/limit_simulation.cc
+++ b/src/routing/testing/limit_simulation.cc
@@ -21,12 +21,24 @@
 // What an instance that is cut off from the others sends isn't counted, up to this time after.
 constexpr duration excused_after_cut = seconds(3);
 constexpr std::int64_t max_latency_us = 20'000;
+constexpr duration second_read = milliseconds(700);  // of an instance that has registered
+constexpr duration write_time = milliseconds(500);   // until it has registered, at most
+constexpr duration permit_life = milliseconds(250);
+constexpr duration cold_window = seconds(1);
+
+permit_config cold_config() {
+  permit_config config;
+  config.quiet_time = seconds(2);
+  config.list_life = seconds(12);
+  return config;
+}
 
 struct simulated_instance {
   std::string name;
   std::optional<upstream_permits> permits;  // empty while the process doesn't run
   monotonic_time silent_until{};
   monotonic_time cut_until{};
+  monotonic_time parted_until{};
   std::optional<monotonic_time> registered_until;  // the end of a registration that isn't renewed
   bool registered = false;
   std::uint64_t life = 0;
@@ -39,7 +51,13 @@
       : scenario_(scenario), random_(scenario.seed), sent_(scenario.limits.size()) {
     for (std::size_t i = 0; i < scenario.instances; ++i) {
       instances_.push_back({.name = "instance-" + std::to_string(i)});
-      start(i);
+      if (!scenario.starts_within) {
+        start(i);
+        continue;
+      }
+      const auto before = duration(static_cast<duration::rep>(
+          uniform() * static_cast<double>(scenario.starts_within->count())));
+      at(time_of(-before), [this, i] { start(i); });
     }
     for (const auto& event : scenario.events) {
       at(time_of(event.at), [this, event] { happen(event); });
@@ -79,12 +97,31 @@
 
   void start(std::size_t i) {
     auto& one = instances_[i];
-    one.permits.emplace(one.name);
+    one.permits.emplace(one.name, is_guarded() ? cold_config() : permit_config{});
     one.registered = true;
     one.registered_until.reset();
     one.alone.clear();
     const auto life = ++one.life;
     at(now_ + latency(), [this, i, life] { read_list(i, life); });
+    if (!scenario_.cold) return;
+    // The registration takes two calls of a store that others call as well. Some time later the
+    // list is read once more; this read begins no series of its own.
+    one.registered = false;
+    const auto registration =
+        duration(static_cast<duration::rep>(uniform() * static_cast<double>(write_time.count())));
+    at(now_ + registration, [this, i, life] {
+      if (instances_[i].life == life) instances_[i].registered = true;
+    });
+    at(now_ + registration + second_read, [this, i, life] {
+      if (instances_[i].life == life) take_list(i);
+    });
+  }
+
+  bool is_guarded() const { return scenario_.cold && scenario_.guarded; }
+  bool is_parted(const simulated_instance& one) const { return now_ < one.parted_until; }
+  bool reaches(std::size_t i, std::size_t j) const {
+    return now_ >= instances_[i].cut_until && now_ >= instances_[j].cut_until &&
+           is_parted(instances_[i]) == is_parted(instances_[j]);
   }
 
   void stop(std::size_t i) {
@@ -93,21 +130,25 @@
   }
 
   void read_list(std::size_t i, std::uint64_t life) {
-    auto& reader = instances_[i];
-    if (reader.life != life) return;
-    if (now_ >= reader.silent_until) {
-      std::map<std::string, std::string> addresses;
-      for (std::size_t j = 0; j < instances_.size(); ++j) {
-        auto& one = instances_[j];
-        if (one.registered_until && now_ >= *one.registered_until) one.registered = false;
-        if (one.registered) addresses[one.name] = std::to_string(j);
-      }
-      reader.permits->set_instances(addresses, now_);
-    }
+    if (instances_[i].life != life) return;
+    take_list(i);
     const auto pause = list_period - duration(static_cast<duration::rep>(uniform() * 1e6));
     at(now_ + pause, [this, i, life] { read_list(i, life); });
   }
 
+  void take_list(std::size_t i) {
+    auto& reader = instances_[i];
+    if (now_ < reader.silent_until || is_parted(reader)) return;
+    if (now_ < time_of(scenario_.list_after) && scenario_.list_after != duration::zero()) return;
+    std::map<std::string, std::string> addresses;
+    for (std::size_t j = 0; j < instances_.size(); ++j) {
+      auto& one = instances_[j];
+      if (one.registered_until && now_ >= *one.registered_until) one.registered = false;
+      if (one.registered) addresses[one.name] = std::to_string(j);
+    }
+    reader.permits->set_instances(addresses, now_);
+  }
+
   void happen(const limit_event& event) {
     auto& one = instances_[event.instance];
     if (!one.permits) return;
@@ -118,6 +159,15 @@
       case limit_fault::cut:
         one.cut_until = now_ + event.length;
         return;
+      case limit_fault::part:
+        one.parted_until = now_ + event.length;
+        one.registered_until = now_ + registration_lease;
+        at(one.parted_until, [this, i = event.instance, life = one.life] {
+          if (instances_[i].life != life) return;
+          instances_[i].registered = true;
+          instances_[i].registered_until.reset();
+        });
+        return;
       case limit_fault::kill:
         one.registered_until = now_ + registration_lease;
         break;
@@ -150,7 +200,8 @@
     auto& one = instances_[i];
     if (!is_working(one)) return;
     ++arrived_;
-    const double limit = scenario_.limits[u];
+    const double stated = scenario_.limits[u];
+    const double limit = scenario_.cold ? cold_permit_rate(stated, *scenario_.cold) : stated;
     const permit_request request{{"upstream-" + std::to_string(u)}, limit, {}, longest_wait};
     switch (scenario_.policy) {
       case limit_policy::nobody:
@@ -179,11 +230,11 @@
       follow(i, u, request, instances_[i].permits->on_no_answer(request, issuer, now_));
     };
     at(now_ + ask_timeout, fail);
-    if (uniform() < scenario_.lost_messages || now_ < instances_[i].cut_until) return;
+    if (uniform() < scenario_.lost_messages || !reaches(i, j)) return;
     at(now_ + latency(), [this, i, j, u, request, life, answered, fail] {
       auto& asked = instances_[j];
-      if (now_ < asked.cut_until || (asked.permits && now_ < asked.silent_until)) return;
-      if (!asked.permits) return at(now_ + latency(), fail);
+      if (!reaches(i, j) || (asked.permits && now_ < asked.silent_until)) return;
+      if (!asked.permits || !asked.permits->may_issue(now_)) return at(now_ + latency(), fail);
       const auto decision = asked.permits->issue(request, now_);
       if (uniform() < scenario_.lost_messages) return;
       at(now_ + latency(), [this, i, u, request, life, answered, decision] {
@@ -198,12 +249,30 @@
   void decide(std::size_t i, std::size_t u, const permit_decision& decision) {
     if (!decision.granted) return;
     const auto life = instances_[i].life;
-    at(now_ + decision.wait, [this, i, u, life] {
+    const auto due = now_ + decision.wait;
+    at(due, [this, i, u, life, due] {
       const auto& one = instances_[i];
-      if (one.life == life && now_ >= one.cut_until + excused_after_cut) send(u);
+      if (one.life != life) return;
+      if (scenario_.cold) return send_cold(i, u, due);
+      if (now_ >= one.cut_until + excused_after_cut) send(u);
     });
   }
 
+  // A process that is paused sends what has fallen due when it goes on.
+  void send_cold(std::size_t i, std::size_t u, monotonic_time due) {
+    const auto& one = instances_[i];
+    if (now_ < one.silent_until) {
+      at(one.silent_until, [this, i, u, due, life = one.life] {
+        if (instances_[i].life == life) send_cold(i, u, due);
+      });
+      return;
+    }
+    if (scenario_.guarded && now_ >= due + permit_life) return;
+    const auto travel = duration(
+        static_cast<duration::rep>(uniform() * static_cast<double>(scenario_.travel.count())));
+    at(now_ + travel, [this, u] { send(u); });
+  }
+
   void send(std::size_t u) { sent_[u].push_back(now_); }
 
   limit_outcome measure() const {
@@ -216,9 +285,12 @@
       total += static_cast<double>(sent_[u].size());
       std::size_t first = 0;
       for (std::size_t last = 0; last < sent_[u].size(); ++last) {
-        while (sent_[u][first] <= sent_[u][last] - limit_window) ++first;
+        const duration window = scenario_.cold ? cold_window : limit_window;
+        while (sent_[u][first] <= sent_[u][last] - window) ++first;
         const auto count = static_cast<double>(last - first + 1);
-        const double share = count / allowed_in_window(limit);
+        const double share =
+            count / (scenario_.cold ? limit * scenario_.cold->overrun + scenario_.cold->slack
+                                    : allowed_in_window(limit));
         if (share <= seen.worst) continue;
         seen.worst = share;
         const auto since = sent_[u][last] - time_of({});
@@ -283,6 +355,50 @@
           cuts};
 }
 
+std::vector<limit_scenario> known_cold_scenarios() {
+  const limit_scenario usual{.instances = 89,
+                             .limits = std::vector<double>(12, 3.9),
+                             .demand = 4,
+                             .cold = cold_bound{1.5, 8},
+                             .travel = milliseconds(500)};
+  std::vector<limit_scenario> made(8, usual);
+  made[1].demand = 20;
+  made[2].demand = 20;
+  made[2].starts_within = duration(0);
+  made[2].list_after = seconds(3);
+  made[3].starts_within = seconds(4);
+  made[3].lost_messages = 0.1;
+  for (std::size_t i = 0; i < usual.instances; ++i) {
+    const auto turn = milliseconds(250) * static_cast<int>(i);
+    made[4].events.push_back({turn, limit_fault::silent, i, milliseconds(1500)});
+    if (i % 3 == 0) made[5].events.push_back({seconds(2), limit_fault::part, i, seconds(27)});
+    made[6].events.push_back({seconds(3), limit_fault::cut, i, seconds(2)});
+    made[6].events.push_back({seconds(15), limit_fault::cut, i, seconds(9)});
+    made[7].events.push_back({turn, limit_fault::leave, i, milliseconds(900)});
+  }
+  // Rates for which the slack counts for little.
+  made.push_back(usual);
+  made.back().limits = {0.5, 12, 40, 120};
+  return made;
+}
+
+limit_scenario random_cold_scenario(std::uint64_t seed) {
+  auto made = random_limit_scenario(seed);
+  std::mt19937_64 random(seed);
+  const auto pick = [&](std::size_t most) {
+    return std::uniform_int_distribution<std::size_t>(0, most)(random);
+  };
+  made.cold = cold_bound{1.5, 8};
+  made.travel = milliseconds(pick(500));
+  if (pick(2) == 0) made.starts_within = milliseconds(pick(5000));
+  const auto parted = pick(2) == 0 ? pick(made.instances) : 0;
+  const auto parted_at = milliseconds(pick(20'000));
+  for (std::size_t i = 0; i < parted; ++i) {
+    made.events.push_back({parted_at, limit_fault::part, i, milliseconds(500 + pick(25'000))});
+  }
+  return made;
+}
+
 limit_scenario random_limit_scenario(std::uint64_t seed) {
   std::mt19937_64 random(seed);
   const auto pick = [&](std::size_t most) {
--- a/src/routing/testing/limit_simulation.h
+++ b/src/routing/testing/limit_simulation.h
@@ -8,10 +8,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
+#include "routing/cold_rate.h"
 #include "routing/upstream_permits.h"
 
 namespace plantainpaddle::testing {
@@ -24,6 +26,9 @@
   leave,   // the registration ends at once
   silent,  // neither answers nor sends for `length`
   cut,     // reaches no other instance for `length`, but upstreams and callers
+  // For `length` it reaches neither the store nor instances that aren't parted as well. Its
+  // registration lapses.
+  part,
 };
 
 // `instance` goes through `fault` at `at`. One that is killed or leaves starts again `length`
@@ -47,6 +52,15 @@
   std::vector<limit_event> events;
   limit_policy policy = limit_policy::permits;
   std::uint64_t seed = 1;
+  // The limits are those of cold upstreams: this bound holds in any second, for everything that
+  // reaches them. Requests travel for up to `travel`; a permit is void permit_life after it is due.
+  std::optional<cold_bound> cold;
+  duration travel{0};
+  bool guarded = true;  // false: without quiet_time, list_life and the end of permits
+  // All instances start within this time before the first request, and know nobody. Unset: they
+  // have known each other for long.
+  std::optional<duration> starts_within;
+  duration list_after{0};  // the store answers no question about instances before
 };
 
 struct limit_outcome {
@@ -57,6 +71,10 @@
   double accepted = 0;  // share of the requests
 };
 
+// Scenarios for cold upstreams, with the bound of a deployment that states one.
+std::vector<limit_scenario> known_cold_scenarios();
+limit_scenario random_cold_scenario(std::uint64_t seed);
+
 // One and a half times what the limit allows in limit_window, and five requests.
 double allowed_in_window(double limit);
 
--- a/src/routing/testing/registry_snapshot_test.cc
+++ b/src/routing/testing/registry_snapshot_test.cc
@@ -120,6 +120,27 @@
   BOOST_TEST((verdict(world.make(10), a, 10) == send_verdict::send));
 }
 
+// Guards against upstreams that return from an evacuation cold and get requests as warm ones until
+// their entries are read.
+BOOST_AUTO_TEST_CASE(upstreams_that_return_from_an_evacuation_count_as_cold_for_a_while) {
+  two_domains world(false);
+  world.config.returned[{"north"}] = at(2000);
+  BOOST_TEST((world.make(0).services[0].warm_since[0] == at(0)));  // no rate is stated
+  world.desired.services[0].cold_rate = 3.9;
+  world.config.cold = cold_bound{1.5, 8};
+  const auto snapshot = world.make(0);
+  BOOST_TEST(snapshot.limits_cold);
+  BOOST_TEST((snapshot.services[0].warm_since[0] == at(2000)));
+  BOOST_TEST((snapshot.services[0].warm_since[1] == at(0)));
+  const auto check = [&](std::int64_t ms, std::optional<monotonic_time> permitted_until) {
+    return check_upstream(snapshot, desk, a, at(ms), permitted_until).verdict;
+  };
+  BOOST_TEST((check(1999, {}) == send_verdict::wait));
+  BOOST_TEST((check(1999, at(1999)) == send_verdict::wait));
+  BOOST_TEST((check(1999, at(2100)) == send_verdict::send));
+  BOOST_TEST((check(2000, {}) == send_verdict::send));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle
--- a/src/routing/testing/upstream_permits_test.cc
+++ b/src/routing/testing/upstream_permits_test.cc
@@ -129,6 +129,75 @@
   }
 }
 
+// Guards against a cold upstream that crashes because instances together send it too much in some
+// second: when they start together, are paused or cut off from each other or from the store, or
+// when their requests arrive late.
+BOOST_AUTO_TEST_CASE(cold_upstreams_are_kept_within_their_bound_in_known_scenarios) {
+  for (const auto& scenario : known_cold_scenarios()) {
+    const auto seen = play_limits(scenario);
+    BOOST_TEST(seen.worst <= 1, seen.worst_case);
+    BOOST_TEST_MESSAGE("worst share of the bound " << seen.worst << ", sent " << seen.sent
+                                                   << " of the stated rate");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(cold_upstreams_are_kept_within_their_bound_in_random_scenarios) {
+  for (std::uint64_t seed = 1000; seed < 1100; ++seed) {
+    const auto seen = play_limits(random_cold_scenario(seed));
+    BOOST_TEST(seen.worst <= 1, seen.worst_case);
+  }
+}
+
+// Shows that the scenarios tell permits without the guards for cold upstreams.
+BOOST_AUTO_TEST_CASE(without_the_guards_the_bound_of_cold_upstreams_is_broken) {
+  double worst = 0;
+  for (auto scenario : known_cold_scenarios()) {
+    scenario.guarded = false;
+    worst = std::max(worst, play_limits(scenario).worst);
+  }
+  BOOST_TEST(worst > 1);
+}
+
+// Guards against a bound that is kept by sending less than it allows: a domain whose upstreams are
+// all cold is filled at the stated rate where the slack covers what instances may add.
+BOOST_AUTO_TEST_CASE(the_rate_of_permits_for_cold_upstreams_uses_the_bound) {
+  BOOST_TEST(cold_permit_rate(3.9, {1.5, 8}) > 3.7);
+  BOOST_TEST(cold_permit_rate(3.9, {1.5, 8}) <= 3.9);
+  BOOST_TEST(cold_permit_rate(3.9, {1.5, 100}) == 3.9);
+  BOOST_TEST(cold_permit_rate(3.9, {1, 0}) > 0);
+  BOOST_TEST(cold_permit_rate(0, {1.5, 8}) == 0);
+  BOOST_TEST(play_limits(known_cold_scenarios()[0]).sent > 0.9);
+}
+
+// Guards against an instance that sends the whole share of all when it has just started, and
+// against one that sends at once what fell due while the issuer was there.
+BOOST_AUTO_TEST_CASE(an_instance_that_does_not_know_the_others_sends_nothing_alone) {
+  permit_config config;
+  config.quiet_time = seconds(2);
+  upstream_permits permits("a", config);
+  BOOST_TEST(!permits.may_issue(start));
+  BOOST_TEST(!std::get<permit_decision>(permits.begin(request_at(100), start)).granted);
+  permits.set_instances(addresses({"a"}), start);
+  BOOST_TEST(!permits.may_issue(start + milliseconds(1999)));
+  BOOST_TEST(
+      !std::get<permit_decision>(permits.begin(request_at(100), start + seconds(1))).granted);
+  BOOST_TEST(permits.may_issue(start + seconds(2)));
+  BOOST_TEST(std::get<permit_decision>(permits.begin(request_at(100), start + seconds(2))).granted);
+}
+
+// Guards against an issuer that goes on after its registration has lapsed and another one issues.
+BOOST_AUTO_TEST_CASE(an_instance_with_an_old_list_does_not_issue) {
+  permit_config config;
+  config.list_life = seconds(12);
+  upstream_permits permits("a", config);
+  permits.set_instances(addresses({"a"}), start, start - seconds(5));
+  BOOST_TEST(permits.may_issue(start));
+  permits.set_instances(addresses({"a"}), start + seconds(7), start - seconds(5));
+  BOOST_TEST(!permits.may_issue(start + seconds(7)));
+  permits.set_instances(addresses({"a"}), start + seconds(8), start + seconds(8));
+  BOOST_TEST(permits.may_issue(start + seconds(8)));
+}
+
 // Guards against a limit that is held by refusing what the upstream would take.
 BOOST_AUTO_TEST_CASE(what_a_limit_allows_is_used) {
   const std::vector<double> grown(20, 4.0);
--- a/src/routing/upstream_check.cc
+++ b/src/routing/upstream_check.cc
@@ -5,8 +5,9 @@
 namespace plantainpaddle {
 
 send_decision check_upstream(const routing_snapshot& latest, const service_id& service,
-                             const upstream_id& upstream, monotonic_time now) {
-  if (!latest.evacuates) return {};
+                             const upstream_id& upstream, monotonic_time now,
+                             std::optional<monotonic_time> permitted_until) {
+  if (!latest.evacuates && !latest.limits_cold) return {};
   constexpr send_decision gone{send_verdict::refuse, send_reason::leaving, {}};
   const auto declared =
       std::find_if(latest.services.begin(), latest.services.end(),
@@ -17,10 +18,14 @@
                                 [&](const upstream_row& r) { return r.name == upstream; });
   if (row == rows.end()) return gone;
   const auto& closed = declared->closed_from;
-  if (!closed.empty() && now >= closed[static_cast<std::size_t>(row - rows.begin())]) {
+  const auto index = static_cast<std::size_t>(row - rows.begin());
+  if (!closed.empty() && now >= closed[index]) {
     return {send_verdict::refuse, send_reason::evacuated, {}};
   }
-  return row->state == upstream_state::active ? send_decision{} : gone;
+  if (row->state != upstream_state::active) return gone;
+  const bool cold = declared->cold_rate > 0 && now < declared->warm_since[index];
+  if (!cold || (permitted_until && now < *permitted_until)) return {};
+  return {send_verdict::wait, send_reason::cold, {}};
 }
 
 }  // namespace plantainpaddle
--- a/src/routing/upstream_permits.cc
+++ b/src/routing/upstream_permits.cc
@@ -13,11 +13,15 @@
 // request at a time. The phase differs between instances, so that those that lose the same issuer
 // don't send at once. All shares together are one and a half times the limit.
 //
+// With quiet_time and list_life this also holds for instances that start together, and for those
+// that are cut off from the list for so long that others no longer count on them.
+//
 // Cost: O(log upstreams) for a request; O(instances log instances) for an upstream's first request
 // after the instances have changed.
 #include "routing/upstream_permits.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 #include "ownership/rendezvous.h"
@@ -35,7 +39,8 @@
     : self_(std::move(self)), config_(config) {}
 
 void upstream_permits::set_instances(const std::map<std::string, std::string>& addresses,
-                                     monotonic_time now) {
+                                     monotonic_time now, monotonic_time known_at) {
+  list_known_at_ = std::min(known_at, now);
   for (const auto& [name, address] : addresses) {
     const auto [it, added] = instances_.try_emplace(name, instance{address, now, {}});
     if (added) ++version_;
@@ -81,12 +86,24 @@
 permit_step upstream_permits::begin(const permit_request& request, monotonic_time now) {
   auto& state = state_of(request.upstream, now);
   if (now < state.refused_until) return permit_decision{false, state.refused_until - now};
+  const bool asks = !config_.list_life || now - list_known_at_ < *config_.list_life;
   for (const auto& name : order_of(request.upstream, state)) {
+    if (!asks || (name == self_ && !may_issue(now))) continue;
     if (!is_suspect(name, now)) return ask(request, name, now);
   }
   return decide_alone(request, state, now);
 }
 
+bool upstream_permits::knows_others(monotonic_time now) const {
+  if (config_.quiet_time == duration::zero()) return true;
+  const auto it = instances_.find(self_);
+  return it != instances_.end() && now - it->second.since >= config_.quiet_time;
+}
+
+bool upstream_permits::may_issue(monotonic_time now) const {
+  return knows_others(now) && (!config_.list_life || now - list_known_at_ < *config_.list_life);
+}
+
 permit_step upstream_permits::ask(const permit_request& request, const std::string& name,
                                   monotonic_time now) {
   if (name == self_) return issue(request, now);
@@ -134,7 +151,10 @@
                                                monotonic_time now) const {
   const auto share = static_cast<double>(std::max<std::size_t>(1, instances_.size()));
   const auto interval = interval_of(request.rate * config_.alone_share / share);
-  if (!state.next_alone || *state.next_alone > now + interval) {
+  if (!knows_others(now)) return {false, config_.quiet_time};
+  // What fell due while the issuer was there isn't sent, as all instances would send it at once.
+  const bool resumes = now - std::exchange(state.alone_at, now) > config_.suspect_time;
+  if (!state.next_alone || resumes || *state.next_alone > now + interval) {
     constexpr double whole = 18446744073709551616.0;  // 2^64
     const double phase = static_cast<double>(hash64(self_, request.upstream.value)) / whole;
     state.next_alone = now + duration(static_cast<duration::rep>(phase * interval.count()));
--- a/src/routing/upstream_permits.h
+++ b/src/routing/upstream_permits.h
@@ -40,6 +40,14 @@
   // A limit for which no permits were asked for so long is taken to have ended.
   duration limit_life = seconds(4);
   duration forget_after = seconds(60);  // memory of an upstream that is no longer used
+  // Set where a limit must hold whatever an instance knows of the others. For so long after it has
+  // seen itself registered, an instance neither issues permits nor sends alone: those that start
+  // together don't know each other yet, and each would take the whole limit for its own.
+  duration quiet_time{0};
+  // An instance whose list of the others is older than this only sends alone, since its own
+  // registration may have lapsed and another one issue in its place. Shorter than the lease of a
+  // registration and settle_time together.
+  std::optional<duration> list_life;
 
   bool operator==(const permit_config&) const = default;
 };
@@ -76,13 +84,17 @@
   explicit upstream_permits(std::string self, permit_config config = {});
 
   // `addresses` holds the addresses of the registered instances, by name.
-  void set_instances(const std::map<std::string, std::string>& addresses, monotonic_time now);
+  // They were known to be all at `known_at`.
+  void set_instances(const std::map<std::string, std::string>& addresses, monotonic_time now,
+                     monotonic_time known_at = monotonic_time::max());
 
   permit_step begin(const permit_request& request, monotonic_time now);
   permit_step on_no_answer(const permit_request& request, const permit_issuer& asked,
                            monotonic_time now);
   void on_answer(const permit_request& request, const permit_decision& answer, monotonic_time now);
 
+  // Whether this instance may decide as an issuer; otherwise the next one in order is to be asked.
+  bool may_issue(monotonic_time now) const;
   // Decides as the issuer on a request of this instance or of another one.
   permit_decision issue(const permit_request& request, monotonic_time now);
 
@@ -102,6 +114,7 @@
     monotonic_time asked_at{};
     monotonic_time refused_until{};  // as told by the issuer
     std::optional<monotonic_time> next_alone;
+    monotonic_time alone_at{};  // when this instance last decided alone
     monotonic_time used_at{};
     std::vector<std::string> order;  // the first two issuers
     std::uint64_t order_version = 0;
@@ -114,11 +127,14 @@
   permit_step ask(const permit_request& request, const std::string& name, monotonic_time now);
   permit_decision decide_alone(const permit_request& request, upstream_state& state,
                                monotonic_time now) const;
+  // Whether the other instances are known, as far as quiet_time tells.
+  bool knows_others(monotonic_time now) const;
 
   std::string self_;
   permit_config config_;
   std::map<std::string, instance> instances_;  // including those that have gone lately
-  std::uint64_t version_ = 1;                  // of the names in instances_
+  monotonic_time list_known_at_{};
+  std::uint64_t version_ = 1;  // of the names in instances_
   std::map<std::string, monotonic_time> suspect_until_;
   std::map<upstream_id, upstream_state> upstreams_;
 };
