Fewer store calls of instances that the store refuses

Cause: a follower that the store turned away retried each of its feeds every 0.1 to 0.45 s, the routers' own keys as a whole, although its reader handed on all news. Large values, which news leave out, could only come from the store.

Change: feeds without bound share one schedule of retries of 0.6 to 4 s while news are fresh; delays differ by the instance's spread; silent reads of other feeds aren't repeated while the upstreams' read is; candidacy backs off up to 1.6 s; registrations and the read after them are spread. A value that the store fails to give is handed on by the reader on request, at 128 KB/s at most.

Conclusion: refused followers no longer load the store. With all refused, the bounds after the outage leave no room for longer delays.

--- a/src/entry/news_messages.cc
+++ b/src/entry/news_messages.cc
@@ -89,11 +89,14 @@
 }  // namespace
 
 std::string format_news_request(const news_request& request) {
-  return json::serialize(json::object{
+  json::object formatted{
       {"token", request.known.token},
       {"sequence", request.known.sequence},
       {"era", request.era},
-      {"revisions", json::array(request.known.revisions.begin(), request.known.revisions.end())}});
+      {"revisions", json::array(request.known.revisions.begin(), request.known.revisions.end())}};
+  // Instances of earlier versions accept no request that has this member.
+  if (!request.wanted.empty()) formatted["wanted"] = request.wanted;
+  return json::serialize(formatted);
 }
 
 result<news_request> parse_news_request(std::string_view text) {
@@ -103,6 +106,7 @@
     request.known.sequence = reader.unsigned_integer("sequence");
     request.era = reader.unsigned_integer("era");
     request.known.revisions = read_numbers(reader, "revisions");
+    request.wanted = reader.text("wanted", "");
   });
   if (!parsed) return parsed.error();
   return request;
--- a/src/entry/news_relay.cc
+++ b/src/entry/news_relay.cc
@@ -78,7 +78,9 @@
 void news_relay::ask(const instance_registration& reader, monotonic_time now) {
   asking_ = true;
   ++counts_.asked;
-  const news_request request{store_.era(), {token_, sequence_, view_.feeds().revisions()}};
+  const news_request request{store_.era(),
+                             {token_, sequence_, view_.feeds().revisions()},
+                             view_.feeds().wanted().value_or("")};
   client_.send(reader.address, {"POST", std::string(news_target), {}, format_news_request(request)},
                periods(view_, held_periods) + answer_margin,
                [this, reader, era = request.era, now](const result<http_response>& answer) {
@@ -118,7 +120,9 @@
 }
 
 bool news_relay::is_due(const waiter& waiting) const {
-  return is_news_due(waiting.request, waiting.arrived, view_.log(), view_.feeds(), store_.era());
+  const auto& request = waiting.request;
+  return is_news_due(request, waiting.arrived, view_.log(), view_.feeds(), store_.era()) ||
+         (pace_.allows(monotonic_now()) && view_.value_of(request.wanted));
 }
 
 void news_relay::wake_due() {
@@ -143,8 +147,15 @@
   if (!is_due(*place)) co_await place->timer.async_wait(as_result);
   const auto end = monotonic_now();
   suspended_.observe(end, time_since_boot());
-  const auto answer = make_news(place->request, place->arrived, view_.log(), view_.feeds(),
-                                store_.era(), suspended_, end);
+  auto answer = make_news(place->request, place->arrived, view_.log(), view_.feeds(), store_.era(),
+                          suspended_, end);
+  if (pace_.allows(end)) {
+    if (auto value = view_.value_of(place->request.wanted)) {
+      ++counts_.values;
+      pace_.on_sent(value->value ? value->value->size() : 0, end);
+      add_wanted(answer, place->request, std::move(*value));
+    }
+  }
   waiting_.erase(place);
   ++counts_.answered;
   co_return json_response(200, format_news_answer(answer));
--- a/src/entry/news_relay.h
+++ b/src/entry/news_relay.h
@@ -46,6 +46,7 @@
     std::uint64_t asked = 0;     // other instances, for news
     std::uint64_t failed = 0;    // of these, without a usable answer
     std::uint64_t answered = 0;  // requests of others
+    std::uint64_t values = 0;    // of these, with a value that was asked for
     std::uint64_t role_changes = 0;
   };
   const counters& counts() const { return counts_; }
@@ -78,6 +79,7 @@
   std::uint64_t token_ = 0;     // of the log that the last news came from
   std::uint64_t sequence_ = 0;  // in that log
   std::list<waiter> waiting_;
+  value_pace pace_;
   counters counts_;
 };
 
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -54,8 +54,12 @@
 // Instances register under a lease, so that each knows how many there are.
 constexpr duration instance_lease = seconds(8);
 constexpr duration instance_renewal = milliseconds(2500);
-// Instances that start together have registered by then, and know who reads the store.
+// Instances that start together have registered by then, and know who reads the store. Each adds a
+// share of the spread, so that they don't all call the store at once.
 constexpr duration instance_read_delay = milliseconds(700);
+constexpr duration instance_read_spread = milliseconds(300);
+// Registrations are repeated up to so much earlier, by a share that differs between instances.
+constexpr double registration_spread = 0.2;
 // Shares of the retry budget that instances spend by themselves. They are below 1 because requests
 // are not spread evenly over the instances.
 constexpr double instance_retry_share = 0.7;
@@ -156,6 +160,7 @@
   // When the assigner last answered a report, or the store was asked instead.
   std::map<service_id, monotonic_time> record_confirmed;
   std::map<std::string, monotonic_time> reporters;  // by address, when the last report came
+  const double spread = store_view_timing_for(settings).spread;
   std::uint64_t instance_lease_id = 0;
   bool registering = false;
   monotonic_time next_registration{};
@@ -362,7 +367,7 @@
 void range_instance::impl::register_instance(monotonic_time now) {
   if (registering || drain || now < next_registration) return;
   registering = true;
-  next_registration = now + instance_renewal;
+  next_registration = now + share_of(instance_renewal, 1 - registration_spread * spread);
   if (instance_lease_id == 0) {
     return store.create_lease(instance_lease, [this](const result<granted_lease>& lease) {
       registering = false;
@@ -392,7 +397,8 @@
   store.transact(change, [this](const result<transaction_answer>& answer) {
     registering = false;
     if (answer && answer->outcome == transaction_result::written) {
-      next_instance_read = monotonic_now() + instance_read_delay;
+      next_instance_read =
+          monotonic_now() + instance_read_delay + share_of(instance_read_spread, spread);
       return;
     }
     if (!answer) log_error(log_level::warning, answer.error());
@@ -562,6 +568,7 @@
   add("news_asked_total", static_cast<double>(relay.counts().asked));
   add("news_failed_total", static_cast<double>(relay.counts().failed));
   add("news_answered_total", static_cast<double>(relay.counts().answered));
+  add("news_values_total", static_cast<double>(relay.counts().values));
   for (const auto& [prefix, reads] : view.reads())
     add("store_reads_total{prefix=\"" + prefix + "\"}", static_cast<double>(reads));
   for (const auto& [prefix, at] : view.known_at())
--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -147,6 +147,16 @@
   return instances;
 }
 
+std::optional<news_item> store_view::value_of(const std::string& key) const {
+  if (auto kept = log_.with_value(key)) return kept;
+  if (!key.starts_with(record_key_prefix) || !versions_.contains(key)) return std::nullopt;
+  // The text of a record that was pushed isn't kept.
+  const auto* known = record({key.substr(record_key_prefix.size())});
+  if (known == nullptr || known->era != store_.era()) return std::nullopt;
+  return news_item{
+      .key = key, .version = versions_.version_of(key), .value = format_range_record(*known)};
+}
+
 bool store_view::take_news(const news_answer& answer, monotonic_time asked_at) {
   const auto now = monotonic_now();
   const auto known_before = feeds_.upstreams().known_at();
--- a/src/entry/store_view.h
+++ b/src/entry/store_view.h
@@ -78,6 +78,8 @@
   void set_role(feed_role role);
   const store_reader& feeds() const { return feeds_; }
   const news_log& log() const { return log_; }
+  // Returns the key's state for an instance that wants its value; nullopt if it isn't known.
+  std::optional<news_item> value_of(const std::string& key) const;
   // Takes in the answer to a request of `asked_at`. Returns false, and does nothing, if it is about
   // other feeds.
   bool take_news(const news_answer& answer, monotonic_time asked_at);
--- a/src/ownership/candidacy.cc
+++ b/src/ownership/candidacy.cc
@@ -1,5 +1,7 @@
 #include "ownership/candidacy.h"
 
+#include <algorithm>
+
 namespace plantainpaddle {
 
 void candidacy::on_seen(key_holder holder, monotonic_time now) {
@@ -15,12 +17,14 @@
 
 void candidacy::on_lease_created(std::uint64_t lease, monotonic_time sent) {
   under_way_ = false;
+  failures_ = 0;
   lease_ = lease;
   lease_until_ = sent + timing_.lease;
 }
 
 void candidacy::on_won(monotonic_time sent) {
   under_way_ = false;
+  failures_ = 0;
   holds_ = true;
   vacant_since_.reset();
   next_renewal_ = sent + timing_.renew;
@@ -35,6 +39,7 @@
 
 void candidacy::on_renewed(monotonic_time sent) {
   under_way_ = false;
+  failures_ = 0;
   lease_until_ = sent + timing_.lease;
   next_renewal_ = sent + timing_.renew;
 }
@@ -48,8 +53,11 @@
 
 void candidacy::on_failed(monotonic_time now) {
   under_way_ = false;
-  next_try_ = now + timing_.retry;
-  next_renewal_ = now + timing_.retry;
+  constexpr int max_doublings = 8;
+  const auto delay = timing_.retry * (1 << std::min(failures_, max_doublings));
+  next_try_ = now + std::min<duration>(timing_.max_retry, delay);
+  if (failures_++ > 0) next_try_ += spread_;
+  next_renewal_ = now + timing_.retry;  // the lease ends meanwhile
 }
 
 void candidacy::resign(monotonic_time now) {
--- a/src/ownership/candidacy.h
+++ b/src/ownership/candidacy.h
@@ -15,10 +15,13 @@
 namespace plantainpaddle {
 
 struct candidacy_timing {
-  duration lease = milliseconds(1200);       // requested from the store
-  duration renew = milliseconds(300);        // three tries before the lease ends
-  duration vacancy = milliseconds(20);       // from the key's removal to the first try
-  duration retry = milliseconds(200);        // after a failed call or campaign
+  duration lease = milliseconds(1200);  // requested from the store
+  duration renew = milliseconds(300);   // three tries before the lease ends
+  duration vacancy = milliseconds(20);  // from the key's removal to the first try
+  duration retry = milliseconds(200);   // after a failed call or campaign
+  // Without leadership the delay doubles with each failed call up to this. Until then the vacancy
+  // is filled by whichever instance reaches the store.
+  duration max_retry = milliseconds(1600);
   duration rest = seconds(4);                // after a resignation, so that others try first
   duration precedence = milliseconds(1500);  // of the assigner when the store was restored
   bool operator==(const candidacy_timing&) const = default;
@@ -61,6 +64,7 @@
   bool holds_ = false;
   bool under_way_ = false;
   bool withdrawn_ = false;
+  int failures_ = 0;  // calls that failed in a row
   std::optional<monotonic_time> vacant_since_;
   monotonic_time next_try_{};
   monotonic_time next_renewal_{};
--- a/src/ownership/news.cc
+++ b/src/ownership/news.cc
@@ -1,8 +1,9 @@
 #include "ownership/news.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <string>
+#include <utility>
 
 namespace plantainpaddle {
 namespace {
@@ -54,24 +55,38 @@
                                                 monotonic_time now) {
   if (answer.feeds.size() != feeds.size()) return std::nullopt;
   std::vector<news_item> items;
-  std::set<std::string> unsent;  // keys whose values have to be read from the store
+  std::map<std::string, std::uint64_t> unsent;  // versions of the values that were left out
   for (const auto& item : answer.items) {
     if (is_known(item, feeds)) continue;
     if (item.removed || item.value) {
       items.push_back(item);
     } else if (versions.version_of(item.key) < item.version) {
-      unsent.insert(item.key);
+      unsent[item.key] = item.version;
     }
   }
   for (std::size_t i = 0; i < feeds.size(); ++i) {
-    const auto is_in_feed = [&](const auto& key) { return key.starts_with(feeds[i].prefix()); };
-    if (std::any_of(unsent.begin(), unsent.end(), is_in_feed)) feeds[i].require_read(now);
+    for (const auto& [key, version] : unsent) {
+      if (key.starts_with(feeds[i].prefix())) feeds[i].require_read(now, key, version);
+    }
+    for (const auto& item : items) feeds[i].on_handed_on(item.key, item.version);
     const auto& feed = answer.feeds[i];
     if (feed.complete) feeds[i].on_news(feed.revision, known_at(answer, feed, asked_at));
   }
   return items;
 }
 
+void add_wanted(news_answer& answer, const news_request& request, news_item value) {
+  if (request.era != answer.era) return;
+  std::erase_if(answer.items, [&](const news_item& item) { return item.key == value.key; });
+  answer.items.push_back(std::move(value));
+}
+
+void value_pace::on_sent(std::size_t bytes, monotonic_time now) {
+  constexpr double bytes_per_s = 128 << 10;  // a tenth of a link of 10 Mbit/s
+  const std::chrono::duration<double> taken(static_cast<double>(bytes) / bytes_per_s);
+  next_at_ = now + std::chrono::duration_cast<duration>(taken);
+}
+
 bool is_ahead_of(const news_answer& answer, monotonic_time asked_at, const store_reader& feeds,
                  duration margin) {
   const auto& there = answer.feeds[store_reader::upstream_feed];
--- a/src/ownership/news.h
+++ b/src/ownership/news.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/suspensions.h"
@@ -22,6 +23,9 @@
 struct news_request {
   std::uint64_t era = 0;  // of the store
   news_position known;
+  // Key of a value that news don't carry for its size, and that the store has failed to answer;
+  // empty: none.
+  std::string wanted;
   bool operator==(const news_request&) const = default;
 };
 
@@ -52,6 +56,21 @@
                       const store_reader& feeds, std::uint64_t era, const suspensions& suspended,
                       monotonic_time now);
 
+// Adds the value that the request wants, unless the answer is of another era than the request.
+void add_wanted(news_answer& answer, const news_request& request, news_item value);
+
+// Limits the bytes of values that are handed on by explicit request: one instance's link serves the
+// news of all its followers as well. A third of a domain of 16, without the store, gets a state of
+// 250 KB within 10 s.
+class value_pace {
+ public:
+  bool allows(monotonic_time now) const { return now >= next_at_; }
+  void on_sent(std::size_t bytes, monotonic_time now);
+
+ private:
+  monotonic_time next_at_{};
+};
+
 // Passes the answer to a request of `asked_at` to the feeds, and returns the items that are to be
 // taken in. Returns nullopt, and does nothing, if the answer is about other feeds.
 std::optional<std::vector<news_item>> take_news(const news_answer& answer, monotonic_time asked_at,
--- a/src/ownership/news_log.cc
+++ b/src/ownership/news_log.cc
@@ -43,7 +43,7 @@
   if (was_removed && removed_ > 0) --removed_;
   known.item.key = key;
   known.item.version = version;
-  const bool is_kept = value && value->size() <= max_news_value;
+  const bool is_kept = value && value->size() <= max_kept_value;
   known.item.value = is_kept ? std::optional(std::string(*value)) : std::nullopt;
   if (added || was_removed || is_news) note(key, known);
 }
@@ -86,9 +86,18 @@
   }
   if (!comparable || (known.token == token_ && known.sequence >= sequence_)) return missed;
   for (const auto& [key, candidate] : entries_) {
-    if (is_missed(candidate, known)) missed.items.push_back(candidate.item);
+    if (!is_missed(candidate, known)) continue;
+    missed.items.push_back(candidate.item);
+    auto& value = missed.items.back().value;
+    if (value && value->size() > max_news_value) value.reset();
   }
   return missed;
 }
 
+std::optional<news_item> news_log::with_value(const std::string& key) const {
+  const auto found = entries_.find(key);
+  if (found == entries_.end() || !found->second.item.value) return std::nullopt;
+  return found->second.item;
+}
+
 }  // namespace plantainpaddle
--- a/src/ownership/news_log.h
+++ b/src/ownership/news_log.h
@@ -32,6 +32,8 @@
 // A larger value is read from the store by each instance, as one instance's link is too slow to
 // send it to all the others in time.
 inline constexpr std::size_t max_news_value = 16 << 10;
+// A larger value than this isn't kept, so that the log's memory stays bounded.
+inline constexpr std::size_t max_kept_value = 512 << 10;
 
 // Up to where the receiver of news knows the store.
 struct news_position {
@@ -64,6 +66,9 @@
   std::uint64_t token() const { return token_; }
   std::uint64_t sequence() const { return sequence_; }
   missed_news since(const news_position& known) const;
+  // Returns the key's state with its value, also one that since() leaves out for its size; nullopt
+  // if the value isn't kept.
+  std::optional<news_item> with_value(const std::string& key) const;
 
  private:
   struct entry {
--- a/src/ownership/store_feed.h
+++ b/src/ownership/store_feed.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,12 +42,20 @@
   bool whole = false;  // reads ask for all values, never for changes
   // All values are read instead of the changes of more than this, which grow without limit.
   duration max_change_age = seconds(3);
+  bool bounded = true;  // what it reads must take effect within a bound
   bool operator==(const feed_config&) const = default;
 };
 
 struct feed_timing {
-  duration retry_delay = milliseconds(100);      // after a failed read; doubles with each failure
-  duration max_retry_delay = milliseconds(400);  // up to this
+  // From a failed read to the next one; it doubles with each failure. Each instance takes a share
+  // that differs. With a longest delay of 800 ms, upstreams that failed during an outage stayed
+  // listed for longer after it than the bounds allow.
+  duration retry_delay = milliseconds(100);
+  duration max_retry_delay = milliseconds(540);
+  // For a feed without bound while another instance hands on news, unless the store answers other
+  // reads.
+  duration retry_delay_with_news = milliseconds(800);
+  duration max_retry_delay_with_news = seconds(4);
   // A read of which nothing has come for so long is repeated on another connection, while an answer
   // to the first is still taken in.
   duration hedge_after = milliseconds(450);
@@ -74,7 +83,8 @@
 
 class store_feed {
  public:
-  explicit store_feed(feed_config config, feed_timing timing = {});
+  // spread: as of store_reader.
+  explicit store_feed(feed_config config, feed_timing timing = {}, double spread = 0);
 
   void set_role(feed_role role) { role_ = role; }
 
@@ -93,8 +103,14 @@
   // `known_at`.
   void on_news(std::uint64_t revision, monotonic_time known_at);
   // News mentioned a value without its contents: the store is read, and further news of the feed
-  // are ignored until that read, or a later one, is answered.
-  void require_read(monotonic_time now);
+  // are ignored until that read, or a later one, is answered, or the value is handed on at a
+  // version that isn't lower (on_handed_on()).
+  void require_read(monotonic_time now, const std::string& key = {}, std::uint64_t version = 0);
+  void on_handed_on(const std::string& key, std::uint64_t version);
+  // Returns the key of a value that the feed waits for since require_read().
+  std::optional<std::string> wanted() const;
+  // Whether another instance gets time to hand on such a value before the store is read.
+  bool awaits_value(monotonic_time now) const;
   // The store has come back from an older copy: everything is read anew. Answers to reads that are
   // under way aren't taken in.
   void restart(monotonic_time now);
@@ -106,6 +122,15 @@
   // Whether another instance's news keep the feed up to date.
   bool has_news(monotonic_time now) const;
   bool is_failing() const { return failures_ != 0; }
+  std::size_t reads_under_way() const { return under_way_.size(); }
+  bool is_bounded() const { return config_.bounded; }
+  // When the last read failed; nullopt if it didn't.
+  std::optional<monotonic_time> failed_at() const { return failed_at_; }
+  monotonic_time answered_at() const { return answered_at_; }
+  // The store answers reads of other feeds.
+  void note_reached() { reached_ = true; }
+  // The time from the last failure to the next read.
+  duration retry_delay(monotonic_time now) const;
   // False until everything has been read once, or once more after a restart.
   bool is_read() const { return read_; }
 
@@ -123,7 +148,12 @@
   bool requested_ = false;
   std::optional<monotonic_time> required_at_;  // of require_read()
   bool read_ = false;
-  int failures_ = 0;  // since the last good answer
+  std::map<std::string, std::uint64_t> wanted_;  // versions of the values that it wants, by key
+  int failures_ = 0;                             // since the last good answer
+  std::optional<monotonic_time> failed_at_;      // of the last one, if nothing is under way since
+  bool reached_ = false;                         // by another feed since the last failure
+  monotonic_time answered_at_{};
+  double spread_;
   monotonic_time next_at_{};
   monotonic_time known_at_{};
 };
@@ -155,10 +185,13 @@
     std::size_t feed = 0;
     store_read read;
   };
-  // Returns a read that is due. While the store can't be reached, only one feed tries.
+  // Returns a read that is due. While the store can't be reached or doesn't answer, only one feed
+  // tries, and while another instance hands on news, one of those that aren't bounded.
   std::optional<due_read> next(monotonic_time now);
 
   void set_role(feed_role role);
+  // Returns the key of a value that another instance is asked to hand on, as the store fails.
+  std::optional<std::string> wanted() const;
   // Whether each feed has been read completely.
   bool is_read() const;
   // Whether news of what must take effect within a bound are older than followers wait for them.
@@ -175,6 +208,9 @@
   static constexpr std::size_t upstream_feed = 1;
 
  private:
+  bool is_failing() const;
+  bool may_read(std::size_t feed, monotonic_time now) const;
+
   duration reader_period_{0};
   std::vector<store_feed> feeds_;
 };
--- a/src/ownership/testing/feed_simulation.cc
+++ b/src/ownership/testing/feed_simulation.cc
@@ -136,7 +136,10 @@
                             .own = std::string(own_key_prefix),
                             .assigners = std::string(assigner_key_prefix)};
   const news_bounds bounds{.desired = milliseconds(2500), .leaving = milliseconds(2500)};
-  instances_.assign(load_.instances, {.feeds = store_reader(layout, bounds)});
+  for (std::size_t i = 0; i < load_.instances; ++i) {
+    const double spread = static_cast<double>(i) / static_cast<double>(load_.instances);
+    instances_.push_back({.feeds = store_reader(layout, bounds, {}, spread)});
+  }
   if (load_.domains != 0) register_instances();
 }
 
@@ -242,9 +245,16 @@
   self.upstreams.expire(now_);
   if (active(feed_fault_kind::frozen, index) != nullptr || now_ < self.busy_until) return;
   if (load_.domains != 0) ask_for_news(index);
+  if (load_.request_period > duration::zero() && now_ >= self.next_request) {
+    self.next_request = now_ + load_.request_period;
+    for (std::size_t i = 0; i < self.feeds.size(); ++i) {
+      if (self.feeds[i].prefix().starts_with(own_key_prefix)) self.feeds[i].request(now_);
+    }
+  }
   while (const auto due = self.feeds.next(now_)) {
     const auto* read = &due->read;
     ++calls_;
+    self.calls.push_back(now_);
     auto call = std::make_shared<pending>(pending{index, due->feed, due->read});
     calls_under_way_.push_back(call);
     call->asked_in = self.era;
@@ -497,6 +507,17 @@
   }
 }
 
+double feed_simulation::calls_per_s(duration from, duration until, std::size_t first,
+                                    std::size_t count) const {
+  std::ptrdiff_t calls = 0;
+  for (std::size_t i = first; i < first + count; ++i) {
+    calls += std::count_if(instances_[i].calls.begin(), instances_[i].calls.end(),
+                           [&](auto t) { return t >= start + from && t < start + until; });
+  }
+  return static_cast<double>(calls) / std::chrono::duration<double>(until - from).count() /
+         static_cast<double>(count);
+}
+
 void feed_simulation::run(duration length) {
   plan_writes(length);
   for (duration t{0}; t < length; t += copy_period) at(start + t, [this] { copy_store(); });
--- a/src/ownership/testing/feed_simulation.h
+++ b/src/ownership/testing/feed_simulation.h
@@ -76,6 +76,9 @@
   duration many_moves_until = seconds(16);
   std::size_t record_bytes = 13'000;
   std::size_t large_state_bytes = 250'000;
+  // Each instance asks for the routers' own keys so often, as one that hears nothing of an
+  // assigner; 0: never.
+  duration request_period{0};
 };
 
 class feed_simulation {
@@ -92,6 +95,9 @@
   std::size_t forgotten() const { return forgotten_; }
   double calls_per_s() const { return calls_per_s_; }
   std::size_t largest_answer() const { return largest_answer_; }
+  std::uint64_t desired_version(std::size_t index) const { return instances_[index].desired; }
+  // Returns the calls per second of one of these instances to the store within this time.
+  double calls_per_s(duration from, duration until, std::size_t first, std::size_t count) const;
 
  private:
   struct change {
@@ -129,6 +135,9 @@
     std::uint64_t last_ask = 0;
     std::uint64_t token = 0;
     std::uint64_t sequence = 0;
+    value_pace pace{};
+    monotonic_time next_request{};
+    std::vector<monotonic_time> calls{};
   };
   // A request for news.
   struct news_call {
--- a/src/ownership/testing/feed_simulation_news.cc
+++ b/src/ownership/testing/feed_simulation_news.cc
@@ -69,7 +69,9 @@
   const news_call call{.asker = index,
                        .asked = asked,
                        .number = ++self.last_ask,
-                       .request = {self.era, {self.token, self.sequence, self.feeds.revisions()}},
+                       .request = {self.era,
+                                   {self.token, self.sequence, self.feeds.revisions()},
+                                   self.feeds.wanted().value_or("")},
                        .sent = now_};
   const auto timeout = share_of(self.feeds.reader_period(), held_periods) + answer_margin;
   at(now_ + timeout, [this, call] { take_in_news(call, std::nullopt); });
@@ -89,7 +91,8 @@
     if (call.asked != index) continue;
     self.source.on_asked(now_);
     const auto longest = share_of(self.feeds.reader_period(), held_periods);
-    if (is_news_due(call.request, call.arrived, self.log, self.feeds, self.era) ||
+    const bool hands_on = self.pace.allows(now_) && self.log.with_value(call.request.wanted);
+    if (hands_on || is_news_due(call.request, call.arrived, self.log, self.feeds, self.era) ||
         now_ - call.arrived >= longest) {
       due.push_back(call);
     }
@@ -104,8 +107,11 @@
 
 void feed_simulation::send_news(const news_call& call) {
   auto& self = instances_[call.asked];
-  const auto answer =
-      make_news(call.request, call.arrived, self.log, self.feeds, self.era, {}, now_);
+  auto answer = make_news(call.request, call.arrived, self.log, self.feeds, self.era, {}, now_);
+  if (auto value = self.log.with_value(call.request.wanted); value && self.pace.allows(now_)) {
+    self.pace.on_sent(value->value->size(), now_);
+    add_wanted(answer, call.request, std::move(*value));
+  }
   std::size_t bytes = answer_overhead;
   for (const auto& item : answer.items) bytes += item.key.size() + item.value.value_or("").size();
   const auto transfer = std::chrono::duration_cast<duration>(
--- a/src/ownership/testing/news_test.cc
+++ b/src/ownership/testing/news_test.cc
@@ -210,6 +210,46 @@
   BOOST_TEST(!feeds.next(at(500)).has_value());
 }
 
+// Guards against a follower that goes on asking a store that refuses it for a value that its reader
+// has, and against one that doesn't take the news up again once it has got the value.
+BOOST_AUTO_TEST_CASE(a_value_that_the_store_refuses_is_handed_on_on_request) {
+  auto feeds = read_feeds(9, at(0));
+  feeds.set_role(feed_role::follower);
+  auto mentions = complete_answer(20, milliseconds(10));
+  mentions.items.push_back({.key = "desired", .version = 15, .value = std::nullopt});
+  take_news(mentions, at(100), feeds, {}, at(100));
+  BOOST_TEST(!feeds.wanted().has_value());  // the store isn't known to fail
+  const auto due = feeds.next(at(100));
+  BOOST_REQUIRE((due.has_value() && due->feed == desired_feed));
+  feeds[desired_feed].on_failure(due->read, at(110));
+  BOOST_TEST(feeds.wanted().value_or("") == "desired");
+  BOOST_TEST(!feeds.next(at(400)).has_value());  // the reader gets time to hand it on
+
+  auto log = make_log();
+  log.on_value("desired", 15, std::string(max_news_value + 1, 'x'), true);
+  const news_request request{1, position(own_token, log.sequence(), 9), "desired"};
+  auto answer = complete_answer(20, milliseconds(10));
+  add_wanted(answer, request, log.with_value("desired").value());
+  const auto items = take_news(answer, at(400), feeds, {}, at(410));
+  BOOST_REQUIRE(items->size() == 1U);
+  BOOST_TEST(items->front().value->size() == max_news_value + 1);
+  BOOST_TEST(feeds[desired_feed].revision() == 20U);
+  BOOST_TEST(!feeds.wanted().has_value());
+  BOOST_TEST(!feeds.next(at(1200)).has_value());
+}
+
+// Guards against a reader whose link is taken up by large values, and a value of another era.
+BOOST_AUTO_TEST_CASE(large_values_are_handed_on_at_a_bounded_rate) {
+  value_pace pace;
+  BOOST_TEST(pace.allows(at(0)));
+  pace.on_sent(256 << 10, at(0));
+  BOOST_TEST(!pace.allows(at(1900)));
+  BOOST_TEST(pace.allows(at(2000)));
+  auto answer = complete_answer(20, milliseconds(10));
+  add_wanted(answer, {.era = 2, .wanted = "desired"}, {.key = "desired", .version = 15});
+  BOOST_TEST(answer.items.empty());
+}
+
 // Guards against an upstream that is gone and is listed again for good: a full read has confirmed
 // its removal, so that its key's version is forgotten, and then a log that is behind hands it on.
 BOOST_AUTO_TEST_CASE(an_item_that_is_older_than_the_feed_is_not_taken_in) {
--- a/src/ownership/testing/store_feed_test.cc
+++ b/src/ownership/testing/store_feed_test.cc
@@ -91,6 +91,53 @@
   BOOST_TEST(added < alone / 5);
 }
 
+// Guards against instances that call the store as often as they can while it turns them away or
+// doesn't answer. Those that get news of it ask for the routers' own keys all the while.
+BOOST_AUTO_TEST_CASE(calls_are_few_while_the_store_fails) {
+  using enum feed_fault_kind;
+  struct failure {
+    std::string name;
+    feed_fault_kind kind;
+    std::size_t first = 0;
+    std::size_t count = 0;
+    double most = 0;  // calls per second and instance
+  };
+  constexpr std::size_t all = 80;
+  const std::vector<failure> failures{{"one follower is refused", refused, 60, 1, 1.5},
+                                      {"a third is refused", refused, 50, 27, 1.5},
+                                      {"all are refused", refused, 0, all, 2.7},
+                                      {"one is silent", cut, 60, 1, 2.7},
+                                      {"all are silent", cut, 0, all, 2.7},
+                                      {"all get late answers", late, 0, all, 3.2}};
+  constexpr seconds from(10);
+  constexpr seconds until(19);
+  for (const auto& f : failures) {
+    feed_simulation simulation({.domains = domains, .request_period = milliseconds(1200)},
+                               {{f.kind, from, until, f.first, f.count}}, 1);
+    simulation.run(day);
+    const double during = simulation.calls_per_s(from, until, f.first, f.count);
+    const double first = simulation.calls_per_s(from, from + seconds(1), f.first, f.count);
+    const double after = simulation.calls_per_s(until, until + seconds(1), f.first, f.count);
+    BOOST_TEST_MESSAGE(f.name << ": " << during << " calls a second and instance, " << first
+                              << " in the first second, " << after << " in the one after");
+    BOOST_TEST_CONTEXT(f.name << "; worst: " << simulation.worst()) {
+      BOOST_TEST(during <= f.most);
+      BOOST_TEST(ms(simulation.worst_desired_age()) <= ms(bound));
+      BOOST_TEST(ms(simulation.worst_leaving_age()) <= ms(bound));
+    }
+  }
+}
+
+// Guards against a state that isn't learnt although the reader of the domain has it: it is too
+// large for news, and the store turns the follower away.
+BOOST_AUTO_TEST_CASE(a_large_value_is_handed_on_to_a_follower_that_the_store_refuses) {
+  const feed_fault refused{feed_fault_kind::refused, milliseconds(20'000), seconds(36), 60, 1};
+  feed_simulation simulation({.domains = domains}, {refused}, 1);
+  simulation.run(day);
+  BOOST_TEST(simulation.desired_version(0) > 6U);
+  BOOST_TEST(simulation.desired_version(60) + 1 >= simulation.desired_version(0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle
