A follower waits for a pushed record before it reads the store

Change: a follower reads its own keys for such a value only if the push hasn't come within 300 ms. A pushed record counts as handed on.

The test fails without the wait.

--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -98,7 +98,14 @@
 void store_view::update_record(const service_id& service, const range_record& record,
                                std::uint64_t version) {
   const bool is_new = record.era == store_.era() && versions_.advance(record_key(service), version);
-  if (is_new) log_.on_value(record_key(service), version, std::nullopt, true);
+  if (is_new) {
+    log_.on_value(record_key(service), version, std::nullopt, true);
+    for (std::size_t i = 0; i < feeds_.size(); ++i) {
+      if (feeds_[i].prefix() == own_key_prefix) {
+        feeds_[i].on_handed_on(record_key(service), version);
+      }
+    }
+  }
   const auto found = records_.find(service);
   if (found != records_.end() && position_of(record) <= position_of(found->second)) return;
   records_[service] = record;
--- a/src/ownership/store_feed.cc
+++ b/src/ownership/store_feed.cc
@@ -144,6 +144,14 @@
   return has_news(now) && required_at_ && wanted() && now < *required_at_ + handing_time;
 }
 
+bool store_feed::awaits_push(monotonic_time now) const {
+  // A pushed record takes a few tens of milliseconds. Without the wait, each record that is too
+  // large for the news made every instance read the store.
+  constexpr duration push_time = milliseconds(300);
+  return !config_.bounded && has_news(now) && required_at_ && wanted() &&
+         now < *required_at_ + push_time;
+}
+
 void store_feed::request(monotonic_time now) {
   again_ = !under_way_.empty();
   requested_ = true;
@@ -246,7 +254,7 @@
 // each one's delay, the feed tries that failed first or hasn't yet.
 bool store_reader::may_read(std::size_t feed, monotonic_time now) const {
   const auto& own = feeds_[feed];
-  if (own.awaits_value(now) && is_failing()) return false;
+  if (own.awaits_push(now) || (own.awaits_value(now) && is_failing())) return false;
   if (own.is_bounded() || !own.has_news(now)) return true;
   return std::none_of(feeds_.begin(), feeds_.end(), [&](const auto& other) {
     const auto failed_at = other.failed_at();
--- a/src/ownership/store_feed.h
+++ b/src/ownership/store_feed.h
@@ -111,6 +111,8 @@
   std::optional<std::string> wanted() const;
   // Whether another instance gets time to hand on such a value before the store is read.
   bool awaits_value(monotonic_time now) const;
+  // Whether the instance that wrote such a value gets time to push it before the store is read.
+  bool awaits_push(monotonic_time now) const;
   // The store has come back from an older copy: everything is read anew. Answers to reads that are
   // under way aren't taken in.
   void restart(monotonic_time now);
--- a/src/ownership/testing/news_test.cc
+++ b/src/ownership/testing/news_test.cc
@@ -283,6 +283,25 @@
   BOOST_TEST(due->feed == desired_feed);
 }
 
+// Guards against reads of the store by every instance each time that a large record is written,
+// although the record is pushed to them.
+BOOST_AUTO_TEST_CASE(a_follower_waits_for_a_pushed_record_before_it_reads_the_store) {
+  constexpr std::size_t own_feed = 2;
+  const std::string record = "own/record";
+  auto feeds = read_feeds(9, at(0));
+  feeds.set_role(feed_role::follower);
+  feeds[own_feed].require_read(at(100), record, 12);
+  BOOST_TEST(!feeds.next(at(350)).has_value());
+  feeds[own_feed].on_handed_on(record, 12);
+  BOOST_TEST(!feeds.next(at(500)).has_value());
+  feeds[own_feed].require_read(at(510), record, 13);
+  feeds[own_feed].on_handed_on(record, 12);  // an older one
+  BOOST_TEST(!feeds.next(at(800)).has_value());
+  const auto due = feeds.next(at(820));
+  BOOST_REQUIRE(due.has_value());
+  BOOST_TEST(due->feed == own_feed);
+}
+
 // Guards against a full read that was answered before the latest news were known to the store, and
 // lacks what they brought.
 BOOST_AUTO_TEST_CASE(a_full_read_that_is_older_than_the_news_is_not_taken_in) {
