--- a/src/entry/exchange_keys.cc
+++ b/src/entry/exchange_keys.cc
@@ -46,9 +46,9 @@
 }
 
 // Refuses the request if its owner's slots are taken and its key has a large part of the owner's
-// requests.
+// requests. A request that has waited for a permit isn't refused after all.
 std::optional<local_response> exchange::check_key_share(std::size_t owner, monotonic_time now) {
-  if (!view_->snapshot->contended || !traffic().key_shares) return std::nullopt;
+  if (permit_ || !view_->snapshot->contended || !traffic().key_shares) return std::nullopt;
   const auto& row = service().upstreams[owner];
   key_share_question question{.key = hash64(*key_),
                               .owner = row.name,
