The test of the operations page knows the settings of cold rates, evacuations and contracts

docs/operations_page_has_the_bounds_of_a_platform_with_their_defaults failed with 15 described settings and 11 written ones since the four were added to the page.

--- a/src/apps/testing/docs_test.cc
+++ b/src/apps/testing/docs_test.cc
@@ -123,6 +123,12 @@
       {"platform.bounds.retry_burst", number_text(defaults.retry_burst)},
       {"platform.bounds.memory_mb", std::to_string(defaults.memory_mb)},
       {"platform.bounds.descriptors", std::to_string(defaults.descriptors)},
+      {"platform.bounds.warmup_overrun",
+       defaults.cold_overrun ? number_text(*defaults.cold_overrun) : "unset"},
+      {"platform.bounds.warmup_slack", number_text(defaults.cold_slack)},
+      {"platform.bounds.evacuate",
+       defaults.evacuation ? format_duration(*defaults.evacuation) : "unset"},
+      {"platform.contracts", ""},
       {"platform.bounds.cores", number_text(defaults.cores)}};
   BOOST_TEST(described.size() == written.size());
   for (const auto& [name, value] : written) {
