--- a/src/apps/registry_view.cc
+++ b/src/apps/registry_view.cc
@@ -46,6 +46,11 @@
   return row.once ? "once" : "repeatable";
 }
 
+std::string upstream_state_text(const registry_state& state, const registered_upstream& upstream) {
+  if (state.evacuated.contains(upstream.domain)) return "evacuated";
+  return upstream.leaving ? "leaving" : "ready";
+}
+
 // One row for each upstream, its limits and what it owns beside each other.
 std::string show_upstreams(const registry_state& state, const declared_service& service) {
   const auto* record = record_of(state, service.name);
@@ -57,7 +62,7 @@
     const double share = 100.0 * static_cast<double>(keys) / (last_numbered_key + 1.0);
     lines.add({upstream.id.value, upstream.domain.value, upstream.address,
                std::to_string(upstream.slots), std::to_string(service.connections),
-               upstream.leaving ? "leaving" : "ready", owns ? std::to_string(keys) : "",
+               upstream_state_text(state, upstream), owns ? std::to_string(keys) : "",
                owns ? number_text(std::round(share * 10) / 10) + " %" : ""});
   }
   return lines.text("  ") + "\n";
@@ -160,6 +165,8 @@
       if (!desired) return desired.error();
       state.desired = std::move(*desired);
       known = true;
+    } else if (item.key.starts_with(evacuation_key_prefix)) {
+      state.evacuated.insert({item.key.substr(evacuation_key_prefix.size())});
     } else if (item.key.starts_with(upstream_key_prefix)) {
       take_upstream(state, item);
     } else if (item.key.starts_with(record_key_prefix)) {
@@ -218,7 +225,9 @@
 std::vector<finding> find_registry_faults(const registry_state& state) {
   std::vector<finding> found;
   for (const auto& service : state.desired.services) {
-    const auto serves = [&](const auto& u) { return u.service == service.name && !u.leaving; };
+    const auto serves = [&](const auto& u) {
+      return u.service == service.name && !u.leaving && !state.evacuated.contains(u.domain);
+    };
     if (std::none_of(state.upstreams.begin(), state.upstreams.end(), serves)) {
       found.push_back({fault::no_active_upstream, service.name.value,
                        service.name.value + ": no upstream is registered and stays", ""});
@@ -230,6 +239,15 @@
     found.push_back({fault::drain_under_way, upstream.id.value,
                      upstream.id.value + " of " + upstream.service.value + " leaves", ""});
   }
+  for (const auto& domain : state.evacuated) {
+    const auto upstreams =
+        std::count_if(state.upstreams.begin(), state.upstreams.end(),
+                      [&](const auto& upstream) { return upstream.domain == domain; });
+    found.push_back({fault::drain_under_way, domain.value,
+                     "failure domain " + domain.value + " is evacuated, with " +
+                         std::to_string(upstreams) + " upstreams",
+                     ""});
+  }
   for (const auto& instance : state.instances) {
     if (!instance.version) {
       found.push_back({fault::instance_silent, instance.name,
--- a/src/apps/registry_view.h
+++ b/src/apps/registry_view.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,7 @@
   std::map<service_id, range_record> records;
   std::vector<service_id> assigned;  // services that have an assigner now
   std::vector<registered_instance> instances;
+  std::set<domain_id> evacuated;  // failure domains
   std::vector<error> unreadable;  // entries that are passed over
 };
 
--- a/src/apps/testing/registry_view_test.cc
+++ b/src/apps/testing/registry_view_test.cc
@@ -121,6 +121,22 @@
   BOOST_TEST(has(show_registry_status(behind), "silent"));
 }
 
+// Guards against an operator who can't see that a domain gets no requests, and why.
+BOOST_AUTO_TEST_CASE(evacuated_domains_are_shown) {
+  store_items items;
+  items.add("op/evacuate/north", "{}");
+  items.add("op/evacuate/elsewhere", "{}");
+  const auto state = items.state();
+  const auto text = show_registry_status(state);
+  BOOST_TEST(has(text, "failure domain north is evacuated, with 2 upstreams"));
+  BOOST_TEST(has(text, "failure domain elsewhere is evacuated, with 0 upstreams"));
+  const auto table = show_registry(state, "desk");
+  BOOST_REQUIRE(table.has_value());
+  BOOST_TEST(has(table->substr(table->find("  u1 "), 90), "evacuated"));
+  const auto found = find_registry_faults(state);
+  BOOST_TEST((found[0].what == fault::no_active_upstream));  // of desk, whose upstreams are there
+}
+
 BOOST_AUTO_TEST_CASE(without_a_desired_state_nothing_is_shown) {
   BOOST_TEST(!read_registry({}).has_value());
 }
