Requests on idle connections that upstreams had closed count as not run

Cause: an upstream may close an idle connection between the check of its socket and the write. The request then ended as unknown, so one that must not be sent twice got a 502 although it had reached nobody.

Change: if reading ends by FIN without a byte, nothing more was acknowledged than before the write, and the connection is closed on both sides, the request counts as not run and is sent elsewhere within the retry budget, or refused. A reset alone, a half-closed side and unacknowledged bytes prove nothing and stay unknown.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -214,7 +214,9 @@
           : traffic().upstreams[to.upstream]->thread_connections.load();
   while (true) {
     const auto now = monotonic_now();
-    if (!force_new_connection_) connection_ = worker_.pool().take_idle(to.address, identity(), now);
+    connection_pool::idle_use use{.request = identity()};
+    if (!is_idempotent()) use.once_in = service().service.name.value;
+    if (!force_new_connection_) connection_ = worker_.pool().take_idle(to.address, use, now);
     if (connection_) co_return std::nullopt;
     connection_ = worker_.pool().reserve(to.address, limit);
     if (connection_) break;
@@ -292,6 +294,10 @@
   const body_frame frame = frame_for(request, messages_.body.size());
   messages_.head.clear();
   write_request_head(messages_.head, request, added, frame, names());
+  delivery_.reset();
+  if (connection_->reused && !is_idempotent()) {
+    delivery_ = read_delivery(connection_->socket.native_handle());
+  }
   trace_.connection = connection_->number;
   trace_.use = ++connection_->uses;
   if (const auto own = identity()) connection_->carried.add(*own);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -18,6 +18,7 @@
 #include "entry/session.h"
 #include "entry/traffic_state.h"
 #include "routing/placement.h"
+#include "upstream/delivery.h"
 #include "upstream/pool.h"
 
 namespace plantainpaddle {
@@ -154,6 +155,8 @@
   std::optional<search_result> skip_body();
   void end_skipped();
   bool read_early_response();
+  task<attempt_end> connection_ended(const destination& to, boost::system::error_code code);
+  task<bool> is_undelivered_request(boost::system::error_code code);
   attempt_end broken_protocol(const destination& to, const std::string& detail) const;
   task<std::optional<attempt_end>> buffer_response(const destination& to);
   void read_statement(const destination& to);
@@ -212,6 +215,7 @@
   attempt_trace trace_;        // of the last attempt
   bool may_have_run_ = false;  // an attempt ended in run_state::unknown
   std::uint32_t attempts_ = 0;
+  std::optional<delivery> delivery_;   // before the last attempt, on an idle connection
   bool force_new_connection_ = false;  // the last attempt's connection was silent
   bool continue_sent_ = false;
   bool body_streamed_ = false;          // body bytes were discarded after sending: no retry
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -154,20 +154,53 @@
       }
     }
     if (code && code != asio::error::would_block) {
-      // An upstream may close an idle connection just as it is reused: no sign of a failure.
-      const bool stale = connection_->reused && buffer.end == 0;
-      if (code == asio::error::timed_out) {
-        co_return failed(to, step::read_answer, run_state::unknown,
-                         "the upstream's machine doesn't acknowledge data", failure_kind::dead);
-      }
-      co_return failed(to, step::read_answer, run_state::unknown, "the connection broke",
-                       stale ? std::nullopt : std::optional(failure_kind::error));
+      co_return co_await connection_ended(to, code);
     }
     code.clear();
     found = search_response();
   }
 }
 
+// The connection broke before the head of a response was complete.
+task<exchange::attempt_end> exchange::connection_ended(const destination& to,
+                                                       boost::system::error_code code) {
+  // An upstream may close an idle connection just as it is reused: no sign of a failure.
+  const bool stale = connection_->reused && response_buffer_->end == 0;
+  const auto now = monotonic_now();
+  const auto& service_name = service().service.name.value;
+  if (stale) {
+    worker_.counters().add("idle_connections_found_dead_total", {});
+    worker_.pool().on_dead(service_name, connection_->idle_for, now);
+  }
+  if (code == asio::error::timed_out) {
+    co_return failed(to, step::read_answer, run_state::unknown,
+                     "the upstream's machine doesn't acknowledge data", failure_kind::dead);
+  }
+  if (stale && co_await is_undelivered_request(code)) {
+    co_return failed(to, step::send_request, run_state::not_run,
+                     "the upstream had closed the connection before", std::nullopt);
+  }
+  co_return failed(to, step::read_answer, run_state::unknown, "the connection broke",
+                   stale ? std::nullopt : std::optional(failure_kind::error));
+}
+
+// Whether the upstream had closed the idle connection before the request arrived. What tells is the
+// upstream's reset or acknowledgement, which comes a round trip after its FIN.
+task<bool> exchange::is_undelivered_request(boost::system::error_code code) {
+  constexpr duration longest_wait = milliseconds(60);
+  constexpr duration pause = milliseconds(5);
+  if (code != asio::error::eof || !delivery_) co_return false;
+  const auto end = monotonic_now() + longest_wait;
+  while (true) {
+    const auto now_known = read_delivery(connection_->socket.native_handle());
+    if (is_undelivered(*delivery_, now_known)) co_return true;
+    const bool open = now_known && now_known->acknowledged == delivery_->acknowledged;
+    const auto now = monotonic_now();
+    if (!open || now >= std::min(end, deadline_) || caller_.caller_gone()) co_return false;
+    co_await caller_.pause_until(now + pause);
+  }
+}
+
 exchange::attempt_end exchange::broken_protocol(const destination& to,
                                                 const std::string& detail) const {
   auto end = failed(to, step::read_answer, run_state::unknown, detail, failure_kind::error);
--- a/src/upstream/pool.cc
+++ b/src/upstream/pool.cc
@@ -13,18 +13,21 @@
 
 }  // namespace
 
-std::unique_ptr<upstream_connection> connection_pool::take_idle(
-    const std::string& address, const std::optional<request_identity>& request,
-    monotonic_time now) {
+std::unique_ptr<upstream_connection> connection_pool::take_idle(const std::string& address,
+                                                                const idle_use& use,
+                                                                monotonic_time now) {
   const auto place = addresses_.find(address);
   if (place == addresses_.end()) return nullptr;
   auto& state = place->second;
   for (std::size_t next = state.idle.size(); next-- > 0;) {
-    if (request && !state.idle[next]->carried.may_carry(*request)) continue;
+    const auto& idle = *state.idle[next];
+    if (use.request && !idle.carried.may_carry(*use.request)) continue;
+    if (use.once_in && !trust_.allows(*use.once_in, now - idle.idle_since, now)) continue;
     auto taken = std::move(state.idle[next]);
     state.idle.erase(state.idle.begin() + static_cast<std::ptrdiff_t>(next));
     if (is_fresh(*taken, now) && peek_peer(taken->socket) == peer_state::quiet) {
       taken->reused = true;
+      taken->idle_for = now - taken->idle_since;
       return taken;
     }
     --state.open;
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -15,11 +15,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
 #include "routing/carried_requests.h"
+#include "routing/idle_trust.h"
 #include "upstream/stream.h"
 #include "upstream/wire_buffer.h"
 
@@ -38,6 +40,7 @@
   duration keep_for{0};  // the other side closes it when it was idle for so long; 0: not stated
   std::chrono::milliseconds unacknowledged_limit{0};  // TCP_USER_TIMEOUT; 0: the system's default
   bool reused = false;
+  duration idle_for{0};  // before the present use
 };
 
 class connection_pool {
@@ -50,11 +53,20 @@
 
   explicit connection_pool(io_executor executor) : executor_(std::move(executor)) {}
 
-  // The connection used last of those that may carry `request` and that the other side hasn't
-  // closed; nullptr if there is none. A request without an identity may use any.
-  std::unique_ptr<upstream_connection> take_idle(const std::string& address,
-                                                 const std::optional<request_identity>& request,
+  // Which idle connections a request may use.
+  struct idle_use {
+    std::optional<request_identity> request;  // none: it may use any
+    // Set for a request that must not be sent twice: its service.
+    std::optional<std::string_view> once_in;
+  };
+  // The connection used last of those that may carry the request and that the other side hasn't
+  // closed; nullptr if there is none.
+  std::unique_ptr<upstream_connection> take_idle(const std::string& address, const idle_use& use,
                                                  monotonic_time now);
+  // A connection of the service that had been idle for so long broke when it was used.
+  void on_dead(std::string_view service, duration idle_for, monotonic_time now) {
+    trust_.on_dead(service, idle_for, now);
+  }
   // A new unconnected one, counted as open; nullptr if `limit` are in use. If some of them are
   // idle, the one idle for longest is closed.
   std::unique_ptr<upstream_connection> reserve(const std::string& address, std::size_t limit);
@@ -90,6 +102,7 @@
 
   io_executor executor_;
   std::unordered_map<std::string, address_state> addresses_;
+  idle_trust trust_;
   std::uint64_t tickets_ = 0;
   std::size_t waiting_ = 0;
 };
--- a/src/upstream/testing/pool_test.cc
+++ b/src/upstream/testing/pool_test.cc
@@ -27,7 +27,7 @@
     return made;
   }
   std::unique_ptr<upstream_connection> take(std::string_view id) {
-    return pool.take_idle(address, identify_request(id), now);
+    return pool.take_idle(address, {.request = identify_request(id)}, now);
   }
   // Returns the connection as one that has carried the request.
   void finish(std::unique_ptr<upstream_connection> used, std::string_view id) {
@@ -59,6 +59,18 @@
   BOOST_TEST(take("c"));
 }
 
+// Guards against a request that must not be sent twice and goes on a connection that is as old as
+// one that was just found dead.
+BOOST_FIXTURE_TEST_CASE(an_old_idle_connection_is_passed_over_after_another_was_found_dead,
+                        pool_fixture) {
+  finish(open(2), "a");
+  pool.on_dead("shelf", seconds(4), now + seconds(4));
+  const auto later = now + seconds(4);
+  BOOST_TEST(!pool.take_idle(address, {.once_in = "shelf"}, later));
+  BOOST_TEST(pool.idle() == 1U);
+  BOOST_TEST(pool.take_idle(address, {}, later));
+}
+
 // Guards against a request that waits while connections are idle that it may not use.
 BOOST_FIXTURE_TEST_CASE(an_idle_connection_is_replaced_if_the_request_may_not_use_it,
                         pool_fixture) {
