Limits for the operators' port

A connection over the limit takes the place of the one that has waited for its caller for longest, so that the ready address answers in a crowd. operators_connections_limited_total counts them. Other servers keep their limits.

--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -68,7 +68,7 @@
   control_plane& control_;
   const metrics& counters_;
   boost::asio::io_context io_{1};
-  http_server server_{io_.get_executor()};
+  http_server server_{io_.get_executor(), exposed_server_limits};
   std::thread thread_;
 };
 
--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -83,7 +83,7 @@
         relay(io.get_executor(), orders, store, view, registration()),
         pusher(orders, std::string(record_target)),
         permits(orders, instance_key(settings.name)),
-        operators(io.get_executor()),
+        operators(io.get_executor(), exposed_server_limits),
         peers(io.get_executor()),
         signals(io, SIGTERM, SIGINT),
         reload(io, SIGHUP),
@@ -568,6 +568,7 @@
     add("store_feed_age_seconds{prefix=\"" + prefix + "\"}", age_of(at));
   for (const auto& [service, at] : record_confirmed)
     add("record_age_seconds{service=\"" + service.value + "\"}", age_of(at));
+  add("operators_connections_limited_total", static_cast<double>(operators.limited()));
   add("worst_tick_lag_seconds", std::chrono::duration<double>(worst_tick_lag).count());
   add("store_era", static_cast<double>(store.era()));
   add("store_values_passed_over_total", static_cast<double>(view.passed_over()));
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -29,8 +29,19 @@
   http_server_limits limits;
   asio::ip::tcp::acceptor acceptor;
   handler serve;
-  std::set<beast::tcp_stream*> open;
-
+  // A connection that is open. It waits for its caller to send or to read unless it is being
+  // served.
+  struct connection {
+    beast::tcp_stream* stream = nullptr;
+    bool served = false;
+    bool closing = false;
+    monotonic_time since{};  // it waits
+  };
+  std::set<connection*> open;
+  std::size_t closing = 0;  // of the open ones
+  std::uint64_t limited = 0;
+
+  bool make_room();
   asio::awaitable<void> accept_loop();
   asio::awaitable<void> session(asio::ip::tcp::socket socket);
   asio::awaitable<bool> answer(beast::tcp_stream& stream, http_response response, bool keep_alive,
@@ -53,12 +64,30 @@
 
 }  // namespace
 
+// Closes the connection that has waited for its caller for longest. False: the new one is refused.
+bool http_server::state::make_room() {
+  ++limited;
+  if (!limits.makes_room) return false;
+  connection* longest = nullptr;
+  for (auto* one : open) {
+    if (one->served || one->closing) continue;
+    if (longest == nullptr || one->since < longest->since) longest = one;
+  }
+  if (longest == nullptr) return false;
+  longest->closing = true;
+  ++closing;
+  beast::error_code ignored;
+  longest->stream->socket().close(ignored);
+  return true;
+}
+
 asio::awaitable<void> http_server::state::accept_loop() {
   const auto self = shared_from_this();
   while (acceptor.is_open()) {
     auto [code, socket] = co_await acceptor.async_accept(as_result);
     if (code == asio::error::operation_aborted || !acceptor.is_open()) co_return;
-    if (code || open.size() >= limits.connections) continue;
+    if (code) continue;
+    if (open.size() - closing >= limits.connections && !make_room()) continue;
     asio::co_spawn(executor, session(std::move(socket)), asio::detached);
   }
 }
@@ -68,28 +97,35 @@
   beast::tcp_stream stream(std::move(socket));
   beast::error_code ignored;
   stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-  open.insert(&stream);
-  beast::flat_buffer buffer;
+  connection own{.stream = &stream};
+  open.insert(&own);
+  beast::flat_buffer buffer(limits.read_ahead);
   const auto local = stream.socket().local_endpoint(ignored);
   while (true) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(limits.body_bytes);
+    own.served = false;
+    own.since = monotonic_now();
     stream.expires_after(limits.idle_time);
     auto [code, size] = co_await http::async_read(stream, buffer, parser, as_result);
     if (code) break;
     stream.expires_never();
+    own.served = true;
     const bool keep_alive = parser.get().keep_alive();
     const bool head = parser.get().method() == http::verb::head;
     http_request request = from_beast(parser.release());
     request.arrived_at = local.address().to_string();
     http_response response = co_await serve(std::move(request));
     if (response.status == 0) break;  // no answer
+    own.served = false;
+    own.since = monotonic_now();
     const bool again = response.stream
                            ? co_await answer_stream(stream, std::move(response))
                            : co_await answer(stream, std::move(response), keep_alive, head);
     if (!again) break;
   }
-  open.erase(&stream);
+  open.erase(&own);
+  if (own.closing) --closing;
 }
 
 asio::awaitable<bool> http_server::state::answer(beast::tcp_stream& stream, http_response response,
@@ -142,7 +178,9 @@
 void http_server::close() {
   beast::error_code ignored;
   state_->acceptor.close(ignored);
-  for (auto* stream : state_->open) stream->socket().close(ignored);
+  for (const auto* one : state_->open) one->stream->socket().close(ignored);
 }
 
+std::uint64_t http_server::limited() const { return state_->limited; }
+
 }  // namespace plantainpaddle
