--- a/src/routing/testing/limit_fuzz_main.cc
+++ b/src/routing/testing/limit_fuzz_main.cc
@@ -1,4 +1,5 @@
-// Plays the known scenarios and random ones in which instances share the limits of upstreams.
+// Plays the known scenarios and random ones in which instances share the limits of upstreams, and
+// the rates of cold ones.
 // Prints one JSON line. Exits with 0 if no upstream got more than its limit allows; with
 // --expect-violation, which is for mutants, if one did.
 #include <iostream>
@@ -24,6 +25,10 @@
   for (std::uint64_t seed = 1; seed <= random_scenarios && !broken; ++seed) {
     broken = breaks(random_limit_scenario(seed));
   }
+  for (const auto& scenario : known_cold_scenarios()) broken = broken || breaks(scenario);
+  for (std::uint64_t seed = 1; seed <= random_scenarios && !broken; ++seed) {
+    broken = breaks(random_cold_scenario(seed));
+  }
   if (!broken) std::cout << "{\"violation\":null,\"played\":" << played << "}\n";
   return broken == expected ? 0 : 1;
 }
--- a/src/routing/testing/limit_simulation.cc
+++ b/src/routing/testing/limit_simulation.cc
@@ -119,10 +119,6 @@
 
   bool is_guarded() const { return scenario_.cold && scenario_.guarded; }
   bool is_parted(const simulated_instance& one) const { return now_ < one.parted_until; }
-  bool reaches(std::size_t i, std::size_t j) const {
-    return now_ >= instances_[i].cut_until && now_ >= instances_[j].cut_until &&
-           is_parted(instances_[i]) == is_parted(instances_[j]);
-  }
 
   void stop(std::size_t i) {
     instances_[i].permits.reset();
@@ -230,10 +226,12 @@
       follow(i, u, request, instances_[i].permits->on_no_answer(request, issuer, now_));
     };
     at(now_ + ask_timeout, fail);
-    if (uniform() < scenario_.lost_messages || !reaches(i, j)) return;
+    if (uniform() < scenario_.lost_messages || now_ < instances_[i].cut_until) return;
+    if (is_parted(instances_[i]) != is_parted(instances_[j])) return;
     at(now_ + latency(), [this, i, j, u, request, life, answered, fail] {
       auto& asked = instances_[j];
-      if (!reaches(i, j) || (asked.permits && now_ < asked.silent_until)) return;
+      if (now_ < asked.cut_until || is_parted(instances_[i]) != is_parted(asked)) return;
+      if (asked.permits && now_ < asked.silent_until) return;
       if (!asked.permits || !asked.permits->may_issue(now_)) return at(now_ + latency(), fail);
       const auto decision = asked.permits->issue(request, now_);
       if (uniform() < scenario_.lost_messages) return;
--- a/src/routing/upstream_permits.cc
+++ b/src/routing/upstream_permits.cc
@@ -153,7 +153,8 @@
   const auto interval = interval_of(request.rate * config_.alone_share / share);
   if (!knows_others(now)) return {false, config_.quiet_time};
   // What fell due while the issuer was there isn't sent, as all instances would send it at once.
-  const bool resumes = now - std::exchange(state.alone_at, now) > config_.suspect_time;
+  const bool paused = now - std::exchange(state.alone_at, now) > config_.suspect_time;
+  const bool resumes = paused && config_.quiet_time != duration::zero();
   if (!state.next_alone || resumes || *state.next_alone > now + interval) {
     constexpr double whole = 18446744073709551616.0;  // 2^64
     const double phase = static_cast<double>(hash64(self_, request.upstream.value)) / whole;
