Spread hot groups of neighbouring keys at once

A group of 60 or 200 neighbouring keys with 0.35 of the load stayed with a few upstreams for as long as it was hot: the load was known late (memory 2 s), 12 moves a plan were too few, and a piece moved only if it was below an upstream's share, which a key of such a group exceeds.

Where upstreams are contended, the planner has a long memory (4 s) and a short one (0.7 s, ownership/surging_load), and uses the short one for blocks of keys whose load has changed by more than chance explains. Before balancing, it relieves hot upstreams: pieces of the dense part of a range go to the upstreams that are least loaded with them, up to 32 in a plan, if they have at most 0.7 of the hot upstream's relative load there. Plans are made every 250 ms, and every second one balances, with wider bounds for noise and at most 0.6 of the ranges. Elsewhere plans are as before.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -314,7 +314,10 @@
     by_service[service].push_back({std::move(facts), known.entry.address});
   }
   leaving_upstreams = std::move(still_leaving);
-  for (auto& [service, runner] : runners) runner->set_upstreams(by_service[service]);
+  for (auto& [service, runner] : runners) {
+    runner->set_contended(is_contended());
+    runner->set_upstreams(by_service[service]);
+  }
 }
 
 // Returns what this instance has observed of the service's upstreams; null if nothing.
--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -7,8 +7,9 @@
 //
 // While this instance is the assigner, each tick takes time linear in the number of ranges for each
 // linked upstream (range_assigner::tick). Measuring the balance once a second, rebalancing twice
-// a second and reassigning ranges whose owner can't be used also take O(keys), and the latter two
-// O(ranges + keys of the cut range) for each planned move (range_planner).
+// a second (four times where upstreams are contended) and reassigning ranges whose owner can't be
+// used also take O(keys), and the latter two O(ranges + keys of the cut range) for each planned
+// move (range_planner).
 #include "entry/range_runner.h"
 
 #include "base/log.h"
@@ -20,6 +21,9 @@
 
 constexpr duration load_time_constant = seconds(2);  // busy keys change within seconds
 constexpr duration rebalance_period = milliseconds(500);
+// Where keys that get hot are spread at once. Reports of all instances come within 500 ms; half of
+// them show a hot group already.
+constexpr duration surging_rebalance_period = milliseconds(250);
 constexpr duration balance_log_period = seconds(1);
 constexpr duration limit_life = seconds(2);  // of what instances report, twice a second
 constexpr duration link_retry_delay = milliseconds(200);
@@ -99,7 +103,7 @@
     step_down("leadership was not won again in time");
   }
   step_candidacy();
-  if (!assigner_) return;
+  if (!assigner_) return surging_.reset();
   if (leaving_ && assigner_->may_relinquish(now) && !assigner_->is_suspended()) {
     return stop_assigning("the instance leaves");
   }
@@ -108,14 +112,29 @@
   if (assigner_->needs_read()) read_record();
   maintain_links();
   if (now >= next_rebalance_) {
-    next_rebalance_ = now + rebalance_period;
-    load_.age(now);
-    log_balance(now);
-    assigner_->rebalance(load_, now);
+    rebalance(now);
   }
   run_actions();
 }
 
+void range_runner::rebalance(monotonic_time now) {
+  if (contended_ && !surging_) surging_.emplace();
+  if (!contended_) surging_.reset();
+  // The plans between two that balance the load only relieve hot upstreams.
+  next_rebalance_ = now + (surging_ ? surging_rebalance_period : rebalance_period);
+  load_.age(now);
+  if (surging_) surging_->age(now);
+  log_balance(now);
+  auto plan = surging_ ? range_plan_config::for_hot_keys() : range_plan_config{};
+  if (now < next_balance_) {
+    plan.most_moves = 0;
+  } else {
+    next_balance_ = now + rebalance_period;
+  }
+  assigner_->set_plan(plan);
+  assigner_->rebalance(planned_load(), now);
+}
+
 void range_runner::log_balance(monotonic_time now) {
   if (now < next_balance_log_) return;
   next_balance_log_ = now + balance_log_period;
@@ -132,7 +151,7 @@
 
 void range_runner::run_actions() {
   if (!assigner_) return;
-  for (const auto& action : assigner_->tick(load_, monotonic_now())) {
+  for (const auto& action : assigner_->tick(planned_load(), monotonic_now())) {
     std::visit([this](const auto& order) { perform(order); }, action);
   }
 }
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -22,6 +22,7 @@
 #include "ownership/observed_speeds.h"
 #include "ownership/range_assigner.h"
 #include "ownership/range_tenure.h"
+#include "ownership/surging_load.h"
 #include "platform/store_client.h"
 #include "upstream/order_link.h"
 
@@ -55,7 +56,12 @@
   void on_store_restored();
   void tick();
   // Adds requests for a key, whether this instance or another one received them.
-  void count(std::uint32_t key, double requests) { load_.add(key, requests); }
+  void count(std::uint32_t key, double requests) {
+    load_.add(key, requests);
+    if (surging_) surging_->add(key, requests);
+  }
+  // Says whether plans are to follow keys that get hot within a second.
+  void set_contended(bool contended) { contended_ = contended; }
   // Takes in the limits, in requests per second, that upstreams have named. They count until they
   // haven't been noted for a while.
   void note_limits(const std::map<upstream_id, double>& limits);
@@ -94,6 +100,8 @@
   // Adds to a write of the record that it is of the store's present era.
   void add_era(store_transaction& change) const;
   void run_actions();
+  const key_load& planned_load() const { return surging_ ? surging_->planned() : load_; }
+  void rebalance(monotonic_time now);
   void log_balance(monotonic_time now);
   std::vector<range_upstream> listed_upstreams() const;
   // Passes a record that the store holds to the view here and to the other instances.
@@ -126,6 +134,8 @@
   std::map<upstream_id, std::string> addresses_;  // last known, including removed upstreams
   link_number last_link_ = 0;
   key_load load_;
+  bool contended_ = false;
+  std::optional<surging_load> surging_;  // while this is the assigner and upstreams are contended
   observed_speeds speeds_;
   struct noted_limit {
     double rate = 0;
@@ -133,6 +143,7 @@
   };
   std::map<upstream_id, noted_limit> limits_;
   monotonic_time next_rebalance_{};
+  monotonic_time next_balance_{};
   monotonic_time next_balance_log_{};
   bool reading_ = false;
   bool leaving_ = false;
--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -379,6 +379,7 @@
   if (has_unserved && !is_isolated(now)) {
     range_plan_config reassign_config = plan_;
     reassign_config.most_moves = 0;
+    reassign_config.most_relief_moves = 0;
     for (const auto& move : plan_ranges(next_, usable, load, reassign_config)) {
       move_range(next_, move.first, move.last, move.to);
     }
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -148,6 +148,8 @@
   void regain(range_record record, std::uint64_t version);
   bool is_suspended() const { return suspended_; }
 
+  // Replaces the configuration of the planner.
+  void set_plan(const range_plan_config& plan) { plan_ = plan; }
   // Plans moves that balance the load. tick() itself moves the keys of upstreams that leave or
   // fail.
   void rebalance(const key_load& load, monotonic_time now);
--- a/src/ownership/range_planner.cc
+++ b/src/ownership/range_planner.cc
@@ -5,6 +5,12 @@
 // three ranges. If the most loaded upstream has no piece that fits, because of a key too busy for
 // any share, that key stays and the others move, or it goes to a much faster upstream.
 //
+// Before that, hot upstreams are relieved, where the configuration allows it. A group of busy keys
+// that are neighbours is found as the dense part of a range and is cut into pieces, which go to the
+// upstreams that will be the least loaded with them: fast ones with room. A piece moves if it has
+// less relative load there than at the hot upstream by a margin, even if it exceeds the mean, as it
+// does if a single key is more than an upstream's share.
+//
 // Cost: O(keys) for the sums, and O(ranges + keys of the cut range) for each step.
 
 #include "ownership/range_planner.h"
@@ -36,6 +42,14 @@
 // left for cuts that balance the load.
 constexpr double max_assigned_share = 0.5;
 
+// A piece goes from a hot upstream to another one only if that has at most this share of the hot
+// one's relative load with it.
+constexpr double max_relieved_share = 0.7;
+// The dense part of a range is looked for by windows of so many keys.
+constexpr std::uint32_t window_keys = 16;
+// A window belongs to the dense part if it has at least this share of the load of the densest one.
+constexpr double dense_share = 0.25;
+
 struct piece {
   std::uint32_t first = 0;
   std::uint32_t last = 0;
@@ -78,6 +92,7 @@
   std::vector<range_move> plan() {
     if (shares_.empty()) return {};
     assign_unowned();
+    relieve_hot();
     std::set<upstream_id> exhausted;
     for (std::size_t i = 0; i < config_.most_moves; ++i) {
       if (!balance_once(exhausted)) break;
@@ -92,7 +107,9 @@
     std::vector<piece> pieces;
   };
 
-  bool may_cut() const { return range_count_ < config_.most_ranges; }
+  bool may_cut(double share = 1) const {
+    return static_cast<double>(range_count_) < share * static_cast<double>(config_.most_ranges);
+  }
   double load_of(std::uint32_t first, std::uint32_t last) const {
     return load_.sum(first, last) + uniform_load_ * (last - first + 1);
   }
@@ -154,6 +171,98 @@
     }
   }
 
+  bool is_hot(const share& s) const {
+    const double expected = mean() * s.capacity;
+    return s.load > config_.hot_ratio * expected &&
+           s.load - expected > config_.hot_deviations * std::sqrt(expected);
+  }
+
+  // Moves pieces from hot upstreams, the most loaded one first.
+  void relieve_hot() {
+    std::set<upstream_id> being_relieved;
+    std::set<upstream_id> exhausted;
+    for (std::size_t moved = 0; moved < config_.most_relief_moves;) {
+      auto hottest = shares_.end();
+      for (auto place = shares_.begin(); place != shares_.end(); ++place) {
+        if (exhausted.contains(place->first) || place->second.pieces.empty()) continue;
+        if (hottest == shares_.end() || relative(place->second) > relative(hottest->second)) {
+          hottest = place;
+        }
+      }
+      if (hottest == shares_.end()) return;
+      auto& from = hottest->second;
+      if (relative(from) <= mean() * (1 + config_.relieved_tolerance)) return;
+      if (!being_relieved.contains(hottest->first) && !is_hot(from)) {
+        exhausted.insert(hottest->first);
+        continue;
+      }
+      being_relieved.insert(hottest->first);
+      if (relieve_once(hottest->first, from)) {
+        ++moved;
+      } else {
+        exhausted.insert(hottest->first);
+      }
+    }
+  }
+
+  // Moves a piece of the dense part of the upstream's busiest range to the upstream that will be
+  // the least loaded with it. Returns false if that doesn't pay.
+  bool relieve_once(const upstream_id& owner, share& from) {
+    const auto busiest =
+        std::max_element(from.pieces.begin(), from.pieces.end(),
+                         [](const piece& a, const piece& b) { return a.load < b.load; });
+    const double excess = from.load - mean() * from.capacity;
+    double room = min_piece * mean();
+    for (const auto& [name, s] : shares_) {
+      if (name != owner) room = std::max(room, mean() * s.capacity - s.load);
+    }
+    piece moved = *busiest;
+    if (moved.load > room * max_overshoot) {
+      if (!may_cut()) return false;
+      piece dense = dense_part(*busiest);
+      moved = cut_front(dense, std::min(excess, room));
+    }
+    if (moved.load < min_piece * mean()) return false;
+    auto to = shares_.end();
+    const auto with_piece = [&](const share& s) { return (s.load + moved.load) / s.capacity; };
+    for (auto place = shares_.begin(); place != shares_.end(); ++place) {
+      if (place->first == owner) continue;
+      if (to == shares_.end() || with_piece(place->second) < with_piece(to->second)) to = place;
+    }
+    if (to == shares_.end() || with_piece(to->second) > max_relieved_share * relative(from)) {
+      return false;
+    }
+    remove_from_owner(from, static_cast<std::size_t>(busiest - from.pieces.begin()), moved);
+    assign(moved, to->first);
+    return true;
+  }
+
+  // Returns the part of the piece that has most of its load: from the first to the last of the
+  // windows with enough load, without the quiet keys at its ends.
+  piece dense_part(const piece& source) const {
+    if (source.last - source.first < window_keys) return source;
+    std::vector<double> windows;
+    double sum = load_of(source.first, source.first + window_keys - 1);
+    double densest = sum;
+    windows.push_back(sum);
+    for (std::uint32_t key = source.first + window_keys; key <= source.last; ++key) {
+      sum += load_of(key, key) - load_of(key - window_keys, key - window_keys);
+      windows.push_back(sum);
+      densest = std::max(densest, sum);
+    }
+    const double enough = dense_share * densest;
+    const auto is_dense = [&](double load) { return load >= enough; };
+    const auto front = std::find_if(windows.begin(), windows.end(), is_dense);
+    const auto back = std::find_if(windows.rbegin(), windows.rend(), is_dense);
+    piece dense{source.first + static_cast<std::uint32_t>(front - windows.begin()),
+                source.last - static_cast<std::uint32_t>(back - windows.rbegin()), 0};
+    const double quiet = dense_share * densest / window_keys;
+    while (dense.first < dense.last && load_of(dense.first, dense.first) < quiet) ++dense.first;
+    while (dense.first < dense.last && load_of(dense.last, dense.last) < quiet) --dense.last;
+    dense.load = load_of(dense.first, dense.last);
+    return dense;
+  }
+
   // Plans one move from the most to the least loaded upstream. Returns false if the load is
   // balanced or no upstream is left to move keys from. `exhausted` collects the upstreams without a
   // piece that fits.
@@ -184,7 +293,7 @@
     for (std::size_t i = 0; i < from.pieces.size(); ++i) {
       const piece source = from.pieces[i];
       const bool whole = source.load <= target * max_overshoot;
-      if (!whole && !may_cut()) continue;
+      if (!whole && !may_cut(config_.balance_ranges_share)) continue;
       const piece moved = whole ? source : cut_nearer_side(source, target);
       // The overload of a key that is too busy would only move with it.
       if (moved.load > target * max_overshoot || moved.load < min_piece * mean()) continue;
@@ -232,7 +341,7 @@
     return front <= back ? piece{source.first, key, front} : piece{key, source.last, back};
   }
 
-  // Removes `moved`, which lies at an end of piece i, from its owner.
+  // Removes `moved`, which lies within piece i, from its owner.
   void remove_from_owner(share& from, std::size_t i, const piece& moved) {
     piece& source = from.pieces[i];
     from.load -= moved.load;
@@ -242,6 +351,14 @@
     }
     if (moved.first == source.first) {
       source.first = moved.last + 1;
+    } else if (moved.last != source.last) {
+      const piece back{moved.last + 1, source.last, load_of(moved.last + 1, source.last)};
+      source.last = moved.first - 1;
+      source.load = load_of(source.first, source.last);
+      ++range_count_;
+      from.pieces.push_back(back);  // invalidates `source`
+      ++range_count_;
+      return;
     } else {
       source.last = moved.first - 1;
     }
@@ -276,6 +393,14 @@
 
 }  // namespace
 
+range_plan_config range_plan_config::for_hot_keys() {
+  range_plan_config config;
+  config.balance_ranges_share = 0.6;
+  config.noise_deviations = 2.8;
+  config.most_relief_moves = 32;
+  return config;
+}
+
 key_load::key_load(duration memory) : memory_(memory), keys_(last_numbered_key + 1) {}
 
 void key_load::add(std::uint32_t key, double requests) {
@@ -294,6 +419,11 @@
   for (auto& load : keys_) load *= kept;
 }
 
+void key_load::clear() {
+  std::fill(keys_.begin(), keys_.end(), 0.0F);
+  total_ = 0;
+}
+
 double key_load::sum(std::uint32_t first, std::uint32_t last) const {
   return std::accumulate(keys_.begin() + first, keys_.begin() + last + 1, 0.0);
 }
--- a/src/ownership/range_planner.h
+++ b/src/ownership/range_planner.h
@@ -30,6 +30,9 @@
   // are added. Takes O(keys).
   void age(monotonic_time now);
 
+  void clear();
+
+  double of(std::uint32_t key) const { return keys_[key]; }
   double total() const { return total_; }
   // The rate of the requests counted, if it has been steady.
   double requests_per_s() const { return total_ / std::chrono::duration<double>(memory_).count(); }
@@ -62,6 +65,10 @@
 };
 
 struct range_plan_config {
+  // Keys that get hot within a second are spread at once, with more moves than are made for
+  // balance.
+  static range_plan_config for_hot_keys();
+
   // A count of n requests has a standard deviation of sqrt(n). Keys move only if an upstream's load
   // differs from the mean by more than this many deviations and by more than the bounds below.
   double noise_deviations = 2.2;
@@ -79,6 +86,15 @@
   double piece_share = 0.25;
   std::size_t most_moves = 12;    // for balance, in one plan
   std::size_t most_ranges = 512;  // in the record; no further ranges are cut above that
+  // Share of most_ranges up to which ranges are cut for balance. The others are left for relief.
+  double balance_ranges_share = 1;
+  // Moves in one plan that relieve hot upstreams. A hot one has at least hot_ratio times the mean
+  // relative load, and exceeds the mean by hot_deviations deviations. It is relieved until its
+  // relative load exceeds the mean by less than relieved_tolerance.
+  std::size_t most_relief_moves = 0;
+  double hot_ratio = 2.5;
+  double hot_deviations = 5;
+  double relieved_tolerance = 0.5;
   // Load that is added to the measured one, spread evenly over all keys, as a fraction of it.
   double uniform_share = 0.05;
   bool operator==(const range_plan_config&) const = default;
--- a/src/ownership/testing/range_planner_test.cc
+++ b/src/ownership/testing/range_planner_test.cc
@@ -3,8 +3,12 @@
 #include "ownership/range_planner.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <map>
 #include <random>
+#include <set>
+
+#include "ownership/surging_load.h"
 
 namespace plantainpaddle {
 
@@ -53,6 +57,112 @@
   return measure_balance(record, listed, load).busiest_ratio;
 }
 
+// Loads of the large deployment: 216 upstreams of 4 slots whose speeds differ by a factor of 2.3,
+// 696 requests a second, of which each instance reports its own every 500 ms.
+class surging_service {
+ public:
+  explicit surging_service(bool surging)
+      : surging_(surging),
+        config_(surging ? range_plan_config::for_hot_keys() : range_plan_config{}) {
+    for (std::size_t i = 0; i < count; ++i) {
+      const double position = static_cast<double>(i) / (count - 1);
+      listed_.push_back({{"u" + std::to_string(i)}, 4 * std::pow(2.3, position) / 1.5});
+    }
+  }
+
+  // Keys from `first` on get that share of the requests.
+  void set_hot(std::uint32_t first, std::uint32_t keys, double share) {
+    hot_first_ = first;
+    hot_keys_ = keys;
+    hot_share_ = share;
+  }
+
+  struct moved {
+    std::size_t moves = 0;
+    std::size_t keys = 0;
+  };
+  moved run(int for_ms) {
+    moved done;
+    const int period = surging_ ? 250 : 500;
+    const std::size_t balance_moves = range_plan_config{}.most_moves;
+    for (const int end = ms_ + for_ms; ms_ < end; ++ms_) {
+      std::poisson_distribution<int> arriving(requests_per_s / 1000);
+      for (int n = arriving(random_); n > 0; --n) {
+        const bool hot = std::uniform_real_distribution<>(0, 1)(random_) < hot_share_;
+        const auto key =
+            hot ? hot_first_ + random_() % hot_keys_ : random_() % (last_numbered_key + 1);
+        reports_.emplace(ms_ + static_cast<int>(random_() % 500), key);
+      }
+      config_.most_moves = ms_ % 500 == 0 ? balance_moves : 0;
+      if (ms_ % period == 0) plan(done);
+    }
+    return done;
+  }
+
+  // What upstreams get beyond what they can serve, as a share of the hot requests.
+  double hot_share_beyond() const {
+    std::map<upstream_id, double> rates;
+    for (const auto& entry : record_.ranges) {
+      rates[*entry.owner] +=
+          (1 - hot_share_) * (entry.last - entry.first + 1) / (last_numbered_key + 1.0);
+    }
+    for (std::uint32_t i = 0; i < hot_keys_; ++i) {
+      rates[*entry_of(record_, hot_first_ + i).owner] += hot_share_ / hot_keys_;
+    }
+    double capacity = 0;
+    for (const auto& upstream : listed_) capacity += upstream.capacity;
+    double beyond = 0;
+    for (const auto& upstream : listed_) {
+      const double most = upstream.capacity / capacity / mean_use;
+      beyond += std::max(0.0, rates[upstream.name] - most);
+    }
+    return beyond / hot_share_;
+  }
+
+ private:
+  static constexpr std::size_t count = 216;
+  static constexpr double requests_per_s = 696;
+  static constexpr double mean_use = 0.45;  // share of all slots that are busy
+
+  void plan(moved& done) {
+    const monotonic_time now(milliseconds(1000 + ms_));
+    const auto due = reports_.upper_bound(ms_);
+    for (auto report = reports_.begin(); report != due; ++report) {
+      load_.add(report->second, 1);
+      surging_load_.add(report->second, 1);
+    }
+    reports_.erase(reports_.begin(), due);
+    load_.age(now);
+    surging_load_.age(now);
+    // A move takes some 600 ms, during which the keys aren't moved again.
+    for (auto& entry : record_.ranges) {
+      if (ms_ >= settled_at_[entry.first]) entry.former.clear();
+    }
+    merge_ranges(record_);
+    const auto& load = surging_ ? surging_load_.planned() : load_;
+    for (const auto& move : plan_ranges(record_, listed_, load, config_)) {
+      ++done.moves;
+      done.keys += move.last - move.first + 1;
+      move_range(record_, move.first, move.last, move.to);
+      for (auto key = move.first; key <= move.last; ++key) settled_at_[key] = ms_ + 600;
+    }
+  }
+
+  bool surging_;
+  range_plan_config config_;
+  std::vector<range_upstream> listed_;
+  range_record record_ = make_range_record();
+  key_load load_{seconds(2)};
+  surging_load surging_load_;
+  std::mt19937 random_{5};
+  std::multimap<int, std::uint32_t> reports_;  // by time of arrival
+  std::vector<int> settled_at_ = std::vector<int>(last_numbered_key + 1, 0);
+  int ms_ = 0;
+  std::uint32_t hot_first_ = 0;
+  std::uint32_t hot_keys_ = 1;
+  double hot_share_ = 0;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(range_plans)
@@ -236,6 +346,67 @@
   BOOST_TEST(plan_ranges(record, {}, key_load(seconds(1)), {}).empty());
 }
 
+// Guards against a group of hot neighbours that stays with one or two upstreams for as long as it
+// is hot, since no piece of it is below an upstream's share: 60 keys, each with more than the mean
+// load of an upstream.
+BOOST_AUTO_TEST_CASE(sixty_hot_neighbours_are_spread_within_two_seconds) {
+  surging_service service(true);
+  service.run(15'000);
+  service.set_hot(31'000, 60, 0.35);
+  BOOST_TEST(service.hot_share_beyond() > 0.9);
+  service.run(1'500);
+  BOOST_TEST(service.hot_share_beyond() < 0.25);
+  service.run(500);
+  BOOST_TEST(service.hot_share_beyond() < 0.06);
+}
+
+BOOST_AUTO_TEST_CASE(two_hundred_hot_neighbours_are_spread_within_two_seconds) {
+  surging_service service(true);
+  service.run(15'000);
+  service.set_hot(31'000, 200, 0.35);
+  BOOST_TEST(service.hot_share_beyond() > 0.9);
+  const auto done = service.run(1'500);
+  BOOST_TEST(service.hot_share_beyond() < 0.25);
+  service.run(500);
+  BOOST_TEST(service.hot_share_beyond() < 0.06);
+  BOOST_TEST(done.keys < 3'000U);  // the quiet keys beside them stay
+}
+
+// Guards against plans that follow chance, since each move makes requests wait.
+BOOST_AUTO_TEST_CASE(quick_plans_move_no_more_in_calm) {
+  surging_service before(false);
+  surging_service after(true);
+  before.run(5'000);
+  after.run(5'000);
+  const auto moved_before = before.run(20'000);
+  const auto moved_after = after.run(20'000);
+  BOOST_TEST(moved_after.moves <= moved_before.moves);
+  BOOST_TEST(moved_after.keys <= moved_before.keys);
+}
+
+// Guards against a load that the planner learns of only when it has lasted as long as its memory,
+// and against one that it keeps planning with after its end.
+BOOST_AUTO_TEST_CASE(a_surge_is_seen_early_and_its_end_too) {
+  surging_load load;
+  const auto at = [](int ms) { return monotonic_time(milliseconds(1000 + ms)); };
+  int ms = 0;
+  const auto run = [&](int until, int hot) {
+    for (; ms < until; ms += 250) {
+      for (std::uint32_t key = 0; key < key_count; key += 128) load.add(key, 0.25);
+      load.add(30'000, hot / 4.0);
+      load.age(at(ms));
+    }
+  };
+  run(20'000, 0);
+  BOOST_TEST(load.planned().of(128) > 2);
+  run(20'500, 200);
+  BOOST_TEST(load.planned().of(30'000) > 200);  // of 800 in the long memory
+  BOOST_TEST(load.planned().of(128) > 2);
+  run(28'000, 200);
+  run(29'000, 0);
+  BOOST_TEST(load.planned().of(30'000) < 300);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace plantainpaddle
