Hand assigning over to instances that are in time

An instance with a small share of a core that becomes the assigner stays it, however late its event loop is: plans, grants and releases wait for its ticks.

Where upstreams are contended, each instance keeps a mean of how late its ticks are (ownership/lateness, 3 s). Above 150 ms, and if there are others, it relinquishes assigning as on leaving, rests for 30 s, and while it is late campaigns 600 ms after the others. One pause or the slices of a tenth of a core don't count as late. candidacy_spread() lets instances with at least 0.4 of a core campaign first where the settings are contended.

lateness_test: ticks that are late by 250 ms count as late after 1 to 5 s, ticks late by 90 ms and a pause of 8 s don't.

--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -23,6 +23,7 @@
 #include "entry/traffic_state.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "ownership/lateness.h"
 #include "ownership/store_keys.h"
 #include "platform/platform_headers.h"
 #include "routing/drain_schedule.h"
@@ -95,6 +96,7 @@
 
   void tick();
   void note_lag(monotonic_time now);
+  void note_lateness();
   void on_store_change(const store_change& changed);
   void on_store_restored();
   void update_services();
@@ -167,6 +169,8 @@
   monotonic_time next_tick{};
   monotonic_time next_late_tick_log{};
   duration worst_tick_lag{0};
+  lateness own_lateness{lateness_config{}};
+  bool is_late = false;  // and there is another instance to hand duties to
   monotonic_time next_publish = monotonic_time::max();
   std::size_t known_instances = 1;
   timespec settings_mtime{};
@@ -228,12 +232,28 @@
 void range_instance::impl::note_lag(monotonic_time now) {
   const auto lag = next_tick == monotonic_time{} ? duration::zero() : now - next_tick;
   worst_tick_lag = std::max(worst_tick_lag, lag);
+  own_lateness.add(lag, now);
+  note_lateness();
   next_tick = now + tick_period;
   if (lag < late_tick || now < next_late_tick_log) return;
   next_late_tick_log = now + late_tick_log_period;
   log_event(log_level::warning, "the event loop is late", {{"lag_ms", lag}});
 }
 
+// Duties go to an instance that isn't late, if there is one.
+void range_instance::impl::note_lateness() {
+  const bool late = own_lateness.is_late() && is_contended() && known_instances > 1;
+  if (late != is_late) {
+    if (late) counters.add("late_total", {});
+    log_event(log_level::warning, late ? "late for long" : "in time again",
+              {{"mean_lag_ms", own_lateness.mean()},
+               {"instances", known_instances},
+               {"cores", settings.bounds.cores}});
+  }
+  is_late = late;
+  for (auto& [service, runner] : runners) runner->set_late(late);
+}
+
 void range_instance::impl::tick() {
   const auto now = monotonic_now();
   note_lag(now);
--- a/src/entry/range_runner.cc
+++ b/src/entry/range_runner.cc
@@ -26,6 +26,9 @@
 constexpr duration surging_rebalance_period = milliseconds(250);
 constexpr duration balance_log_period = seconds(1);
 constexpr duration limit_life = seconds(2);  // of what instances report, twice a second
+// Longer than the differences between other instances' campaigns (candidacy_spread()).
+constexpr duration late_handicap = milliseconds(600);
+constexpr duration late_rest = seconds(30);  // after handing over
 constexpr duration link_retry_delay = milliseconds(200);
 constexpr duration connect_timeout = milliseconds(400);
 // An upstream responds to a release once its work on the keys has ended.
@@ -109,6 +112,7 @@
   }
   const bool may_resign = assigner_->may_relinquish(now) && !assigner_->is_suspended();
   if (assigner_->is_isolated(now) && may_resign) return resign();
+  if (late_ && may_resign) return hand_over();
   if (assigner_->needs_read()) read_record();
   maintain_links();
   if (now >= next_rebalance_) {
@@ -500,6 +504,18 @@
   candidacy_.resign(monotonic_now());
 }
 
+// Makes way for an instance with more processor time. The rest keeps late instances, if all are,
+// from handing the duty round faster than their links to upstreams are worth.
+void range_runner::hand_over() {
+  stop_assigning("the instance is late");
+  candidacy_.resign(monotonic_now(), late_rest);
+}
+
+void range_runner::set_late(bool late) {
+  late_ = late;
+  candidacy_.set_handicap(late ? late_handicap : duration::zero());
+}
+
 void range_runner::stop_assigning(std::string_view why) {
   const auto version = assigner_->version();
   const auto record = assigner_->relinquish(monotonic_now());
--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -68,6 +68,9 @@
   // Takes in the times of answers that an instance reports.
   void note_speeds(const answer_samples& samples) { speeds_.add(samples, monotonic_now()); }
   const observed_speeds& speeds() const { return speeds_; }
+  // Says whether this instance has been late for long. Then it hands assigning over to another one
+  // as soon as the store has confirmed its leadership recently, and campaigns after the others.
+  void set_late(bool late);
   // Ends the candidacy. An assigner relinquishes its term at once if the store has confirmed its
   // leadership recently (range_assigner::may_relinquish). Otherwise it goes on assigning and
   // renewing its lease, and each tick() checks again.
@@ -91,6 +94,7 @@
   void renew_lease();
   void step_down(std::string_view why);
   void resign();
+  void hand_over();
   void stop_assigning(std::string_view why);
   void write_relinquished_record(const range_record& record, std::uint64_t version, int attempts);
   key_holder assigner_key_holder() const;
@@ -147,6 +151,7 @@
   monotonic_time next_balance_log_{};
   bool reading_ = false;
   bool leaving_ = false;
+  bool late_ = false;
 };
 
 }  // namespace plantainpaddle
--- a/src/entry/range_settings.cc
+++ b/src/entry/range_settings.cc
@@ -67,13 +67,16 @@
 }
 
 // Instances start at different times, so that they rarely compete. One with little processor time,
-// which an assigner of many upstreams uses up, lets others go first.
+// which an assigner of many upstreams uses up, lets others go first. Where upstreams are contended,
+// plans are made more often, and all but the largest instances do so.
 duration candidacy_spread(const entry_settings& settings, const instance_id& self) {
   constexpr duration max_spread = milliseconds(150);
   constexpr double assigner_cores = 0.2;
+  constexpr double ample_cores = 0.4;
   const auto hash = static_cast<duration::rep>(std::hash<std::string>{}(self.value)) & 0xffff;
   const auto own = duration(hash) * max_spread.count() / 0xffff;
-  return settings.bounds.cores < assigner_cores ? own + 2 * max_spread : own;
+  if (settings.bounds.cores < assigner_cores) return own + 2 * max_spread;
+  return settings.contended && settings.bounds.cores < ample_cores ? own + max_spread : own;
 }
 
 }  // namespace plantainpaddle
--- a/src/ownership/candidacy.cc
+++ b/src/ownership/candidacy.cc
@@ -52,11 +52,11 @@
   next_renewal_ = now + timing_.retry;
 }
 
-void candidacy::resign(monotonic_time now) {
+void candidacy::resign(monotonic_time now, duration rest) {
   holds_ = false;
   lease_.reset();
   vacant_since_.reset();
-  next_try_ = now + timing_.rest;
+  next_try_ = now + rest;
 }
 
 void candidacy::on_store_restored(bool was_assigner, monotonic_time now) {
@@ -75,7 +75,7 @@
     return candidacy_step::renew_lease;
   }
   if (withdrawn_ || !vacant_since_ || now < next_try_) return candidacy_step::none;
-  if (now < *vacant_since_ + timing_.vacancy + spread_) return candidacy_step::none;
+  if (now < *vacant_since_ + timing_.vacancy + spread_ + handicap_) return candidacy_step::none;
   under_way_ = true;
   const bool usable = lease_ && now < lease_until_ - timing_.renew;
   return usable ? candidacy_step::campaign : candidacy_step::create_lease;
--- a/src/ownership/candidacy.h
+++ b/src/ownership/candidacy.h
@@ -41,7 +41,11 @@
   void on_renewed(monotonic_time sent);
   void on_lease_gone(monotonic_time now);
   void on_failed(monotonic_time now);  // a call was refused or not answered
-  void resign(monotonic_time now);
+  void resign(monotonic_time now) { resign(now, timing_.rest); }
+  // Resigns and doesn't campaign again for `rest`.
+  void resign(monotonic_time now, duration rest);
+  // Delays all campaigns by so much, so that others, which have no handicap, win.
+  void set_handicap(duration handicap) { handicap_ = handicap; }
   // The store has come back from an older copy: leases are lost. The assigner of before is given
   // time to win again, as only it knows all that it has granted.
   void on_store_restored(bool was_assigner, monotonic_time now);
@@ -56,6 +60,7 @@
  private:
   candidacy_timing timing_;
   duration spread_;
+  duration handicap_{0};
   std::optional<std::uint64_t> lease_;
   monotonic_time lease_until_{};
   bool holds_ = false;
