--- a/src/entry/range_runner.h
+++ b/src/entry/range_runner.h
@@ -22,6 +22,7 @@
 #include "ownership/observed_speeds.h"
 #include "ownership/range_assigner.h"
 #include "ownership/range_tenure.h"
+#include "ownership/surging_load.h"
 #include "platform/store_client.h"
 #include "upstream/order_link.h"
 
@@ -55,13 +56,21 @@
   void on_store_restored();
   void tick();
   // Adds requests for a key, whether this instance or another one received them.
-  void count(std::uint32_t key, double requests) { load_.add(key, requests); }
+  void count(std::uint32_t key, double requests) {
+    load_.add(key, requests);
+    if (surging_) surging_->add(key, requests);
+  }
+  // Says whether plans are to follow keys that get hot within a second.
+  void set_contended(bool contended) { contended_ = contended; }
   // Takes in the limits, in requests per second, that upstreams have named. They count until they
   // haven't been noted for a while.
   void note_limits(const std::map<upstream_id, double>& limits);
   // Takes in the times of answers that an instance reports.
   void note_speeds(const answer_samples& samples) { speeds_.add(samples, monotonic_now()); }
   const observed_speeds& speeds() const { return speeds_; }
+  // Says whether this instance has been late for long. Then it hands assigning over to another one
+  // as soon as the store has confirmed its leadership recently, and campaigns after the others.
+  void set_late(bool late);
   // Ends the candidacy. An assigner relinquishes its term at once if the store has confirmed its
   // leadership recently (range_assigner::may_relinquish). Otherwise it goes on assigning and
   // renewing its lease, and each tick() checks again.
@@ -85,6 +94,7 @@
   void renew_lease();
   void step_down(std::string_view why);
   void resign();
+  void hand_over();
   void stop_assigning(std::string_view why);
   void write_relinquished_record(const range_record& record, std::uint64_t version, int attempts);
   key_holder assigner_key_holder() const;
@@ -94,6 +104,8 @@
   // Adds to a write of the record that it is of the store's present era.
   void add_era(store_transaction& change) const;
   void run_actions();
+  const key_load& planned_load() const { return surging_ ? surging_->planned() : load_; }
+  void rebalance(monotonic_time now);
   void log_balance(monotonic_time now);
   std::vector<range_upstream> listed_upstreams() const;
   // Passes a record that the store holds to the view here and to the other instances.
@@ -126,6 +138,8 @@
   std::map<upstream_id, std::string> addresses_;  // last known, including removed upstreams
   link_number last_link_ = 0;
   key_load load_;
+  bool contended_ = false;
+  std::optional<surging_load> surging_;  // while this is the assigner and upstreams are contended
   observed_speeds speeds_;
   struct noted_limit {
     double rate = 0;
@@ -133,9 +147,11 @@
   };
   std::map<upstream_id, noted_limit> limits_;
   monotonic_time next_rebalance_{};
+  monotonic_time next_balance_{};
   monotonic_time next_balance_log_{};
   bool reading_ = false;
   bool leaving_ = false;
+  bool late_ = false;
 };
 
 }  // namespace plantainpaddle
