One account of the memory for callers, and limits of callers as settings

Cause: callers that send bodies without their last byte, or pipeline without reading, make an entry instance grow beyond its machine. Only held bodies had a budget, by declared bytes; buffers, parsers and pipelined requests had none, and a body over the budget was passed on and took an upstream's slot.

Change: routing/memory_budget counts what each caller's connection holds against `memory_share` of `memory_mb`, and decides who makes room: of the connections that wait for their caller, those without progress, the largest first; then those that hold over twice what the asking one would; else the asking one is refused. session and exchange claim their memory before a request is sent; bodies grow by half as bytes arrive; a request whose body has no room gets 503 (not run) in place of being streamed. With over half of the budget taken, a connection's requests are read one after the other. A full listener closes the connection that has waited for its caller for longest. Heads with too many fields are refused before they are complete. Lingering connections share one buffer. Freed memory goes back to the system (base/heap). platform.clients has the limits; limited_callers_total counts by reason, with a log line at most once a second.

--- a/src/apps/entry_main.cc
+++ b/src/apps/entry_main.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "apps/command_line.h"
+#include "base/heap.h"
 #include "base/log.h"
 #include "entry/control.h"
 #include "entry/proxy.h"
@@ -85,6 +86,7 @@
 
 // Where upstreams register themselves: everything on this thread.
 int run_ranges(const entry_settings& settings, const std::string& file) {
+  keep_heap_small();
   start_log({.level = settings.level, .instance = settings.name, .buffered = true});
   range_instance instance(settings, file);
   if (const auto started = instance.start(); !started) {
--- a/src/apps/testing/docs_test.cc
+++ b/src/apps/testing/docs_test.cc
@@ -131,6 +131,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(operations_page_has_the_limits_on_callers_with_their_defaults) {
+  const auto described = rows_under("OPERATIONS.md", "Settings of the limits on callers");
+  const client_limits defaults;
+  const std::map<std::string, std::string> written{
+      {"memory_share", number_text(defaults.memory_share)},
+      {"body_share", number_text(defaults.body_share)},
+      {"progress_bytes", std::to_string(defaults.progress_bytes)},
+      {"progress_time", format_duration(defaults.progress_time)},
+      {"head_fields", std::to_string(defaults.head_fields)},
+      {"pipelined", std::to_string(defaults.pipelined)},
+      {"connections", std::to_string(defaults.connections)}};
+  BOOST_TEST(described.size() == written.size());
+  for (const auto& [member, value] : written) {
+    const std::string name = "platform.clients." + member;
+    BOOST_TEST_REQUIRE(described.contains(name), name);
+    BOOST_TEST(without_quotes(described.at(name)[2]) == value, name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(operations_page_has_every_finding) {
   const std::map<severity, std::string> headings{
       {severity::outage, "Requests fail now"},
--- a/src/entry/acceptor.cc
+++ b/src/entry/acceptor.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr duration accept_retry_delay = milliseconds(50);  // e.g. when out of descriptors
+// Most connections over the limit, while those that make room for them are being closed.
+constexpr std::size_t max_closing = 16;
 
 }  // namespace
 
@@ -55,7 +57,12 @@
   auto& target = *workers_[next_worker_];
   next_worker_ = (next_worker_ + 1) % workers_.size();
   auto& shared = target.shared();
-  if (shared.connections.fetch_add(1) >= shared.settings().limits.connections) {
+  const std::size_t open = shared.connections.fetch_add(1);
+  const std::size_t limit = shared.settings().limits.connections;
+  // A connection that makes room is closed a little later.
+  const bool room = open < limit || (open < limit + max_closing && &target == workers_.front() &&
+                                     target.make_room());
+  if (!room) {
     --shared.connections;
     target.counters().add("refused_connections_total", {});
     return;
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -416,6 +416,7 @@
     record(response.status(), "undelivered", 0);
     co_return end;
   }
+  caller_.set_waits_for_caller(true);
   const body_frame frame = frame_for(response);
   const auto outcome = reported_outcome(to.via_dispatcher, response.find(names().outcome));
   keeps_alive_ = can_keep_alive();
--- a/src/entry/body_relay.cc
+++ b/src/entry/body_relay.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "entry/session.h"
 #include "entry/worker.h"
 
 namespace plantainpaddle {
@@ -72,6 +73,7 @@
 }
 
 void progress_window::on_bytes(std::size_t bytes) {
+  caller_.owning_worker().memory().on_bytes(caller_.caller().id(), bytes, monotonic_now());
   bytes_ += bytes;
   if (bytes_ >= limits_.body_progress) restart();
 }
@@ -132,7 +134,9 @@
     const auto size = caller.socket().read_some(buffer.space(), code);
     if (code == asio::error::would_block) {
       if (caller.expired()) co_return relay_end::caller_slow;
+      caller.set_waits_for_caller(true);
       auto [wait_code] = co_await caller.socket().async_wait(tcp_socket::wait_read, as_task);
+      caller.set_waits_for_caller(false);
       if (watch.seen) co_return relay_end::early_response;
       if (wait_code && !caller.expired()) co_return relay_end::caller_failed;
       continue;
@@ -174,7 +178,9 @@
     response.clear_body();
     buffer.move_unread(0);
     if (buffer.full()) co_return relay_end::upstream_failed;
+    caller.set_waits_for_caller(false);
     const auto read = co_await read_response_part(caller, response, upstream, buffer, close);
+    caller.set_waits_for_caller(true);
     if (read != relay_end::complete) co_return read;
     progress.on_bytes(buffer.end);
     outgoing pieces;
--- a/src/entry/exchange.cc
+++ b/src/entry/exchange.cc
@@ -41,15 +41,22 @@
   return known == run_state::not_run ? run_outcome::not_run : run_outcome::unknown;
 }
 
+void give_back_body(request_scope& caller, std::string& body, std::size_t& held) {
+  auto& memory = caller.owning_worker().memory();
+  memory.remove(caller.caller().id(), held_kind::bodies, std::exchange(held, 0));
+  body = {};
+}
+
 }  // namespace
 
 exchange::exchange(session& connection, std::uint64_t number, std::unique_ptr<wire_buffer> buffer,
-                   std::size_t head_size)
+                   std::size_t head_size, held_kind kind)
     : caller_(connection, number, std::move(buffer)),
       worker_(connection.home()),
       state_(worker_.messages().take()),
       messages_(*state_),
       head_size_(head_size),
+      kind_(kind),
       started_at_(monotonic_now()),
       split_random_(worker_.random()) {
   messages_.request.emplace();
@@ -62,7 +69,9 @@
   leave_gate(false);
   worker_.buffers().give(std::move(response_buffer_));
   worker_.messages().give(std::move(state_));
-  worker_.release_held(held_bytes_);
+  auto& memory = worker_.memory();
+  memory.remove(caller_.caller().id(), held_kind::bodies, held_bytes_);
+  memory.remove(caller_.caller().id(), kind_, memory_bytes);
 }
 
 const header_names& exchange::names() const { return worker_.settings().names; }
@@ -75,6 +84,7 @@
 task<bool> exchange::run() {
   if (auto refusal = parse_and_route(head_size_)) co_return co_await respond(std::move(*refusal));
   if (auto refusal = co_await read_held_body()) co_return co_await respond(std::move(*refusal));
+  caller_.set_waits_for_caller(false);
   traffic().retries->on_request();
   // A caller sends again whatever it pipelined behind a response that closes the connection. A
   // request that isn't idempotent is therefore sent only once all earlier responses are out.
@@ -234,16 +244,46 @@
   return std::nullopt;
 }
 
-// Moves the decoded bytes from the buffer to the held body, which makes room in the buffer. False
-// means that the worker's budget allows no further bytes.
+// Moves the decoded bytes from the buffer to the held body, which makes room in the buffer. The
+// body grows by half as bytes come, whatever length is declared. False means that the worker's
+// memory budget allows no further bytes.
 bool exchange::append_held_body() {
+  constexpr std::size_t first_growth = 4 << 10;
   auto& request = *messages_.request;
-  const bool room = worker_.hold(request.body().size());
-  if (room) held_bytes_ += request.body().size();
-  messages_.body.append(request.body());
+  auto& body = messages_.body;
+  const std::size_t needed = body.size() + request.body().size();
+  if (needed > body.capacity()) {
+    const std::size_t grown =
+        std::max(needed, body.size() + std::max(body.size() / 2, first_growth));
+    if (!worker_.hold(caller_.caller().id(), held_kind::bodies, grown - held_bytes_)) return false;
+    held_bytes_ = grown;
+    // reserve() on the body itself would at least double its capacity.
+    std::string larger;
+    larger.reserve(grown);
+    larger.append(body);
+    body = std::move(larger);
+  }
+  body.append(request.body());
   request.clear_body();
   caller_.buffer().move_unread(head_size_);
-  return room;
+  return true;
+}
+
+local_response exchange::no_memory_response() {
+  give_back_body(caller_, messages_.body, held_bytes_);
+  auto refusal =
+      not_run(503, errc::limit_exceeded, step::parse_request, "no memory is left for the body");
+  refusal.retry_after = worker_.settings().limits.retry_after;
+  return refusal;
+}
+
+bool exchange::refuse_body() {
+  if (!reads_held_body_) return false;
+  must_make_room_ = true;
+  // At once, since many others may read megabytes before this request's coroutine runs again.
+  give_back_body(caller_, messages_.body, held_bytes_);
+  caller_.cancel();
+  return true;
 }
 
 void exchange::finish_request_read() {
@@ -283,9 +323,13 @@
   }
   const caller_socket_use used(caller_);
   progress_window progress(caller_, deadline_);
-  bool room = append_held_body();
-  while (!code && !request.is_done() && fits && room && !buffer.full() &&
-         messages_.body.size() < held && request.body_bytes() <= match_.route->body_limit) {
+  const auto refuse = [this] {
+    worker_.note_limited("memory");
+    return no_memory_response();
+  };
+  if (!append_held_body()) co_return refuse();
+  while (!code && !request.is_done() && fits && !buffer.full() && messages_.body.size() < held &&
+         request.body_bytes() <= match_.route->body_limit) {
     boost::system::error_code read_code;
     const auto size = caller_.socket().read_some(buffer.space(), read_code);
     if (read_code == asio::error::would_block) {
@@ -294,6 +338,7 @@
         co_return not_run(408, errc::timed_out, step::parse_request, "the body arrived too slowly");
       }
       co_await caller_.socket().async_wait(tcp_socket::wait_read, as_task);
+      if (must_make_room_) co_return no_memory_response();
       if (caller_.caller_gone()) read_code = asio::error::operation_aborted;
       if (read_code == asio::error::would_block) continue;
     }
@@ -304,7 +349,7 @@
     buffer.end += size;
     progress.on_bytes(size);
     request.parse_body(buffer, code);
-    room = append_held_body();
+    if (!append_held_body()) co_return refuse();
   }
   if (auto fault = check_body(code)) co_return fault;
   if (request.is_done()) finish_request_read();
@@ -409,6 +454,7 @@
   if (connection_) release_connection(false);
   leave_gate(false);
   if (!co_await caller_.wait_turn()) co_return false;
+  caller_.set_waits_for_caller(true);
   const bool keep = can_keep_alive();
   const auto& request = *messages_.request;
   record(own.status, outcome_name(own.outcome), 0);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -24,9 +24,15 @@
 
 class exchange {
  public:
-  // `buffer` begins with a complete head of head_size bytes that check_head() accepted.
+  // What an exchange takes besides the held body: two buffers, the parsers, and its coroutines'
+  // frames.
+  static constexpr std::size_t memory_bytes =
+      2 * sizeof(wire_buffer) + sizeof(message_state) + (4 << 10);
+
+  // `buffer` begins with a complete head of head_size bytes that check_head() accepted. The session
+  // has claimed memory_bytes of that kind, which the exchange gives back in the end.
   exchange(session& connection, std::uint64_t number, std::unique_ptr<wire_buffer> buffer,
-           std::size_t head_size);
+           std::size_t head_size, held_kind kind);
   ~exchange();
   exchange(const exchange&) = delete;
   exchange& operator=(const exchange&) = delete;
@@ -43,6 +49,8 @@
   // Ends the request as its deadline would, whatever it waits for. A response that can be relayed
   // is relayed all the same.
   void end_waits();
+  // Refuses the request if its held body isn't complete, to make room; otherwise returns false.
+  bool refuse_body();
   // Refuses the request if its body isn't complete when requests are no longer taken.
   void begin_drain();
   // Logs and counts that the drain ends the request before it has its response.
@@ -114,6 +122,7 @@
   local_response leaving_response() const;
   std::optional<local_response> check_body(boost::beast::error_code code) const;
   bool append_held_body();
+  local_response no_memory_response();
   void finish_request_read();
 
   // Choice of the upstream. `failed` is avoided if there is another one.
@@ -196,6 +205,7 @@
   std::unique_ptr<message_state> state_;
   message_state& messages_;
   std::size_t head_size_;
+  held_kind kind_;  // of memory_bytes
   std::shared_ptr<const traffic_view> view_;
   route_match match_;
   std::optional<std::string> key_;
@@ -223,10 +233,11 @@
   monotonic_time response_ready_at_{};  // when the last attempt's response could be relayed
   bool keeps_alive_ = false;            // as the response's head told the caller
   bool reads_held_body_ = false;
-  bool request_read_ = false;   // the request was read to its end
-  std::size_t held_bytes_ = 0;  // body bytes charged to the worker's memory budget
-  std::uint64_t split_random_;  // picks the part of a split route
-  std::string last_upstream_;   // name of the last attempt's upstream
+  bool must_make_room_ = false;  // the request is refused while its body is read
+  bool request_read_ = false;    // the request was read to its end
+  std::size_t held_bytes_ = 0;   // body bytes charged to the worker's memory budget
+  std::uint64_t split_random_;   // picks the part of a split route
+  std::string last_upstream_;    // name of the last attempt's upstream
   fence_number last_fence_;
   bool has_retry_token_ = false;  // the next attempt's retry token has been taken
   fence_number refusing_fence_;   // of the owner that answered that it doesn't have the key
--- a/src/entry/http_guard.cc
+++ b/src/entry/http_guard.cc
@@ -7,8 +7,6 @@
 #include <array>
 #include <cstdint>
 
-#include "upstream/message_parser.h"
-
 namespace plantainpaddle {
 namespace {
 
@@ -158,7 +156,7 @@
   return end == std::string_view::npos ? 0 : end + 4;
 }
 
-head_fault check_head(std::string_view head) noexcept {
+head_fault check_head(std::string_view head, std::size_t max_fields) noexcept {
   seen_fields seen;
   std::size_t lines = 0;
   while (!head.empty()) {
@@ -172,17 +170,19 @@
       fault = lines == 0 ? check_request_line(line) : check_field(line, seen);
     }
     if (fault != head_fault::none) return fault;
-    if (lines++ > max_head_fields) return head_fault::too_many_fields;
+    if (lines++ > max_fields) return head_fault::too_many_fields;
   }
   if (lines == 0 || !head.empty()) return head_fault::line_end;
   return seen.hosts == 1 ? head_fault::none : head_fault::host;
 }
 
-head_fault check_partial_head(std::string_view bytes) noexcept {
+head_fault check_partial_head(std::string_view bytes, std::size_t max_fields) noexcept {
+  std::size_t lines = 0;
   for (std::size_t i = 0; i < bytes.size(); ++i) {
     const char c = bytes[i];
     if (c == '\n' && (i == 0 || bytes[i - 1] != '\r')) return head_fault::line_end;
     if (c == '\r' && i + 1 < bytes.size() && bytes[i + 1] != '\n') return head_fault::line_end;
+    if (c == '\n' && ++lines > max_fields + 1) return head_fault::too_many_fields;
     if (c != '\r' && c != '\n' && is_control(c)) return head_fault::control_character;
   }
   if (bytes.starts_with('\r')) return head_fault::line_end;
--- a/src/entry/http_guard.h
+++ b/src/entry/http_guard.h
@@ -11,6 +11,8 @@
 #include <cstddef>
 #include <string_view>
 
+#include "upstream/message_parser.h"
+
 namespace plantainpaddle {
 
 // Why a head is refused; fault_name() gives the name in metrics.
@@ -46,10 +48,11 @@
 std::size_t find_head_end(std::string_view bytes, std::size_t searched) noexcept;
 
 // Checks a complete head with its empty line in one pass, without allocation.
-head_fault check_head(std::string_view head) noexcept;
+head_fault check_head(std::string_view head, std::size_t max_fields = max_head_fields) noexcept;
 
 // Finds a fault in the bytes of an incomplete head that no further bytes can repair, so that the
 // request is refused without waiting for the rest.
-head_fault check_partial_head(std::string_view bytes) noexcept;
+head_fault check_partial_head(std::string_view bytes,
+                              std::size_t max_fields = max_head_fields) noexcept;
 
 }  // namespace plantainpaddle
--- a/src/entry/proxy_settings.h
+++ b/src/entry/proxy_settings.h
@@ -9,7 +9,9 @@
 #include "base/time.h"
 #include "entry/deadlines.h"
 #include "routing/admission.h"
+#include "routing/memory_budget.h"
 #include "upstream/header_names.h"
+#include "upstream/message_parser.h"
 
 namespace plantainpaddle {
 
@@ -30,8 +32,11 @@
   duration sweep_period = deadline_sweeper::sweep_period;  // between checks of deadlines
   // Requests are taken for so long in a drain, unless its begin says otherwise.
   duration drain_idle_time = milliseconds(500);
-  std::size_t held_body = 1 << 20;    // most bytes of a body kept in memory, to be sent again
-  std::size_t held_total = 64 << 20;  // most such bytes of all requests of a traffic thread
+  std::size_t held_body = 1 << 20;  // most bytes of a body kept in memory, to be sent again
+  // Memory for callers' connections and their requests and responses, of all traffic threads.
+  memory_budget_limits memory;
+  std::size_t pipelined = 8;                  // most requests in progress on one connection
+  std::size_t head_fields = max_head_fields;  // most fields of a request's head
   // Whether an answer is buffered until it is complete or fills the buffer, so that one that is cut
   // off can be replaced by a retry's. Otherwise answers are passed on as they arrive.
   bool buffer_answers = false;
--- a/src/entry/range_settings.cc
+++ b/src/entry/range_settings.cc
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::size_t upstream_descriptors = 1000;  // not available to callers
-constexpr std::size_t held_memory_divisor =
-    4;  // a quarter of the memory may hold requests and responses
 
 }  // namespace
 
@@ -25,7 +23,14 @@
                          .own_thread = false};
   auto& limits = traffic.limits;
   limits.buffer_answers = true;
-  limits.held_total = (std::size_t{settings.bounds.memory_mb} << 20) / held_memory_divisor;
+  const auto& clients = settings.clients;
+  const auto memory = static_cast<double>(std::size_t{settings.bounds.memory_mb} << 20);
+  limits.memory.bytes = static_cast<std::size_t>(memory * clients.memory_share);
+  limits.memory.shares[static_cast<std::size_t>(held_kind::bodies)] = clients.body_share;
+  limits.pipelined = clients.pipelined;
+  limits.head_fields = clients.head_fields;
+  limits.body_progress = clients.progress_bytes;
+  limits.body_time = clients.progress_time;
   limits.owner_wait = milliseconds(400);
   limits.misdirected_wait = milliseconds(60);
   limits.retry_after = milliseconds(150);
@@ -35,6 +40,9 @@
   const std::size_t descriptors = settings.bounds.descriptors;
   limits.connections =
       descriptors > 2 * upstream_descriptors ? descriptors - upstream_descriptors : descriptors / 2;
+  if (clients.connections != 0) {
+    limits.connections = std::min<std::size_t>(limits.connections, clients.connections);
+  }
   return traffic;
 }
 
--- a/src/entry/request_scope.cc
+++ b/src/entry/request_scope.cc
@@ -42,6 +42,11 @@
   co_await timer_->async_wait(as_task);
 }
 
+void request_scope::set_waits_for_caller(bool waits) {
+  waits_for_caller_ = waits;
+  caller_.update_waits();
+}
+
 void request_scope::wake() {
   if (timer_) timer_->cancel();
 }
--- a/src/entry/request_scope.h
+++ b/src/entry/request_scope.h
@@ -53,6 +53,9 @@
     cancel();
   }
   bool caller_gone() const { return caller_gone_; }
+  // Whether the request waits for the caller to send or to read; it does from the begin.
+  void set_waits_for_caller(bool waits);
+  bool waits_for_caller() const { return waits_for_caller_; }
 
   // Waits until `due`, wake() or cancel().
   task<void> pause_until(monotonic_time due);
@@ -82,6 +85,7 @@
   tcp_socket* active_socket_ = nullptr;
   bool uses_caller_socket_ = false;
   bool caller_gone_ = false;
+  bool waits_for_caller_ = true;
   admission_id awaited_ = 0;
   std::optional<bool> decision_;
 };
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -3,6 +3,7 @@
 // body of its request.
 #include "entry/session.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -19,6 +20,8 @@
 
 constexpr duration max_linger_time = seconds(1);
 constexpr std::size_t max_linger_bytes = 1 << 20;
+// What an idle connection takes, roughly: the session, its coroutine's frames, its socket's state.
+constexpr std::size_t connection_bytes = 4 << 10;
 
 error head_error(std::string detail) {
   return {errc::bad_input, step::parse_request, "", std::move(detail)};
@@ -26,8 +29,9 @@
 
 }  // namespace
 
-session::session(worker& home, tcp_socket socket, bool internal)
+session::session(worker& home, std::uint64_t id, tcp_socket socket, bool internal)
     : home_(home),
+      id_(id),
       socket_(std::move(socket)),
       internal_(internal),
       deadline_(home.sweeper(),
@@ -36,13 +40,42 @@
                   socket_.cancel(ignored);
                 }),
       change_signal_(home.io()) {
+  home_.memory().open(id_, monotonic_now());
+  home_.memory().add(id_, held_kind::heads, connection_bytes);
   prepare_socket(socket_);
   boost::system::error_code code;
   const auto peer = socket_.remote_endpoint(code);
   if (!code && !internal_) forwarded_ = forwarded_element(peer.address());
 }
 
-session::~session() { home_.buffers().give(std::move(buffer_)); }
+session::~session() {
+  home_.buffers().give(std::move(buffer_));
+  home_.memory().close(id_);
+}
+
+bool session::take_buffer() {
+  if (buffer_) return true;
+  if (!home_.hold(id_, held_kind::heads, sizeof(wire_buffer))) return false;
+  buffer_ = home_.buffers().take();
+  return true;
+}
+
+void session::give_buffer() {
+  if (!buffer_) return;
+  home_.memory().remove(id_, held_kind::heads, sizeof(wire_buffer));
+  home_.buffers().give(std::move(buffer_));
+}
+
+void session::shed() {
+  if (exchanges_.size() == 1 && exchanges_.front()->refuse_body()) return;
+  abort();
+}
+
+// A connection waits for its caller if it has no request, or if its first request does.
+void session::update_waits() {
+  const bool waits = exchanges_.empty() || exchanges_.front()->scope().waits_for_caller();
+  home_.memory().set_waits_for_caller(id_, waits, monotonic_now());
+}
 
 void session::abort() {
   caller_gone_ = true;
@@ -84,7 +117,11 @@
 void session::on_request_read(std::string_view rest) {
   reading_request_ = false;
   if (!rest.empty()) {
-    if (!buffer_) buffer_ = home_.buffers().take();
+    // These bytes have been taken from the socket, so that they can't be refused.
+    if (!buffer_) {
+      home_.memory().add(id_, held_kind::heads, sizeof(wire_buffer));
+      buffer_ = home_.buffers().take();
+    }
     std::copy(rest.begin(), rest.end(), buffer_->bytes.begin());
     buffer_->end = rest.size();
   }
@@ -100,7 +137,7 @@
 
 // While the instance drains, the requests in progress are the connection's last ones.
 bool session::must_pause_reading() const {
-  return reading_request_ || exchanges_.size() >= max_pipelined ||
+  return reading_request_ || exchanges_.size() >= home_.settings().limits.pipelined ||
          (home_.draining() && !exchanges_.empty());
 }
 
@@ -120,7 +157,13 @@
     // to earlier requests, and this one counts as not received.
     while (!closing_ && must_pause_reading()) co_await wait_for_change();
     if (closing_) break;
-    co_await start_exchange(read.size);
+    const auto kind = co_await claim_request();
+    if (closing_) break;
+    if (!kind) {
+      co_await reject_head({head_status::no_memory});
+      break;
+    }
+    co_await start_exchange(read.size, *kind);
   }
   const bool closed_by_caller = !closing_;
   closing_ = true;
@@ -160,13 +203,13 @@
     } else {
       deadline_.set(monotonic_time::max());
     }
-    home_.buffers().give(std::move(buffer_));
+    give_buffer();
     const bool readable = co_await wait_readable();
     idle_ = false;
     deadline_.set_idle(false);
     const bool idle_too_long = deadline_.expired() && peek_peer(socket_) != peer_state::has_data;
     if (!readable || idle_too_long) co_return head_result{};
-    buffer_ = home_.buffers().take();
+    if (!take_buffer()) co_return head_result{head_status::no_memory};
   }
   deadline_.set(std::min(monotonic_now() + home_.limits().head_time, home_.last_request()));
   while (true) {
@@ -194,7 +237,9 @@
   const std::size_t max_size = std::min(max_head_bytes, home_.limits().head_bytes);
   const auto size = find_head_end(bytes, searched);
   searched = bytes.size();
-  const auto fault = size != 0 ? check_head(bytes.substr(0, size)) : check_partial_head(bytes);
+  const auto max_fields = home_.settings().limits.head_fields;
+  const auto fault = size != 0 ? check_head(bytes.substr(0, size), max_fields)
+                               : check_partial_head(bytes, max_fields);
   if (fault != head_fault::none) return {head_status::invalid, 0, fault};
   if (size > max_size || (size == 0 && bytes.size() >= max_size)) {
     return {head_status::invalid, 0, head_fault::too_long};
@@ -203,16 +248,42 @@
   return {};
 }
 
-// Answers an invalid or late head with an error, after the answers to all earlier requests.
+// Claims the memory of one more request. While memory is short, the requests of a connection are
+// read one after the other. Returns nothing if there is no room, or the connection is closing.
+task<std::optional<held_kind>> session::claim_request() {
+  if (!exchanges_.empty()) {
+    if (home_.memory().may_read_ahead() &&
+        home_.hold(id_, held_kind::pipelined, exchange::memory_bytes)) {
+      co_return held_kind::pipelined;
+    }
+    while (!exchanges_.empty() && !closing_) co_await wait_for_change();
+    if (closing_) co_return std::nullopt;
+  }
+  if (!home_.hold(id_, held_kind::heads, exchange::memory_bytes)) co_return std::nullopt;
+  co_return held_kind::heads;
+}
+
+// Answers a head that is invalid, late, or has no room, with an error, after the answers to all
+// earlier requests.
 task<void> session::reject_head(const head_result& read) {
+  give_buffer();
   while (!exchanges_.empty() && !closing_) co_await wait_for_change();
   if (closing_) co_return;
   const bool slow = read.status == head_status::timed_out;
-  const auto name = slow ? std::string_view("head-timeout") : fault_name(read.fault);
+  const bool no_memory = read.status == head_status::no_memory;
+  const auto name = slow        ? std::string_view("head-timeout")
+                    : no_memory ? std::string_view("memory")
+                                : fault_name(read.fault);
+  if (no_memory) home_.note_limited("memory");
   home_.counters().add("refused_heads_total", {{"fault", std::string(name)}});
   linger_ = true;
-  const auto answer = settle(
-      {slow ? 408U : fault_status(read.fault), head_error("head: " + std::string(name))}, false);
+  local_response wanted{slow ? 408U : fault_status(read.fault),
+                        head_error("head: " + std::string(name))};
+  if (no_memory) {
+    wanted = {503, {errc::limit_exceeded, step::admit, "", "no memory is left for the request"}};
+    wanted.retry_after = home_.settings().limits.retry_after;
+  }
+  const auto answer = settle(std::move(wanted), false);
   const std::string text = format_local_response(answer, {.close = true}, home_.settings().names);
   outgoing pieces;
   pieces.add(text);
@@ -223,11 +294,16 @@
   }
 }
 
-task<void> session::start_exchange(std::size_t head_size) {
+task<void> session::start_exchange(std::size_t head_size, held_kind kind) {
   reading_request_ = true;
-  auto work = std::make_unique<exchange>(*this, next_number_++, std::move(buffer_), head_size);
+  // From here on the buffer counts as the exchange's.
+  home_.memory().remove(id_, held_kind::heads, sizeof(wire_buffer));
+  home_.memory().on_bytes(id_, memory_budget::progress_bytes, monotonic_now());
+  auto work =
+      std::make_unique<exchange>(*this, next_number_++, std::move(buffer_), head_size, kind);
   auto& started = *work;
   exchanges_.push_back(std::move(work));
+  update_waits();
   asio::co_spawn(home_.io(), run_exchange(started), [](const std::exception_ptr& thrown) {
     if (thrown) log_line(log_level::error, {.message = "unhandled exception in a request"});
   });
@@ -238,6 +314,7 @@
 task<void> session::run_exchange(exchange& work) {
   const bool keep = co_await work.run();
   std::erase_if(exchanges_, [&](const auto& one) { return one.get() == &work; });
+  update_waits();
   on_exchange_done(keep);
 }
 
@@ -264,11 +341,13 @@
   boost::system::error_code code;
   socket_.shutdown(tcp_socket::shutdown_send, code);
   if (code) co_return;
-  if (!buffer_) buffer_ = home_.buffers().take();
+  give_buffer();
+  // What is read is discarded at once, so that all connections of a thread can share it.
+  thread_local std::array<char, wire_buffer::capacity> discarded;
   deadline_.set(monotonic_now() + max_linger_time);
   std::size_t taken = 0;
   while (taken < max_linger_bytes) {
-    const auto size = socket_.read_some(asio::buffer(buffer_->bytes), code);
+    const auto size = socket_.read_some(asio::buffer(discarded), code);
     taken += size;
     if (code == asio::error::would_block) {
       auto [wait_code] = co_await socket_.async_wait(tcp_socket::wait_read, as_task);
--- a/src/entry/session.h
+++ b/src/entry/session.h
@@ -1,13 +1,14 @@
 // One caller's connection: reads request heads, starts an exchange for each request, and closes the
 // connection in the end.
 //
-//   session caller(worker, std::move(socket), false);
+//   session caller(worker, id, std::move(socket), false);
 //   co_await caller.run();
 //
-// Up to max_pipelined requests of a connection are processed concurrently; their answers go out in
-// the order of the requests. An idle session holds no buffer and no parser. Each request in
-// progress holds one wire_buffer for the caller's bytes, one for the upstream's, and the state of
-// the parsers. Not thread-safe: all members are called on the worker's thread.
+// Up to proxy_limits::pipelined requests of a connection are processed concurrently, fewer while
+// memory is short; their answers go out in the order of the requests. An idle session holds no
+// buffer and no parser. Each request in progress holds one wire_buffer for the caller's bytes, one
+// for the upstream's, and the state of the parsers. The worker's memory_budget counts them under
+// the session's id. Not thread-safe: all members are called on the worker's thread.
 #pragma once
 
 #include <deque>
@@ -18,6 +19,7 @@
 #include "entry/deadlines.h"
 #include "entry/http_guard.h"
 #include "entry/local_response.h"
+#include "routing/memory_budget.h"
 #include "upstream/stream.h"
 #include "upstream/wire_buffer.h"
 
@@ -29,9 +31,7 @@
 
 class session {
  public:
-  static constexpr std::size_t max_pipelined = 8;  // requests in progress on one connection
-
-  session(worker& home, tcp_socket socket, bool internal);
+  session(worker& home, std::uint64_t id, tcp_socket socket, bool internal);
   ~session();
   session(const session&) = delete;
   session& operator=(const session&) = delete;
@@ -45,12 +45,16 @@
   void release_ready_responses();
   // Ends all requests that have no response yet, with one of the router's own.
   void end_waits();
+  // Ends the connection to make room for others: refuses its only request if nothing of it has
+  // been sent, else aborts.
+  void shed();
   // Cancels all requests and closes, as if the caller had closed the connection.
   void abort();
   // Applies the worker's current idle time to an idle connection.
   void refresh_idle_time();
 
   worker& home() { return home_; }
+  std::uint64_t id() const { return id_; }
   // Whether another instance of this system opened the connection.
   bool internal() const { return internal_; }
   tcp_socket& socket() { return socket_; }
@@ -65,9 +69,11 @@
   bool is_last(std::uint64_t number) const { return number + 1 == next_number_; }
   // Resumes reading after an exchange has read its whole request; `rest` is what followed it.
   void on_request_read(std::string_view rest);
+  // To be called when a request begins or ceases to wait for the caller.
+  void update_waits();
 
  private:
-  enum class head_status { complete, closed, invalid, timed_out };
+  enum class head_status { complete, closed, invalid, timed_out, no_memory };
   struct head_result {
     head_status status = head_status::closed;
     std::size_t size = 0;
@@ -75,11 +81,14 @@
   };
 
   bool must_pause_reading() const;
+  bool take_buffer();
+  void give_buffer();
+  task<std::optional<held_kind>> claim_request();
   task<head_result> read_head();
   task<bool> wait_readable();
   head_result check_buffered_head(std::size_t& searched);
   task<void> reject_head(const head_result& read);
-  task<void> start_exchange(std::size_t head_size);
+  task<void> start_exchange(std::size_t head_size, held_kind kind);
   task<void> run_exchange(exchange& work);
   void on_exchange_done(bool keep);
   task<void> close_lingering();
@@ -88,6 +97,7 @@
   void become_idle();
 
   worker& home_;
+  std::uint64_t id_;
   tcp_socket socket_;
   bool internal_;
   std::unique_ptr<wire_buffer> buffer_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -6,6 +6,7 @@
 #include "base/json.h"
 #include "http/address.h"
 #include "platform/contracts.h"
+#include "upstream/message_parser.h"
 
 namespace plantainpaddle {
 namespace {
@@ -73,6 +74,30 @@
   read.finish();
 }
 
+void read_clients(object_reader& reader, client_limits& clients, error_list& errors) {
+  const auto* value = reader.object("clients", false);
+  if (value == nullptr) return;
+  constexpr std::int64_t max_progress = 1 << 20;
+  constexpr std::int64_t min_fields = 16;
+  constexpr std::int64_t max_pipelined = 64;
+  constexpr std::int64_t max_connections = 1 << 30;
+  object_reader read(*value, reader.path_of("clients"), step::settings, errors);
+  const auto count = [&](std::string_view name, std::int64_t least, std::int64_t most,
+                         std::uint32_t fallback) {
+    return static_cast<std::uint32_t>(read.integer(name, least, most, fallback));
+  };
+  clients.memory_share = read.number("memory_share", 0.05, 0.9, clients.memory_share);
+  clients.body_share = read.number("body_share", 0.05, 1, clients.body_share);
+  clients.progress_bytes = count("progress_bytes", 1, max_progress, clients.progress_bytes);
+  clients.progress_time =
+      read_duration(read, "progress_time", milliseconds(100), seconds(3600), clients.progress_time);
+  clients.head_fields = count("head_fields", min_fields, static_cast<std::int64_t>(max_head_fields),
+                              clients.head_fields);
+  clients.pipelined = count("pipelined", 1, max_pipelined, clients.pipelined);
+  clients.connections = count("connections", 0, max_connections, clients.connections);
+  read.finish();
+}
+
 void read_platform(object_reader& reader, entry_settings& settings, error_list& errors) {
   const auto* value = reader.object("platform", true);
   if (value == nullptr) return;
@@ -90,6 +115,7 @@
   if (settings.form == platform_form::etcd)
     settings.instances = read_address(platform, "instances");
   read_bounds(platform, settings.bounds, errors);
+  read_clients(platform, settings.clients, errors);
   settings.contended = has_contended_upstreams(platform.texts("contracts", false));
   platform.finish();
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -45,6 +45,21 @@
   bool operator==(const platform_bounds&) const = default;
 };
 
+// Limits on callers, which may be out of the platform's control. They apply to platform_form::items
+// only. The defaults are beyond what a caller inside the declared limits reaches.
+struct client_limits {
+  double memory_share = 0.5;  // of platform_bounds::memory_mb, for callers' connections
+  double body_share = 0.5;    // of that memory, for bodies that are read before they are sent
+  // While a body is transferred, the caller must move progress_bytes within progress_time.
+  std::uint32_t progress_bytes = 1024;
+  duration progress_time = seconds(10);
+  std::uint32_t head_fields = 100;  // of a request
+  std::uint32_t pipelined = 8;      // requests in progress on one connection
+  std::uint32_t connections = 0;    // 0: as many as platform_bounds::descriptors allows
+
+  bool operator==(const client_limits&) const = default;
+};
+
 struct entry_settings {
   std::string name;
   std::string cluster;
@@ -58,6 +73,7 @@
   std::string instances;  // address of the platform's instance list; platform_form::etcd only
   platform_form form = platform_form::etcd;
   platform_bounds bounds;
+  client_limits clients;
   // Whether instances share what they observe of upstreams and admit requests by priority.
   // platform_form::items only.
   bool contended = false;
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 
+#include "base/heap.h"
 #include "base/log.h"
 #include "entry/prober.h"
 #include "entry/request_scope.h"
@@ -19,6 +20,15 @@
 
 constexpr duration retire_period = seconds(1);  // between checks for idle upstream connections
 constexpr duration skipped_line_period = milliseconds(20);
+constexpr duration limited_line_period = seconds(1);
+// Decrease of the memory held for callers after which free memory is given back to the system.
+constexpr std::size_t min_given_back = 2 << 20;
+
+// Each thread has an equal part of the budget.
+memory_budget_limits part_of(memory_budget_limits whole, std::size_t threads) {
+  whole.bytes /= std::max<std::size_t>(1, threads);
+  return whole;
+}
 
 // Gives the pointer a control block of this thread's own, so that copying it doesn't contend with
 // other threads for a cache line.
@@ -38,6 +48,7 @@
       view_(thread_local_copy(shared.view())),
       pool_(io_.get_executor()),
       random_(random_number()),
+      memory_(part_of(shared.settings().limits.memory, shared.settings().threads)),
       stats_(traffic_class_names()) {
   limits_.head_time = shared_.settings().limits.head_time;
   limits_.idle_time = shared_.settings().limits.idle_time;
@@ -133,17 +144,54 @@
 
 void worker::remove_scope(std::uint64_t id) { scopes_.erase(id); }
 
-bool worker::hold(std::size_t bytes) {
-  if (held_ + bytes > settings().limits.held_total) return false;
-  held_ += bytes;
+bool worker::hold(std::uint64_t session, held_kind kind, std::size_t bytes) {
+  const auto verdict = memory_.request(session, kind, bytes, monotonic_now());
+  for (const auto victim : verdict.victims) {
+    const auto place = sessions_.find(victim);
+    if (place == sessions_.end()) continue;
+    place->second->shed();
+    note_limited("memory");
+  }
+  if (verdict.granted) memory_.add(session, kind, bytes);
+  most_held_ = std::max(most_held_, memory_.held());
+  return verdict.granted;
+}
+
+bool worker::make_room() {
+  const auto longest = memory_.choose_longest_waiting(monotonic_now());
+  const auto place = sessions_.find(longest);
+  if (place == sessions_.end()) return false;
+  place->second->shed();
+  note_limited("connections");
   return true;
 }
 
+void worker::note_limited(std::string_view reason) {
+  counters_.add("limited_callers_total", {{"reason", std::string(reason)}});
+  ++limited_;
+  const auto now = monotonic_now();
+  if (now < next_limited_line_) return;
+  next_limited_line_ = now + limited_line_period;
+  log_event(log_level::warning, "limits have ended or refused callers",
+            {{"reason", reason},
+             {"callers", std::exchange(limited_, 0)},
+             {"held_bytes", memory_.held()},
+             {"budget_bytes", shared_.settings().limits.memory.bytes},
+             {"connections", shared_.connections.load()}});
+}
+
+// The allocator keeps what is freed below memory that is in use, such as the buffers of a crowd.
+void worker::give_back_memory() {
+  if (most_held_ < memory_.held() + min_given_back) return;
+  most_held_ = memory_.held();
+  return_free_memory();
+}
+
 void worker::add_connection(tcp_socket socket, bool internal) {
   asio::post(io_, [this, internal, socket = std::move(socket)]() mutable {
     const auto id = next_id();
     auto& opened =
-        *sessions_.emplace(id, std::make_unique<session>(*this, std::move(socket), internal))
+        *sessions_.emplace(id, std::make_unique<session>(*this, id, std::move(socket), internal))
              .first->second;
     asio::co_spawn(io_, opened.run(), [this, id](const std::exception_ptr& thrown) {
       if (thrown) log_line(log_level::error, {.message = "unhandled exception on a connection"});
@@ -193,6 +241,7 @@
     if (now >= next_retire_) {
       next_retire_ = now + retire_period;
       pool_.retire_idle(now);
+      give_back_memory();
     }
     if (index_ == 0) sweep_shared_state(now);
     if (stopping_) {
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -100,9 +100,15 @@
   void remove_scope(std::uint64_t id);
   // Limits on callers, from the last view that has any; before that, those of the settings.
   const caller_limits& limits() const { return limits_; }
-  // Counts bytes of request bodies that are kept in memory; false if they would exceed held_total.
-  bool hold(std::size_t bytes);
-  void release_held(std::size_t bytes) { held_ -= bytes; }
+  // The memory held for this thread's callers. hold() asks for bytes and counts them, and ends the
+  // sessions that have to make room; false: there is no room.
+  memory_budget& memory() { return memory_; }
+  bool hold(std::uint64_t session, held_kind kind, std::size_t bytes);
+  // Ends the session that has waited for its caller for longest; false: there is none. To be called
+  // on this thread.
+  bool make_room();
+  // Counts that a limit has ended or refused a caller, and logs it at a bounded rate.
+  void note_limited(std::string_view reason);
 
   // Whether skipped_line_period has passed since the last line about a skipped response.
   bool may_log_skipped_response(monotonic_time now);
@@ -112,6 +118,7 @@
 
  private:
   void schedule_sweep();
+  void give_back_memory();
   void sweep_shared_state(monotonic_time now);
   void probe_shared_upstreams(const service_traffic& service, const service_snapshot& snapshot,
                               monotonic_time now);
@@ -142,7 +149,10 @@
   std::set<std::uint64_t> waiting_for_owner_;
   std::unordered_map<std::uint64_t, request_scope*> scopes_;
   caller_limits limits_;
-  std::size_t held_ = 0;
+  memory_budget memory_;
+  std::size_t most_held_ = 0;  // since free memory was last given back to the system
+  monotonic_time next_limited_line_{};
+  std::size_t limited_ = 0;  // since the last line about it
   bool finishing_ = false;
   std::unordered_map<std::uint64_t, std::unique_ptr<session>> sessions_;
   mutable std::mutex stats_mutex_;
