Delete the copy operations of a crowd's caller

Cause: clang-tidy wants all special members where some are defined. Change: the two are deleted. Result: scripts/lint src/harness/crowd.cc is clean; abuse_test builds, and ready_address/slow_readers_at_ready_address passes.

--- a/src/harness/crowd.cc
+++ b/src/harness/crowd.cc
@@ -22,6 +22,8 @@
   crowd_caller(const crowd_settings& settings, std::size_t number)
       : settings_(settings), number_(number) {}
   ~crowd_caller() { end(); }
+  crowd_caller(const crowd_caller&) = delete;
+  crowd_caller& operator=(const crowd_caller&) = delete;
   crowd_caller(crowd_caller&& other) noexcept
       : settings_(other.settings_),
         number_(other.number_),
