--- a/src/entry/exchange_keys.cc
+++ b/src/entry/exchange_keys.cc
@@ -60,8 +60,11 @@
   question.keys_of_owner = count_keys(service(), owner);
   const auto found = traffic().key_shares->judge(question);
   if (found.decision.verdict != send_verdict::refuse) return std::nullopt;
+  refused_for_ = found.decision.reason;
   const std::string reason(reason_name(found.decision.reason));
-  worker_.counters().add("sends_refused_total", {{"reason", reason}});
+  worker_.counters().add(
+      "sends_refused_total",
+      {{"reason", reason}, {"priority", std::to_string(match_.policy.priority)}});
   if (traffic().key_shares->may_log(now)) {
     log_event(log_level::info, "key limited to its share",
               {{"request", messages_.request_id},
--- a/src/ownership/range_planner.cc
+++ b/src/ownership/range_planner.cc
@@ -38,10 +38,6 @@
 // A key that is too busy moves only to an upstream of at least this many times the capacity.
 constexpr double min_speedup = 1.2;
 
-// Share of the ranges that a record may hold into which unowned keys are divided. The others are
-// left for cuts that balance the load.
-constexpr double max_assigned_share = 0.5;
-
 // A piece goes from a hot upstream to another one only if that has at most this share of the hot
 // one's relative load with it.
 constexpr double max_relieved_share = 0.7;
@@ -158,7 +154,7 @@
     const double mean_step =
         config_.piece_share * total_load_ / static_cast<double>(shares_.size());
     const double least_step =
-        total_load_ / (max_assigned_share * static_cast<double>(config_.most_ranges));
+        total_load_ / static_cast<double>(std::max<std::size_t>(1, config_.assigned_ranges));
     const double step = std::max(mean_step, least_step);
     for (piece range : unowned_) {
       while (range.first <= range.last && range.last <= last_numbered_key) {
@@ -395,6 +391,9 @@
 
 range_plan_config range_plan_config::for_hot_keys() {
   range_plan_config config;
+  // The cuts of two hot groups of a day filled a record of 512 ranges, so that a third one couldn't
+  // be spread. Each range takes a renewal of its grant every 600 ms, which bounds their number.
+  config.most_ranges = 768;
   config.balance_ranges_share = 0.6;
   config.noise_deviations = 2.8;
   config.most_relief_moves = 32;
--- a/src/ownership/range_planner.h
+++ b/src/ownership/range_planner.h
@@ -86,6 +86,9 @@
   double piece_share = 0.25;
   std::size_t most_moves = 12;    // for balance, in one plan
   std::size_t most_ranges = 512;  // in the record; no further ranges are cut above that
+  // Ranges into which all keys are divided if none has an owner. The others are left for cuts that
+  // balance the load.
+  std::size_t assigned_ranges = 256;
   // Share of most_ranges up to which ranges are cut for balance. The others are left for relief.
   double balance_ranges_share = 1;
   // Moves in one plan that relieve hot upstreams. A hot one has at least hot_ratio times the mean
