--- a/src/entry/range_instance.cc
+++ b/src/entry/range_instance.cc
@@ -3,31 +3,12 @@
 #include <sys/stat.h>
 
 #include <algorithm>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <csignal>
-#include <map>
-#include <optional>
-#include <set>
 
 #include "base/json.h"
 #include "base/log.h"
-#include "entry/load_report.h"
-#include "entry/news_relay.h"
-#include "entry/observation_client.h"
-#include "entry/permit_client.h"
-#include "entry/proxy.h"
-#include "entry/range_runner.h"
-#include "entry/range_settings.h"
-#include "entry/record_pusher.h"
-#include "entry/store_view.h"
-#include "entry/traffic_state.h"
-#include "http/client.h"
-#include "http/server.h"
-#include "ownership/lateness.h"
+#include "entry/range_instance_impl.h"
 #include "ownership/store_keys.h"
 #include "platform/platform_headers.h"
-#include "routing/drain_schedule.h"
 #include "routing/registry_snapshot.h"
 #include "routing/upstream_capacity.h"
 
@@ -42,7 +23,6 @@
 // A tick that is late by more than this is logged, at most once in late_tick_log_period.
 constexpr duration late_tick = milliseconds(200);
 constexpr duration late_tick_log_period = seconds(1);
-constexpr duration report_period = milliseconds(500);
 constexpr duration speed_update_period = milliseconds(500);
 // Shares of the drain time of a leaving upstream, which ends with its last new request. Its keys'
 // requests go to it for the grace after its notice was seen, but not after the limit, counted from
@@ -54,7 +34,6 @@
 // request that was checked just before and travels for up to half a second, and for a process that
 // is paused between the check and the write.
 constexpr double evacuation_share = 0.6;
-constexpr duration report_timeout = milliseconds(400);
 // Instances register under a lease, so that each knows how many there are.
 constexpr duration instance_lease = seconds(8);
 constexpr duration instance_renewal = milliseconds(2500);
@@ -68,128 +47,9 @@
 // are not spread evenly over the instances.
 constexpr double instance_retry_share = 0.7;
 constexpr double instance_retry_burst_share = 0.7;
-constexpr std::string_view report_target = "/load";
-constexpr std::string_view record_target = "/record";
-constexpr duration reporter_time = seconds(2);  // for which records are pushed after a report
-// Reports to the assigner confirm the record; after so long without an answer the store is read.
-constexpr duration max_unconfirmed_time = milliseconds(1200);
 
 }  // namespace
 
-struct range_instance::impl {
-  impl(entry_settings s, std::string f)
-      : settings(std::move(s)),
-        file(std::move(f)),
-        self(make_instance_id(settings.name, random_number())),
-        traffic(traffic_settings(settings), counters),
-        io(traffic.io()),
-        store(io.get_executor(), {.addresses = settings.store, .protocol = item_protocol{}}),
-        view(
-            store, [this](const store_change& changed) { on_store_change(changed); },
-            store_view_timing_for(settings)),
-        orders(io.get_executor()),
-        relay(io.get_executor(), orders, store, view, registration()),
-        pusher(orders, std::string(record_target)),
-        permits(orders, instance_key(settings.name), permit_config_for(settings)),
-        observations(orders, registration()),
-        operators(io.get_executor(), exposed_server_limits),
-        peers(io.get_executor()),
-        signals(io, SIGTERM, SIGINT),
-        reload(io, SIGHUP),
-        timer(io),
-        leave_timer(io) {}
-
-  result<std::string> start();
-  void run();
-
-  void tick();
-  void note_lag(monotonic_time now);
-  void note_lateness();
-  void on_store_change(const store_change& changed);
-  void on_store_restored();
-  void update_services();
-  void update_upstreams();
-  void note_cold_rates(monotonic_time now);
-  const placement* observations_of(const service_id& service) const;
-  bool is_contended() const { return traffic.view()->snapshot->contended; }
-  void publish(monotonic_time now);
-  void update_retry_budget();
-  void register_instance(monotonic_time now);
-  instance_registration registration() const;
-  void write_instance();
-  void report_load(monotonic_time now);
-  std::map<upstream_id, double> limits_of(const service_id& service) const;
-  template <class Value>
-  void keep_service(std::map<upstream_id, Value>& values, const service_id& service) const;
-  std::string handle_load_report(std::string_view body);
-  void on_report_answer(const service_id& service, const result<http_response>& answer);
-  void push_record(const service_id& service, const range_record& record, std::uint64_t version);
-  std::string handle_pushed_record(std::string_view body);
-  void wait_for_stop_signal();
-  void on_signal(int number);
-  void log_phase(drain_phase phase) const;
-  void advance_drain();
-  void enter(drain_phase phase);
-  void leave();
-  void stop();
-  void wait_for_reload_signal();
-  void reload_settings(std::string_view why);
-  void check_settings_file(monotonic_time now);
-  bool is_ready() const;
-  asio::awaitable<http_response> serve_operators(http_request request);
-  asio::awaitable<http_response> serve_peers(http_request request);
-  std::string status_json() const;
-  std::string format_metrics() const;
-  ~impl() { counters.remove_source(metrics_source); }
-  impl(const impl&) = delete;
-  impl& operator=(const impl&) = delete;
-
-  entry_settings settings;
-  std::string file;
-  instance_id self;
-  metrics counters;
-  proxy traffic;
-  asio::io_context& io;
-  store_client store;
-  store_view view;
-  http_client orders;
-  news_relay relay;
-  record_pusher pusher;
-  permit_client permits;
-  observation_client observations;
-  http_server operators;
-  http_server peers;
-  asio::signal_set signals;
-  asio::signal_set reload;
-  asio::steady_timer timer;
-  asio::steady_timer leave_timer;
-  std::map<service_id, std::unique_ptr<range_runner>> runners;
-  std::map<upstream_id, monotonic_time> leaving_upstreams;
-  std::map<service_id, range_view> ranges;
-  // When the assigner last answered a report, or the store was asked instead.
-  std::map<service_id, monotonic_time> record_confirmed;
-  std::map<std::string, monotonic_time> reporters;  // by address, when the last report came
-  const double spread = store_view_timing_for(settings).spread;
-  std::uint64_t instance_lease_id = 0;
-  bool registering = false;
-  monotonic_time next_registration{};
-  monotonic_time next_instance_read = monotonic_time::max();
-  monotonic_time next_report{};
-  monotonic_time next_speed_update{};
-  monotonic_time next_settings_check{};
-  monotonic_time next_tick{};
-  monotonic_time next_late_tick_log{};
-  duration worst_tick_lag{0};
-  lateness own_lateness{lateness_config{}};
-  bool is_late = false;  // and there is another instance to hand duties to
-  monotonic_time next_publish = monotonic_time::max();
-  std::size_t known_instances = 1;
-  timespec settings_mtime{};
-  std::uint64_t metrics_source = 0;     // from metrics::add_source
-  std::optional<drain_schedule> drain;  // from the first stop signal on
-  std::size_t stop_signals = 0;         // SIGTERM and SIGINT so far
-};
-
 range_instance::range_instance(entry_settings settings, std::string file)
     : impl_(std::make_unique<impl>(std::move(settings), std::move(file))) {}
 
@@ -463,221 +323,6 @@
   });
 }
 
-// Sends request counts by key to the assigner, which plans with those of all instances.
-void range_instance::impl::report_load(monotonic_time now) {
-  if (now < next_report) return;
-  next_report = now + report_period;
-  const auto current = traffic.view();
-  for (std::size_t i = 0; i < current->services.size(); ++i) {
-    const auto& name = current->snapshot->services[i].service.name;
-    const auto runner = runners.find(name);
-    if (runner == runners.end()) continue;
-    const auto* known = view.record(name);
-    load_report_message report{.service = name,
-                               .address = settings.listen_peers,
-                               .known = known == nullptr ? record_position{} : position_of(*known),
-                               .keys = current->services[i].counts->take_keys(),
-                               .limits = limits_of(name),
-                               .leaving = view.upstreams().noticed()};
-    keep_service(report.leaving, name);
-    if (current->snapshot->contended) report.speeds = current->services[i].answers->take();
-    if (runner->second->is_assigner()) {
-      for (const auto& [key, count] : report.keys) runner->second->count(key, count);
-      runner->second->note_limits(report.limits);
-      runner->second->note_speeds(report.speeds);
-      continue;
-    }
-    // Without a word of the assigner only the store tells whether the record has changed.
-    auto& confirmed = record_confirmed[name];
-    if (now - confirmed >= max_unconfirmed_time) {
-      confirmed = now;
-      view.refresh_unless_followed();
-    }
-    const std::string address(runner->second->assigner_address());
-    if (address.empty()) continue;
-    orders.send(address, {"POST", std::string(report_target), {}, format_load_report(report)},
-                report_timeout, [this, name](const result<http_response>& answer) {
-                  on_report_answer(name, answer);
-                });
-  }
-}
-
-// Returns the limits of the service's upstreams for which this instance issues permits.
-std::map<upstream_id, double> range_instance::impl::limits_of(const service_id& service) const {
-  auto limits = permits.limits_asked_for();
-  keep_service(limits, service);
-  return limits;
-}
-
-// Removes the values of upstreams that aren't listed in the service.
-template <class Value>
-void range_instance::impl::keep_service(std::map<upstream_id, Value>& values,
-                                        const service_id& service) const {
-  std::erase_if(values, [&](const auto& value) {
-    const auto known = view.upstreams().all().find(value.first);
-    return known == view.upstreams().all().end() || known->second.entry.service != service;
-  });
-}
-
-// Returns the response. An assigner's says which version of the record it has written.
-std::string range_instance::impl::handle_load_report(std::string_view body) {
-  const auto report = parse_load_report(body);
-  if (!report) {
-    log_error(log_level::warning, report.error());
-    return format_known_record({});
-  }
-  const auto runner = runners.find(report->service);
-  if (runner == runners.end()) return format_known_record({});
-  for (const auto& [key, count] : report->keys) runner->second->count(key, count);
-  runner->second->note_limits(report->limits);
-  if (is_contended()) runner->second->note_speeds(report->speeds);
-  for (const auto& [upstream, life] : report->leaving) {
-    view.note_leaving(upstream, life, report->address);
-  }
-  const auto* known = view.record(report->service);
-  if (!runner->second->is_assigner() || known == nullptr) return format_known_record({});
-  reporters[report->address] = monotonic_now();
-  pusher.on_report(report->service, report->address, report->known);
-  return format_known_record(position_of(*known));
-}
-
-// An assigner's answer confirms that its pushes come from the present assigner.
-void range_instance::impl::on_report_answer(const service_id& service,
-                                            const result<http_response>& answer) {
-  if (!answer) return log_error(log_level::debug, answer.error());
-  const auto position = parse_known_record(answer->body);
-  if (position && *position != record_position{}) record_confirmed[service] = monotonic_now();
-}
-
-void range_instance::impl::push_record(const service_id& service, const range_record& record,
-                                       std::uint64_t version) {
-  std::set<std::string> addresses;
-  for (const auto& [key, address] : view.instance_addresses()) addresses.insert(address);
-  const auto oldest = monotonic_now() - reporter_time;
-  std::erase_if(reporters, [&](const auto& reporter) { return reporter.second < oldest; });
-  for (const auto& [address, seen] : reporters) addresses.insert(address);
-  addresses.erase(settings.listen_peers);
-  pusher.push(service, record, version, {addresses.begin(), addresses.end()});
-}
-
-// Returns the response, which says which version of the record this instance has then.
-std::string range_instance::impl::handle_pushed_record(std::string_view body) {
-  const auto pushed = parse_pushed_record(body);
-  if (!pushed) {
-    log_error(log_level::warning, pushed.error());
-    return format_known_record({});
-  }
-  if (!runners.contains(pushed->service)) return format_known_record({});
-  const auto* known = view.record(pushed->service);
-  if (pushed->base == record_position{}) {
-    view.update_record(pushed->service, pushed->record.changes, pushed->version);
-  } else if (known != nullptr && position_of(*known) == pushed->base) {
-    const auto record = apply_delta(*known, pushed->record);
-    if (!record) {
-      log_error(log_level::warning, record.error());
-      return format_known_record({});
-    }
-    view.update_record(pushed->service, *record, pushed->version);
-  }
-  known = view.record(pushed->service);
-  return format_known_record(known == nullptr ? record_position{} : position_of(*known));
-}
-
-asio::awaitable<http_response> range_instance::impl::serve_peers(http_request request) {
-  const bool post = request.method == "POST";
-  if (post && request.target == report_target) {
-    co_return json_response(200, handle_load_report(request.body));
-  } else if (post && request.target == record_target) {
-    co_return json_response(200, handle_pushed_record(request.body));
-  } else if (post && request.target == news_target) {
-    co_return co_await relay.serve(std::move(request.body));
-  } else if (post && request.target == permit_target) {
-    co_return json_response(200, permits.handle(request.body));
-  } else if (post && request.target == observation_target) {
-    co_return observations.handle(request.body, traffic.view());
-  } else if (!post && request.target == "/status") {
-    co_return json_response(200, status_json());
-  } else {
-    co_return json_response(404, R"({"error":"no such page"})");
-  }
-}
-
-asio::awaitable<http_response> range_instance::impl::serve_operators(http_request request) {
-  if (request.target == platform_ready_target || request.target == "/readyz") {
-    co_return json_response(is_ready() ? 200 : 503, "{}");
-  }
-  if (request.target == "/metrics") {
-    co_return http_response{200, {{"Content-Type", "text/plain"}}, counters.prometheus_text(), {}};
-  }
-  if (request.target == "/status") co_return json_response(200, status_json());
-  if (request.target == "/healthz") co_return json_response(200, "{}");
-  co_return json_response(404, R"({"error":"no such page"})");
-}
-
-std::string range_instance::impl::format_metrics() const {
-  const auto age_of = [](monotonic_time at) {
-    return std::chrono::duration<double>(monotonic_now() - at).count();
-  };
-  const auto age = age_of(view.last_contact());
-  std::string text;
-  const auto add = [&](const std::string& name, double value) {
-    text += "plantainpaddle_" + name + " " + number_text(value) + "\n";
-  };
-  add("store_calls_total", static_cast<double>(store.calls()));
-  add("store_view_age_seconds", age);
-  add(R"(news_role{role=")" + std::string(role_name(relay.role())) + "\"}", 1);
-  add("news_role_changes_total", static_cast<double>(relay.counts().role_changes));
-  add("news_asked_total", static_cast<double>(relay.counts().asked));
-  add("news_failed_total", static_cast<double>(relay.counts().failed));
-  add("news_answered_total", static_cast<double>(relay.counts().answered));
-  if (observations.active()) {
-    const auto& counts = observations.counts();
-    add("observation_collector", observations.collects() ? 1 : 0);
-    add("observation_collector_changes_total", static_cast<double>(counts.collector_changes));
-    add("observations_asked_total", static_cast<double>(counts.asked));
-    add("observations_failed_total", static_cast<double>(counts.failed));
-    add("observations_answered_total", static_cast<double>(counts.answered));
-    add("observations_received_total", static_cast<double>(counts.received));
-    add("observation_bytes_sent_total", static_cast<double>(counts.sent_bytes));
-    add("observation_bytes_received_total", static_cast<double>(counts.received_bytes));
-  }
-  add("news_values_total", static_cast<double>(relay.counts().values));
-  for (const auto& [prefix, reads] : view.reads())
-    add("store_reads_total{prefix=\"" + prefix + "\"}", static_cast<double>(reads));
-  for (const auto& [prefix, at] : view.known_at())
-    add("store_feed_age_seconds{prefix=\"" + prefix + "\"}", age_of(at));
-  for (const auto& [service, at] : record_confirmed)
-    add("record_age_seconds{service=\"" + service.value + "\"}", age_of(at));
-  add("operators_connections_limited_total", static_cast<double>(operators.limited()));
-  add("worst_tick_lag_seconds", std::chrono::duration<double>(worst_tick_lag).count());
-  add("store_era", static_cast<double>(store.era()));
-  add("store_values_passed_over_total", static_cast<double>(view.passed_over()));
-  add("desired_state_version", view.desired() ? static_cast<double>(view.desired()->version) : 0);
-  add("upstreams", static_cast<double>(view.upstreams().all().size()));
-  const auto now = monotonic_now();
-  add("cold_upstreams", static_cast<double>(std::count_if(
-                            view.upstreams().all().begin(), view.upstreams().all().end(),
-                            [&](const auto& known) { return now < known.second.warm_since; })));
-  for (const auto& [domain, order] : view.evacuations().all())
-    add("evacuated{failure_domain=\"" + domain.value + "\"}", 1);
-  add("instances", static_cast<double>(view.instances()));
-  add("assigned_services",
-      static_cast<double>(std::count_if(runners.begin(), runners.end(), [](const auto& runner) {
-        return runner.second->is_assigner();
-      })));
-  add("log_lines_dropped_total", static_cast<double>(dropped_log_lines()));
-  return text;
-}
-
-std::string range_instance::impl::status_json() const {
-  std::string text = "{\"instance\":\"" + self.value + "\",\"ready\":";
-  text += is_ready() ? "true" : "false";
-  text += ",\"store_calls\":" + std::to_string(store.calls());
-  text += ",\"desired_version\":" + std::to_string(view.desired() ? view.desired()->version : 0);
-  text += ",\"connections\":" + std::to_string(traffic.connections()) + "}";
-  return text;
-}
-
 void range_instance::impl::wait_for_stop_signal() {
   signals.async_wait([this](const boost::system::error_code& code, int number) {
     if (!code) on_signal(number);
