Learn the usual speed of upstreams from a few answers, and trust idle connections less

Cause: an instance hears of an upstream every few seconds. Its estimate of the usual speed moved by a tenth with each answer and decayed within 6 s, so that upstreams which differ by 2.3 times were treated nearly alike.

Change, where upstreams are contended: the first answers weigh 1/2, 1/3 and so on until the smoothing takes over, and the estimate decays over 30 s; requests that may be repeated also pass over idle connections as old as one that was found dead; another domain's upstream must save 30 ms instead of 15 ms.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -216,7 +216,11 @@
   while (true) {
     const auto now = monotonic_now();
     connection_pool::idle_use use{.request = identity()};
-    if (!is_idempotent()) use.once_in = service().service.name.value;
+    // A lost request that may be repeated takes from the retry budget, which is short where
+    // upstreams are contended.
+    if (!is_idempotent() || view_->snapshot->contended) {
+      use.trusted_in = service().service.name.value;
+    }
     if (!force_new_connection_) connection_ = worker_.pool().take_idle(to.address, use, now);
     if (connection_) co_return std::nullopt;
     connection_ = worker_.pool().reserve(to.address, limit);
--- a/src/routing/idle_trust.h
+++ b/src/routing/idle_trust.h
@@ -1,4 +1,4 @@
-// Whether an idle connection may carry a request that must not be sent twice. One that the upstream
+// Whether an idle connection may carry a request that shouldn't be lost. One that the upstream
 // has given up without a word shows only when a request is lost on it. The upstreams of a service
 // mostly run the same software behind the same network, so after such a loss, connections of that
 // service that were idle for as long are passed over for some seconds.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -93,7 +93,8 @@
 }
 
 double placement::slowness_of(const upstream_observations& state, monotonic_time now) const {
-  const double age = micros(now - state.slowness_updated_at) / micros(config_.slowness_decay_time);
+  const auto decay = contended_ ? config_.contended_slowness_decay : config_.slowness_decay_time;
+  const double age = micros(now - state.slowness_updated_at) / micros(decay);
   return 1 + (state.slowness - 1) * std::exp(-std::max(0.0, age));
 }
 
@@ -293,7 +294,11 @@
   const double mean_us = std::max(1.0, it->second);
   const double ratio = std::clamp(service_us / mean_us, min_time_ratio, max_time_ratio);
   state.slowness = slowness_of(state, now);
-  state.slowness += config_.time_smoothing * (ratio - state.slowness);
+  // The mean of the first answers and one of usual speed, and smoothed from then on. With the
+  // smoothing alone, an instance took longer to learn a speed than a day's load stays the same.
+  const double first_weight = contended_ ? 1.0 / (2.0 + state.timed_answers) : 0;
+  ++state.timed_answers;
+  state.slowness += std::max(config_.time_smoothing, first_weight) * (ratio - state.slowness);
   state.slowness_updated_at = now;
   it->second += work_time_smoothing * (std::min(service_us, max_time_ratio * mean_us) - it->second);
 }
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -68,7 +68,10 @@
   // An upstream of another domain is chosen if this much is saved, and considered if the own
   // domain's costs this much more than its work. Several times the delay between domains, since
   // traffic between them has a cost, and less than a tenth of a usual request's time.
-  duration remote_cost = milliseconds(15);
+  duration remote_cost = milliseconds(30);
+  // Replaces slowness_decay_time. An instance hears of an upstream every few seconds, so that a
+  // shorter one forgot the usual speeds, and requests go to slow upstreams anyhow now and then.
+  duration contended_slowness_decay = seconds(30);
 
   bool operator==(const placement_config&) const = default;
 };
@@ -220,6 +223,7 @@
     double reported = 0;
     monotonic_time reported_at{};
     monotonic_time slowness_updated_at{};
+    std::uint32_t timed_answers = 0;  // that slowness rests on
     double slowness = 1;         // smoothed ratio of service times to the mean over all upstreams
     double failure_share = 0;    // smoothed share of failed attempts
     std::uint32_t failures = 0;  // consecutive attempts without an answer
--- a/src/routing/testing/placement_contended_test.cc
+++ b/src/routing/testing/placement_contended_test.cc
@@ -40,6 +40,24 @@
 
 BOOST_AUTO_TEST_SUITE(placement_contended)
 
+// Guards against an instance that treats upstreams of different speed alike for most of its life,
+// as it hears of each only every few seconds.
+BOOST_AUTO_TEST_CASE(usual_speeds_are_learnt_from_a_few_answers) {
+  placement service({.domain = {"d1"}});
+  service.set_contended(true);
+  service.set_upstreams({{{"fast"}, {"d1"}, 4}, {{"slow"}, {"d1"}, 4}}, monotonic_time(seconds(1)));
+  auto now = monotonic_time(seconds(1));
+  for (int i = 0; i < 3; ++i) {
+    now += seconds(4);
+    for (const auto& [name, ms] : {std::pair{"fast", 130}, std::pair{"slow", 300}}) {
+      service.on_sent({name}, now);
+      service.on_end({name}, {.work = "w", .latency = milliseconds(ms)}, now);
+    }
+  }
+  BOOST_TEST(service.speed({"fast"}, now) > 1.6 * service.speed({"slow"}, now));
+  BOOST_TEST(service.speed({"fast"}, now + seconds(5)) > 1.5 * service.speed({"slow"}, now));
+}
+
 // Guards against requests that wait for upstreams which are slowed: a fifth of them at any time, 3
 // times, in spans of 400 ms.
 BOOST_AUTO_TEST_CASE(slowed_upstreams_are_avoided) {
--- a/src/upstream/pool.cc
+++ b/src/upstream/pool.cc
@@ -22,7 +22,7 @@
   for (std::size_t next = state.idle.size(); next-- > 0;) {
     const auto& idle = *state.idle[next];
     if (use.request && !idle.carried.may_carry(*use.request)) continue;
-    if (use.once_in && !trust_.allows(*use.once_in, now - idle.idle_since, now)) continue;
+    if (use.trusted_in && !trust_.allows(*use.trusted_in, now - idle.idle_since, now)) continue;
     auto taken = std::move(state.idle[next]);
     state.idle.erase(state.idle.begin() + static_cast<std::ptrdiff_t>(next));
     if (is_fresh(*taken, now) && peek_peer(taken->socket) == peer_state::quiet) {
--- a/src/upstream/pool.h
+++ b/src/upstream/pool.h
@@ -56,8 +56,9 @@
   // Which idle connections a request may use.
   struct idle_use {
     std::optional<request_identity> request;  // none: it may use any
-    // Set for a request that must not be sent twice: its service.
-    std::optional<std::string_view> once_in;
+    // Set for a request that shouldn't be lost: its service. It passes over connections that are
+    // likely to be dead.
+    std::optional<std::string_view> trusted_in;
   };
   // The connection used last of those that may carry the request and that the other side hasn't
   // closed; nullptr if there is none.
--- a/src/upstream/testing/pool_test.cc
+++ b/src/upstream/testing/pool_test.cc
@@ -66,7 +66,7 @@
   finish(open(2), "a");
   pool.on_dead("shelf", seconds(4), now + seconds(4));
   const auto later = now + seconds(4);
-  BOOST_TEST(!pool.take_idle(address, {.once_in = "shelf"}, later));
+  BOOST_TEST(!pool.take_idle(address, {.trusted_in = "shelf"}, later));
   BOOST_TEST(pool.idle() == 1U);
   BOOST_TEST(pool.take_idle(address, {}, later));
 }
