The test of admission uses one key a request

All its requests had key 7, which the limit of a hot key refuses before the rule that the test is about. The checks are unchanged.

--- a/src/entry/testing/admission_test.cc
+++ b/src/entry/testing/admission_test.cc
@@ -21,6 +21,14 @@
   }};
 };
 
+// Requests of one key would be limited to its share of the owner first.
+std::string request_for_key(const std::string& id, const std::string& key) {
+  std::string text = request("GET", id);
+  const std::string usual = std::string(platform_key_header) + ": 7\r\n";
+  return text.replace(text.find(usual), usual.size(),
+                      std::string(platform_key_header) + ": " + key + "\r\n");
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(admission_by_priority)
@@ -32,10 +40,9 @@
   shared_fixture shared({full.upstream.address()}, true);
   shared.desired.ranked = true;
   shared.set_owner("u0");
-  for (const auto* id : {"one", "two"}) {
-    BOOST_TEST(shared.caller().ask(request("GET", id)).status() == 200);
-  }
-  const auto refused = shared.caller().ask(request("GET", "three"));
+  BOOST_TEST(shared.caller().ask(request_for_key("one", "11")).status() == 200);
+  BOOST_TEST(shared.caller().ask(request_for_key("two", "12")).status() == 200);
+  const auto refused = shared.caller().ask(request_for_key("three", "13"));
   BOOST_TEST(refused.status() == 503);
   BOOST_TEST(refused.has("Retry-After: 0."));
   BOOST_TEST(refused.body.find("no_room: the wait is ") != std::string::npos, refused.body);
@@ -44,7 +51,7 @@
   BOOST_TEST(counted.find("sends_refused_total{") != std::string::npos);
   // After a second the report doesn't tell any more.
   std::this_thread::sleep_for(milliseconds(1100));
-  BOOST_TEST(shared.caller().ask(request("GET", "four")).status() == 200);
+  BOOST_TEST(shared.caller().ask(request_for_key("four", "14")).status() == 200);
 }
 
 // Guards against refusals where nothing asked for admission by priority.
