One place for shares of durations, doubled delays, and fractions from random bits

The results are the same to the bit: the doublings were bounded by the longest delay before their own bound, and x / 2^53 is exact.

--- a/src/entry/exchange_limit.cc
+++ b/src/entry/exchange_limit.cc
@@ -2,6 +2,7 @@
 // Gets a permit for each request to an upstream that has named a limit.
 #include <algorithm>
 
+#include "base/durations.h"
 #include "base/log.h"
 #include "entry/exchange.h"
 #include "entry/worker.h"
@@ -120,8 +121,8 @@
   const auto limit = limit_of(to, asked_at);
   if (!worker_.shared().ask_permit) permitted_until_ = monotonic_time::max();
   if (!limit || !worker_.shared().ask_permit) co_return permit_outcome{true, {}};
-  const auto target = std::chrono::duration_cast<duration>(
-      match_.policy.target_latency * (limit->cold ? cold_target_share : target_share));
+  const auto target =
+      share_of(match_.policy.target_latency, limit->cold ? cold_target_share : target_share);
   const auto left = std::max(duration::zero(), (deadline_ - asked_at) / left_divisor);
   const permit_request request{name, limit->rate, limit->age,
                                target == duration::zero() ? left : std::min(target, left)};
--- a/src/entry/news_relay.cc
+++ b/src/entry/news_relay.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/durations.h"
 #include "base/log.h"
 
 namespace plantainpaddle {
@@ -20,7 +21,7 @@
 constexpr double lagging_periods = 1.5;
 
 duration periods(const store_view& view, double count) {
-  return std::chrono::duration_cast<duration>(view.feeds().reader_period() * count);
+  return share_of(view.feeds().reader_period(), count);
 }
 
 }  // namespace
--- a/src/entry/range_instance_impl.h
+++ b/src/entry/range_instance_impl.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 
+#include "base/durations.h"
 #include "base/log.h"
 #include "entry/load_report.h"
 #include "entry/news_relay.h"
--- a/src/entry/range_settings.cc
+++ b/src/entry/range_settings.cc
@@ -53,10 +53,6 @@
   return timing;
 }
 
-duration share_of(duration whole, double share) {
-  return std::chrono::duration_cast<duration>(whole * share);
-}
-
 // Instances that start together have registered, and read of each other, within 2 s. A registration
 // lapses 8 s after its last renewal, and others count on its instance for settle_time from then.
 permit_config permit_config_for(const entry_settings& settings) {
--- a/src/entry/range_settings.h
+++ b/src/entry/range_settings.h
@@ -13,8 +13,6 @@
 // The load balancer removes an instance after two readiness checks, a second apart, that fail.
 inline constexpr duration balancer_removal_time = milliseconds(2600);
 
-duration share_of(duration whole, double share);
-
 proxy_settings traffic_settings(const entry_settings& settings);
 range_timing range_timing_for(const entry_settings& settings);
 permit_config permit_config_for(const entry_settings& settings);
--- a/src/ownership/candidacy.cc
+++ b/src/ownership/candidacy.cc
@@ -1,6 +1,6 @@
 #include "ownership/candidacy.h"
 
-#include <algorithm>
+#include "base/durations.h"
 
 namespace plantainpaddle {
 
@@ -53,9 +53,7 @@
 
 void candidacy::on_failed(monotonic_time now) {
   under_way_ = false;
-  constexpr int max_doublings = 8;
-  const auto delay = timing_.retry * (1 << std::min(failures_, max_doublings));
-  next_try_ = now + std::min<duration>(timing_.max_retry, delay);
+  next_try_ = now + doubled(timing_.retry, failures_, timing_.max_retry);
   if (failures_++ > 0) next_try_ += spread_;
   next_renewal_ = now + timing_.retry;  // the lease ends meanwhile
 }
--- a/src/ownership/news_source.cc
+++ b/src/ownership/news_source.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "base/durations.h"
 #include "base/hash.h"
 
 namespace plantainpaddle {
@@ -42,10 +43,8 @@
 void news_source::on_answer(const std::string& name) { suspected_.erase(name); }
 
 void news_source::on_failure(const std::string& name, monotonic_time now) {
-  constexpr int max_doublings = 8;
   auto& suspect = suspected_[name];
-  const auto length = timing_.suspicion * (1 << std::min(suspect.failures, max_doublings));
-  suspect.until = now + std::min(timing_.max_suspicion, length);
+  suspect.until = now + doubled(timing_.suspicion, suspect.failures, timing_.max_suspicion);
   ++suspect.failures;
 }
 
--- a/src/ownership/store_feed.cc
+++ b/src/ownership/store_feed.cc
@@ -9,6 +9,8 @@
 #include <cmath>
 #include <utility>
 
+#include "base/durations.h"
+
 namespace plantainpaddle {
 
 store_feed::store_feed(feed_config config, feed_timing timing, double spread)
@@ -16,18 +18,16 @@
 
 // The delay is computed anew at each call: it is shorter once the news have ended.
 duration store_feed::retry_delay(monotonic_time now) const {
-  constexpr int max_doublings = 6;
   constexpr double least_share = 0.7;
   // Successive multiples of the golden ratio spread evenly over the unit interval.
   constexpr double golden_ratio = 0.618034;
   const bool has_time = !config_.bounded && !reached_ && has_news(now);
   const duration first = has_time ? timing_.retry_delay_with_news : timing_.retry_delay;
   const duration longest = has_time ? timing_.max_retry_delay_with_news : timing_.max_retry_delay;
-  const int doublings = std::clamp(failures_ - 1, 0, max_doublings);
-  const duration whole = std::min<duration>(longest, first * (1 << doublings));
+  const duration whole = doubled(first, failures_ - 1, longest);
   const double turn = spread_ + failures_ * golden_ratio;
   const double share = least_share + (1 - least_share) * (turn - std::floor(turn));
-  return std::chrono::duration_cast<duration>(whole * share);
+  return share_of(whole, share);
 }
 
 std::optional<store_read> store_feed::next(monotonic_time now) {
@@ -171,9 +171,6 @@
 
 store_reader::store_reader(const store_layout& layout, const news_bounds& bounds,
                            feed_timing timing, double spread) {
-  const auto share_of = [](duration whole, double share) {
-    return std::chrono::duration_cast<duration>(whole * share);
-  };
   // Two polls fit into the time in which a notice must take effect, so that one may fail.
   constexpr double leaving_share = 0.475;
   // A wait whose answer is lost ends, and the next read is answered, within the bound.
--- a/src/ownership/testing/feed_simulation_news.cc
+++ b/src/ownership/testing/feed_simulation_news.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/durations.h"
 #include "ownership/testing/feed_simulation.h"
 
 namespace plantainpaddle {
@@ -16,10 +17,6 @@
 constexpr double lagging_periods = 1.5;
 constexpr std::size_t answer_overhead = 300;
 
-duration share_of(duration whole, double share) {
-  return std::chrono::duration_cast<duration>(whole * share);
-}
-
 }  // namespace
 
 // The value says what the receiver makes of it, and is as long as the store's.
--- a/src/routing/key_share.cc
+++ b/src/routing/key_share.cc
@@ -8,6 +8,8 @@
 #include <cmath>
 #include <vector>
 
+#include "base/durations.h"
+
 namespace plantainpaddle {
 
 double key_share::requests_of(const counted& key, monotonic_time now) const {
@@ -54,7 +56,7 @@
   if (found.of_key < config_.large_part * found.of_owner) return found;
   // The time until a slot is free for this request if the owner gets no others.
   const double turns = (question.load - slots + 1) / slots;
-  const auto wait = std::chrono::duration_cast<duration>(question.service_time * turns);
+  const auto wait = share_of(question.service_time, turns);
   found.decision = {send_verdict::refuse, send_reason::key_share, wait};
   return found;
 }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -17,6 +17,7 @@
 #include <charconv>
 #include <cmath>
 
+#include "base/durations.h"
 #include "routing/balance.h"
 
 namespace plantainpaddle {
@@ -29,9 +30,6 @@
 constexpr double work_time_smoothing = 0.03;  // for mean times over all upstreams
 constexpr duration min_retry_after = milliseconds(50);
 
-double micros(duration d) { return static_cast<double>(d.count()); }
-duration from_micros(double d) { return duration(static_cast<duration::rep>(d)); }
-
 }  // namespace
 
 std::optional<reported_load> parse_reported_load(std::string_view text) {
--- a/src/routing/placement_contended.cc
+++ b/src/routing/placement_contended.cc
@@ -17,6 +17,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/durations.h"
+#include "base/unit_fraction.h"
 #include "routing/placement.h"
 
 namespace plantainpaddle {
@@ -30,10 +32,6 @@
 constexpr duration min_retry_after = milliseconds(50);
 constexpr double min_success_share = 0.05;
 
-double micros(duration d) { return static_cast<double>(d.count()); }
-
-duration from_micros(double d) { return duration(static_cast<duration::rep>(d)); }
-
 // SplitMix64: derives the further random numbers of a choice from one.
 std::uint64_t next_random(std::uint64_t& state) {
   state += 0x9e3779b97f4a7c15U;
@@ -108,13 +106,11 @@
 // Draws upstreams by weight, each at most once, and returns the one of the least score.
 std::optional<placement::scored_upstream> placement::draw_best(
     std::vector<double>& weights, std::uint64_t& random, const placement_request& request) const {
-  constexpr double two_to_53 = 9007199254740992.0;
-  constexpr int unused_bits = 11;
   std::optional<scored_upstream> best;
   for (std::uint32_t drawn = 0; drawn < config_.contended_candidates; ++drawn) {
     double total = 0;
     for (const double weight : weights) total += weight;
-    double left = static_cast<double>(next_random(random) >> unused_bits) / two_to_53 * total;
+    double left = unit_fraction(next_random(random)) * total;
     std::optional<std::size_t> chosen;
     for (std::size_t i = 0; i < weights.size() && left >= 0; ++i) {
       if (weights[i] <= 0) continue;
--- a/src/routing/priority_admission.cc
+++ b/src/routing/priority_admission.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "base/durations.h"
+#include "base/unit_fraction.h"
+
 namespace plantainpaddle {
 
 namespace {
@@ -27,23 +30,16 @@
 constexpr duration min_retry_after = milliseconds(50);  // about the time of one place in a queue
 constexpr duration useful_retry_after = milliseconds(10);
 
-duration share(duration whole, double part) {
-  return std::chrono::duration_cast<duration>(whole * part);
-}
-
 // Returns a time after which the excess is likely to have gone, spread up to the time after which
 // the target can't be met any more; zero if the caller has no time for another try.
 duration next_try(const priority_question& question, duration excess, duration spare,
                   std::uint64_t random) {
-  constexpr double two_to_53 = 9007199254740992.0;
-  constexpr int unused_bits = 11;
-  const auto longest = share(question.left, retry_share);
+  const auto longest = share_of(question.left, retry_share);
   if (longest < useful_retry_after) return duration::zero();
   const auto base = std::max(min_retry_after, excess);
   const auto latest = std::min(longest, std::max(2 * base, spare));
   const auto earliest = std::min(base, latest / 2);
-  return earliest +
-         share(latest - earliest, static_cast<double>(random >> unused_bits) / two_to_53);
+  return earliest + share_of(latest - earliest, unit_fraction(random));
 }
 
 }  // namespace
@@ -70,7 +66,7 @@
 }
 
 duration affordable_wait(duration target, duration work) {
-  return std::max(duration::zero(), share(target, target_share) - work);
+  return std::max(duration::zero(), share_of(target, target_share) - work);
 }
 
 priority_decision decide_by_priority(const priority_question& question, std::uint64_t random) {
@@ -79,17 +75,17 @@
   const auto target = question.target > duration::zero() ? question.target : question.allowed;
   const auto used = std::max(duration::zero(), question.allowed - question.left);
   const auto work = question.expected - question.wait;
-  decision.late = question.expected + used > share(target, target_share);
-  decision.returns = used >= share(question.allowed, returned_share);
+  decision.late = question.expected + used > share_of(target, target_share);
+  decision.returns = used >= share_of(question.allowed, returned_share);
   const auto own_limit = affordable_wait(target, work);
   const auto ranks = static_cast<double>(std::max<std::size_t>(1, question.ranks));
   double rank = decision.late ? ranks : static_cast<double>(question.rank);
   if (decision.returns) rank -= decision.late ? late_return_bonus : return_bonus;
   const double part = std::clamp(1 - rank / ranks, 0.0, 1.0);
-  const auto limit_when_full = std::min(own_limit, share(question.urgent_wait, part));
+  const auto limit_when_full = std::min(own_limit, share_of(question.urgent_wait, part));
   const double shortage =
       std::clamp((question.usage - roomy_usage) / (full_usage - roomy_usage), 0.0, 1.0);
-  decision.wait_limit = own_limit - share(own_limit - limit_when_full, shortage);
+  decision.wait_limit = own_limit - share_of(own_limit - limit_when_full, shortage);
   const bool in_time = question.expected <= question.left;
   if (in_time && question.wait <= decision.wait_limit) return decision;
   const bool yields = in_time && !decision.late && question.rank > 0 && question.wait <= own_limit;
--- a/src/routing/silence_detector.cc
+++ b/src/routing/silence_detector.cc
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 
+#include "base/durations.h"
+
 namespace plantainpaddle {
 
 namespace {
@@ -25,9 +27,6 @@
 // A report that was on its way while the request was doesn't count it.
 constexpr duration travel_time = milliseconds(20);
 
-double micros(duration d) { return static_cast<double>(d.count()); }
-duration from_micros(double us) { return duration(static_cast<duration::rep>(us)); }
-
 }  // namespace
 
 bool silence_detector::is_full(const reported_load& load) const {
--- a/src/routing/snapshot.cc
+++ b/src/routing/snapshot.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
+
+#include "base/unit_fraction.h"
 
 namespace plantainpaddle {
 namespace {
@@ -52,7 +53,7 @@
                                      std::uint64_t random) {
   double total = 0;
   for (const auto& target : route.targets) total += target.weight;
-  double point = std::ldexp(static_cast<double>(random >> 11), -53) * total;
+  double point = unit_fraction(random) * total;
   for (const auto& target : route.targets) {
     if (point < target.weight) return snapshot.services[target.service];
     point -= target.weight;
