One wait for a value that others hand on, and an index for the feed of own keys

awaits_push() repeated awaits_value() with another time, and the caller combined both; the time is now an argument that store_reader chooses. store_view searched its feeds by prefix in three places, two of them new; store_reader names the feed's index as it does for the first two.

--- a/src/entry/store_view.cc
+++ b/src/entry/store_view.cc
@@ -62,12 +62,7 @@
   return found == records_.end() ? nullptr : &found->second;
 }
 
-bool store_view::knows_own_keys() const {
-  for (std::size_t i = 0; i < feeds_.size(); ++i) {
-    if (feeds_[i].prefix() == own_key_prefix) return feeds_[i].is_read();
-  }
-  return false;
-}
+bool store_view::knows_own_keys() const { return feeds_[store_reader::own_feed].is_read(); }
 
 std::uint64_t store_view::record_version(const service_id& service) const {
   return versions_.version_of(record_key(service));
@@ -83,10 +78,7 @@
 }
 
 monotonic_time store_view::own_keys_known_at() const {
-  for (std::size_t i = 0; i < feeds_.size(); ++i) {
-    if (feeds_[i].prefix() == own_key_prefix) return feeds_[i].known_at();
-  }
-  return {};
+  return feeds_[store_reader::own_feed].known_at();
 }
 
 std::map<std::string, monotonic_time> store_view::known_at() const {
@@ -100,11 +92,7 @@
   const bool is_new = record.era == store_.era() && versions_.advance(record_key(service), version);
   if (is_new) {
     log_.on_value(record_key(service), version, std::nullopt, true);
-    for (std::size_t i = 0; i < feeds_.size(); ++i) {
-      if (feeds_[i].prefix() == own_key_prefix) {
-        feeds_[i].on_handed_on(record_key(service), version);
-      }
-    }
+    feeds_[store_reader::own_feed].on_handed_on(record_key(service), version);
   }
   const auto found = records_.find(service);
   if (found != records_.end() && position_of(record) <= position_of(found->second)) return;
--- a/src/ownership/store_feed.cc
+++ b/src/ownership/store_feed.cc
@@ -138,18 +138,8 @@
   return key.empty() ? std::nullopt : std::optional(key);
 }
 
-bool store_feed::awaits_value(monotonic_time now) const {
-  // A request for news is answered at once if the value is there, unless many want it.
-  constexpr duration handing_time = milliseconds(600);
-  return has_news(now) && required_at_ && wanted() && now < *required_at_ + handing_time;
-}
-
-bool store_feed::awaits_push(monotonic_time now) const {
-  // A pushed record takes a few tens of milliseconds. Without the wait, each record that is too
-  // large for the news made every instance read the store.
-  constexpr duration push_time = milliseconds(300);
-  return !config_.bounded && has_news(now) && required_at_ && wanted() &&
-         now < *required_at_ + push_time;
+bool store_feed::awaits_value(duration longest, monotonic_time now) const {
+  return has_news(now) && required_at_ && wanted() && now < *required_at_ + longest;
 }
 
 void store_feed::request(monotonic_time now) {
@@ -250,8 +240,15 @@
 // Feeds without bound that others hand on share one schedule of reads while the store fails: after
 // each one's delay, the feed tries that failed first or hasn't yet.
 bool store_reader::may_read(std::size_t feed, monotonic_time now) const {
+  // While the store fails, the reader is asked for the value, and answers at once unless many want
+  // it.
+  constexpr duration handing_time = milliseconds(600);
+  // Otherwise the writer of a record pushes it, which takes a few tens of milliseconds. Without the
+  // wait, each record that is too large for the news made every instance read the store.
+  constexpr duration push_time = milliseconds(300);
   const auto& own = feeds_[feed];
-  if (own.awaits_push(now) || (own.awaits_value(now) && is_failing())) return false;
+  const duration for_others = own.is_bounded() ? duration::zero() : duration(push_time);
+  if (own.awaits_value(is_failing() ? duration(handing_time) : for_others, now)) return false;
   if (own.is_bounded() || !own.has_news(now)) return true;
   return std::none_of(feeds_.begin(), feeds_.end(), [&](const auto& other) {
     const auto failed_at = other.failed_at();
--- a/src/ownership/store_feed.h
+++ b/src/ownership/store_feed.h
@@ -109,10 +109,9 @@
   void on_handed_on(const std::string& key, std::uint64_t version);
   // Returns the key of a value that the feed waits for since require_read().
   std::optional<std::string> wanted() const;
-  // Whether another instance gets time to hand on such a value before the store is read.
-  bool awaits_value(monotonic_time now) const;
-  // Whether the instance that wrote such a value gets time to push it before the store is read.
-  bool awaits_push(monotonic_time now) const;
+  // Whether another instance gets time to hand on such a value before the store is read: for
+  // `longest` at most.
+  bool awaits_value(duration longest, monotonic_time now) const;
   // The store has come back from an older copy: everything is read anew. Answers to reads that are
   // under way aren't taken in.
   void restart(monotonic_time now);
@@ -208,6 +207,7 @@
   const store_feed& upstreams() const { return feeds_[upstream_feed]; }
   static constexpr std::size_t desired_feed = 0;
   static constexpr std::size_t upstream_feed = 1;
+  static constexpr std::size_t own_feed = 2;
 
  private:
   bool is_failing() const;
--- a/src/ownership/testing/news_test.cc
+++ b/src/ownership/testing/news_test.cc
@@ -286,7 +286,7 @@
 // Guards against reads of the store by every instance each time that a large record is written,
 // although the record is pushed to them.
 BOOST_AUTO_TEST_CASE(a_follower_waits_for_a_pushed_record_before_it_reads_the_store) {
-  constexpr std::size_t own_feed = 2;
+  constexpr std::size_t own_feed = store_reader::own_feed;
   const std::string record = "own/record";
   auto feeds = read_feeds(9, at(0));
   feeds.set_role(feed_role::follower);
