--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr unsigned status_unavailable = 503;
 constexpr std::uint64_t max_unread_request = 16 << 10;  // bytes, fit into any receive window
 constexpr std::uint64_t unknown_size = std::numeric_limits<std::uint64_t>::max();
 
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -82,7 +82,7 @@
     bool too_late = false;              // the gate refused because of the deadline
     std::optional<send_reason> unsent;  // why the request was held back right before it was sent
     run_state known = run_state::not_run;
-    unsigned status = 503;
+    unsigned status = status_unavailable;
     error cause;
     std::optional<failure_kind> failure;  // what the attempt shows about the upstream
   };
@@ -136,6 +136,7 @@
   void count_key();
   std::optional<local_response> check_key_share(std::size_t owner, monotonic_time now);
   std::optional<local_response> check_admission(const placement_decision& chosen);
+  void note_refused(send_reason reason);
 
   std::optional<std::size_t> index_of(const upstream_id& name) const;
   local_response unavailable_response(const std::string& detail, const std::string& peer) const;
--- a/src/entry/exchange_admission.cc
+++ b/src/entry/exchange_admission.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr unsigned status_unavailable = 503;
-
 std::string milliseconds_text(duration d) { return std::to_string(d.count() / 1000) + " ms"; }
 
 }  // namespace
@@ -44,10 +42,8 @@
   const auto admitted = decide_by_priority(question, worker_.random());
   const auto decision = strictest({}, admitted.term);
   if (decision.verdict != send_verdict::refuse) return std::nullopt;
-  refused_for_ = decision.reason;
+  note_refused(decision.reason);
   const auto reason = std::string(reason_name(decision.reason));
-  worker_.counters().add("sends_refused_total",
-                         {{"reason", reason}, {"priority", std::to_string(policy.priority)}});
   if (worker_.shared().may_log_refusal(decision.reason, now)) {
     log_event(log_level::info, "request refused for lack of room",
               {{"reason", std::string_view(reason)},
@@ -68,16 +64,21 @@
                {"late", admitted.late ? 1 : 0},
                {"retry_after_ms", decision.again_in}});
   }
-  local_response refusal{
-      status_unavailable,
-      {errc::limit_exceeded, step::admit, chosen.considered->value,
-       reason + ": the wait is " + milliseconds_text(chosen.wait) + ", the limit " +
-           milliseconds_text(admitted.wait_limit) + ", expected " +
-           milliseconds_text(chosen.expected) + ", report of " +
-           milliseconds_text(chosen.report_age.value_or(duration::zero())) + " ago"},
-      run_outcome::not_run};
-  refusal.retry_after = decision.again_in;
-  return refusal;
+  return no_room_response(chosen.considered->value,
+                          reason + ": the wait is " + milliseconds_text(chosen.wait) +
+                              ", the limit " + milliseconds_text(admitted.wait_limit) +
+                              ", expected " + milliseconds_text(chosen.expected) + ", report of " +
+                              milliseconds_text(chosen.report_age.value_or(duration::zero())) +
+                              " ago",
+                          decision.again_in);
+}
+
+// Notes by which rule the request is refused, for the metrics and its line in the log.
+void exchange::note_refused(send_reason reason) {
+  refused_for_ = reason;
+  worker_.counters().add("sends_refused_total",
+                         {{"reason", std::string(reason_name(reason))},
+                          {"priority", std::to_string(match_.policy.priority)}});
 }
 
 }  // namespace plantainpaddle
--- a/src/entry/exchange_choice.cc
+++ b/src/entry/exchange_choice.cc
@@ -6,12 +6,6 @@
 
 namespace plantainpaddle {
 
-namespace {
-
-constexpr unsigned status_unavailable = 503;
-
-}  // namespace
-
 exchange::choice exchange::choose(const std::optional<upstream_id>& failed) {
   return worker_.settings().shared_upstreams ? choose_by_load(failed) : choose_by_gate(failed);
 }
@@ -103,14 +97,11 @@
     }
     const bool late = chosen.why == placement_refusal::too_late;
     if (!late) return unavailable_response("no upstream is available", "");
-    local_response refusal{
-        status_unavailable,
-        {errc::limit_exceeded, step::admit, "",
-         "the request is expected to take " + std::to_string(chosen.expected.count()) + " us, " +
-             std::to_string(question.left.count()) + " us are left"},
-        run_outcome::not_run};
-    refusal.retry_after = chosen.retry_after;
-    return refusal;
+    return no_room_response("",
+                            "the request is expected to take " +
+                                std::to_string(chosen.expected.count()) + " us, " +
+                                std::to_string(question.left.count()) + " us are left",
+                            chosen.retry_after);
   }
   // The view may be older than the list that the placement chose from.
   const auto index = index_of(*chosen.upstream);
--- a/src/entry/exchange_keys.cc
+++ b/src/entry/exchange_keys.cc
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr unsigned status_unavailable = 503;
-
 // Returns the number of keys that the upstream is assigned.
 std::uint64_t count_keys(const service_snapshot& service, std::size_t upstream) {
   const auto* numbered = std::get_if<numbered_keys>(&service.keys);
@@ -60,11 +58,7 @@
   question.keys_of_owner = count_keys(service(), owner);
   const auto found = traffic().key_shares->judge(question);
   if (found.decision.verdict != send_verdict::refuse) return std::nullopt;
-  refused_for_ = found.decision.reason;
-  const std::string reason(reason_name(found.decision.reason));
-  worker_.counters().add(
-      "sends_refused_total",
-      {{"reason", reason}, {"priority", std::to_string(match_.policy.priority)}});
+  note_refused(found.decision.reason);
   if (traffic().key_shares->may_log(now)) {
     log_event(log_level::info, "key limited to its share",
               {{"request", messages_.request_id},
@@ -78,15 +72,12 @@
                {"keys_of_owner", question.keys_of_owner},
                {"again_in_ms", found.decision.again_in}});
   }
-  local_response refusal{
-      status_unavailable,
-      {errc::limit_exceeded, step::admit, row.name.value,
-       reason + ": the key has " + two_decimals(found.of_key) + " of " +
-           two_decimals(found.of_owner) + " recent requests here, load " +
-           two_decimals(question.load) + " of " + std::to_string(row.slots) + " slots"},
-      run_outcome::not_run};
-  refusal.retry_after = spread_retry_after(found.decision.again_in);
-  return refusal;
+  return no_room_response(row.name.value,
+                          std::string(reason_name(found.decision.reason)) + ": the key has " +
+                              two_decimals(found.of_key) + " of " + two_decimals(found.of_owner) +
+                              " recent requests here, load " + two_decimals(question.load) +
+                              " of " + std::to_string(row.slots) + " slots",
+                          spread_retry_after(found.decision.again_in));
 }
 
 // Notes the time of an answer, from which the planner of key ranges learns the upstream's speed. An
--- a/src/entry/exchange_limit.cc
+++ b/src/entry/exchange_limit.cc
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr unsigned status_unavailable = 503;
 // Shares of the route's target latency and of the time left for which a request waits for a permit.
 constexpr double target_share = 0.4;
 // The same for a cold upstream. A request that is held for longer is better refused.
@@ -170,13 +169,10 @@
     traffic().placed->on_limit_used_up(name, decision.wait, monotonic_now());
     return {false, route_request()};
   }
-  local_response refusal{status_unavailable,
-                         {errc::limit_exceeded, step::admit, name.value,
-                          limit.cold ? "the upstream is cold and takes no more requests now"
-                                     : "the upstream takes no more requests now"},
-                         run_outcome::not_run};
-  refusal.retry_after = spread_retry_after(decision.wait);
-  return {false, std::move(refusal)};
+  return {false, no_room_response(name.value,
+                                  limit.cold ? "the upstream is cold and takes no more requests now"
+                                             : "the upstream takes no more requests now",
+                                  spread_retry_after(decision.wait))};
 }
 
 // Returns a time between `wait` and that plus twice the usual time, as a fixed one would bring the
--- a/src/entry/exchange_response.cc
+++ b/src/entry/exchange_response.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_unavailable = 503;
 constexpr duration dispatcher_response_margin = milliseconds(50);
 // Of an upstream's interim responses, and of those to earlier requests, before the one expected.
 constexpr int max_skipped_responses = 8;
--- a/src/entry/local_response.cc
+++ b/src/entry/local_response.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <utility>
 
 #include "base/json.h"
 #include "routing/response_status.h"
@@ -25,6 +26,13 @@
 
 }  // namespace
 
+local_response no_room_response(std::string peer, std::string detail, duration retry_after) {
+  return {status_unavailable,
+          {errc::limit_exceeded, step::admit, std::move(peer), std::move(detail)},
+          run_outcome::not_run,
+          retry_after};
+}
+
 local_response settle(local_response wanted, bool may_have_run) {
   if (may_have_run && wanted.outcome == run_outcome::not_run) wanted.outcome = run_outcome::unknown;
   const bool not_run = wanted.outcome == run_outcome::not_run;
--- a/src/entry/local_response.h
+++ b/src/entry/local_response.h
@@ -17,14 +17,20 @@
 inline constexpr std::size_t run_outcome_count = 3;
 std::string_view outcome_name(run_outcome outcome) noexcept;
 
+inline constexpr unsigned status_unavailable = 503;
+
 // A response of the router with the error that caused it.
 struct local_response {
-  unsigned status = 503;
+  unsigned status = status_unavailable;
   error cause;
   run_outcome outcome = run_outcome::not_run;
   duration retry_after{0};  // 0: no Retry-After
 };
 
+// Refuses a request, which hasn't run, as there is no room for it now: at the upstream that `peer`
+// names or, if it is empty, in the router.
+local_response no_room_response(std::string peer, std::string detail, duration retry_after);
+
 // What may be said instead, with the outcome that is known: a status that promises that the request
 // hasn't run, and a Retry-After, only if it is so.
 local_response settle(local_response wanted, bool may_have_run);
--- a/src/entry/session.cc
+++ b/src/entry/session.cc
@@ -280,8 +280,8 @@
   local_response wanted{slow ? 408U : fault_status(read.fault),
                         head_error("head: " + std::string(name))};
   if (no_memory) {
-    wanted = {503, {errc::limit_exceeded, step::admit, "", "no memory is left for the request"}};
-    wanted.retry_after = home_.settings().limits.retry_after;
+    wanted = no_room_response("", "no memory is left for the request",
+                              home_.settings().limits.retry_after);
   }
   const auto answer = settle(std::move(wanted), false);
   const std::string text = format_local_response(answer, {.close = true}, home_.settings().names);
