One question for a cold start, and one burst of permits

limit_of(), check_upstream() and note_answer() each tested the end of a cold start, one of them without regard to services for which it isn't known; is_cold() serves them. cold_permit_rate() repeated the burst that issue() computes; permit_burst() serves both.

--- a/src/entry/exchange_keys.cc
+++ b/src/entry/exchange_keys.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "entry/exchange.h"
 #include "entry/worker.h"
+#include "routing/cold_rate.h"
 
 namespace plantainpaddle {
 
@@ -86,8 +87,7 @@
 void exchange::note_answer(const destination& to, const attempt_report& report,
                            monotonic_time now) {
   if (!view_->snapshot->contended || !service().service.keyed || !traffic().answers) return;
-  const auto& warm_since = service().warm_since;
-  if (!warm_since.empty() && now < warm_since[to.upstream]) return;
+  if (is_cold(service(), to.upstream, now)) return;
   if (report.load && report.load->waiting > 0) return;
   traffic().answers->add(service().upstreams[to.upstream].name, report.work, report.latency);
 }
--- a/src/entry/exchange_limit.cc
+++ b/src/entry/exchange_limit.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "entry/exchange.h"
 #include "entry/worker.h"
+#include "routing/cold_rate.h"
 #include "routing/upstream_statement.h"
 
 namespace plantainpaddle {
@@ -99,8 +100,7 @@
   const auto& limits = worker_.shared().named_limits.all();
   const auto named = limits.find(service().upstreams[to.upstream].name);
   const double cold_rate = service().cold_rate;
-  const bool cold =
-      cold_rate > 0 && !service().warm_since.empty() && now < service().warm_since[to.upstream];
+  const bool cold = cold_rate > 0 && is_cold(service(), to.upstream, now);
   const rate_limit while_cold{cold_rate, duration::zero(), true};
   if (named == limits.end()) return cold ? std::optional(while_cold) : std::nullopt;
   const rate_limit limit{named->second.rate, now - named->second.named, cold};
--- a/src/routing/cold_rate.cc
+++ b/src/routing/cold_rate.cc
@@ -6,7 +6,6 @@
 #include "routing/cold_rate.h"
 
 #include <algorithm>
-#include <chrono>
 
 #include "routing/upstream_permits.h"
 
@@ -21,11 +20,13 @@
 }  // namespace
 
 double cold_permit_rate(double stated, const cold_bound& bound) {
-  const permit_config permits;
-  const double burst_s = std::chrono::duration<double>(permits.burst_time).count();
-  const double bursts = std::clamp(stated * burst_s, 1.0, permits.max_burst) + other_bursts;
+  const double bursts = permit_burst(stated, permit_config{}) + other_bursts;
   const double within = (stated * bound.overrun + bound.slack - bursts) / (all_shares * bunched_s);
   return std::clamp(within, stated * least_share, stated);
 }
 
+bool is_cold(const service_snapshot& service, std::size_t upstream, monotonic_time now) {
+  return !service.warm_since.empty() && now < service.warm_since[upstream];
+}
+
 }  // namespace plantainpaddle
--- a/src/routing/upstream_check.cc
+++ b/src/routing/upstream_check.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/cold_rate.h"
+
 namespace plantainpaddle {
 
 send_decision check_upstream(const routing_snapshot& latest, const service_id& service,
@@ -23,7 +25,7 @@
     return {send_verdict::refuse, send_reason::evacuated, {}};
   }
   if (row->state != upstream_state::active) return gone;
-  const bool cold = declared->cold_rate > 0 && now < declared->warm_since[index];
+  const bool cold = declared->cold_rate > 0 && is_cold(*declared, index, now);
   if (!cold || (permitted_until && now < *permitted_until)) return {};
   return {send_verdict::wait, send_reason::cold, {}};
 }
--- a/src/routing/upstream_permits.cc
+++ b/src/routing/upstream_permits.cc
@@ -35,6 +35,11 @@
 
 }  // namespace
 
+double permit_burst(double rate, const permit_config& config) {
+  const double due = rate * std::chrono::duration<double>(config.burst_time).count();
+  return std::clamp(due, 1.0, config.max_burst);
+}
+
 upstream_permits::upstream_permits(std::string self, permit_config config)
     : self_(std::move(self)), config_(config) {}
 
@@ -135,8 +140,7 @@
   const bool first = !order.empty() && order.front() == self_;
   const bool settled = first && now - instances_.at(self_).since >= config_.settle_time;
   const double rate = settled ? state.rate : state.rate * config_.unsettled_share;
-  const double due_in_burst_time = rate * std::chrono::duration<double>(config_.burst_time).count();
-  const double burst = settled ? std::clamp(due_in_burst_time, 1.0, config_.max_burst) : 1.0;
+  const double burst = settled ? permit_burst(rate, config_) : 1.0;
   const auto interval = interval_of(rate);
   const auto saved = duration(static_cast<duration::rep>((burst - 1) * interval.count()));
   state.next = std::max(state.next, now - saved);
--- a/src/routing/upstream_permits.h
+++ b/src/routing/upstream_permits.h
@@ -52,6 +52,9 @@
   bool operator==(const permit_config&) const = default;
 };
 
+// Returns how many permits an issuer gives out at once after a pause.
+double permit_burst(double rate, const permit_config& config);
+
 // One request to an upstream with a limit.
 struct permit_request {
   upstream_id upstream;
