--- /dev/null
+++ b/review/common-2/cases.h
@@ -0,0 +1,28 @@
+// The cases of the review that are scripts.
+#pragma once
+
+#include "holds.h"
+
+namespace lab {
+
+using case_runner = int (*)(const std::string& self, const std::string& entry,
+                            const std::string& record, bool trouble);
+
+int play_reused_address(const std::string& self, const std::string& entry,
+                        const std::string& record, bool trouble);
+int play_foreign_entry(const std::string& self, const std::string& entry, const std::string& record,
+                       bool trouble);
+
+int play_interim_response(const std::string& self, const std::string& entry,
+                          const std::string& record, bool trouble);
+int play_pipeline_left(const std::string& self, const std::string& entry, const std::string& record,
+                       bool trouble);
+
+inline std::map<std::string, case_runner> all_cases() {
+  return {{"reused-address", play_reused_address},
+          {"foreign-entry", play_foreign_entry},
+          {"interim-response", play_interim_response},
+          {"pipeline-left", play_pipeline_left}};
+}
+
+}  // namespace lab
