--- a/review/common-2/client_cases.cc
+++ b/review/common-2/client_cases.cc
@@ -202,4 +202,100 @@
   return broken ? 1 : 0;
 }
 
+// Clients keep their connections and send six safe requests at a time ahead. Some servers break off
+// a few of their answers.
+int play_pipeline_cut(const std::string& self, const std::string& entry, const std::string& record,
+                      bool trouble) {
+  constexpr int servers_count = 10;
+  constexpr int faulty = 3;  // a share of 0.3
+  constexpr int clients_count = 12;
+  constexpr int ahead = 6;
+  constexpr std::size_t answer_bytes = 100000;
+  constexpr std::int64_t length_ms = 20000;
+  constexpr int allowed = 3;  // LOST: "more than three times"
+  site here(self, entry);
+  client_log clients;
+  const service_row service{.name = "omega"};
+  here.start_store();
+  here.put_config({service});
+  std::vector<std::string> ids;
+  std::set<std::string> sound;
+  for (int i = 1; i <= servers_count; ++i) {
+    const bool cuts = trouble && i <= faulty;
+    ids.push_back("o" + std::to_string(i));
+    if (!cuts) sound.insert(ids.back());
+    here.start_server(ids.back(), service, free_address(),
+                      {"work=20", "body=" + std::to_string(answer_bytes),
+                       std::string("cut=") + (cuts ? "0.02" : "0")});
+  }
+  const auto at = here.start_entry("edge-z-a", "z-a");
+  if (!wait_until_served(at, "omega", 20000)) {
+    std::cout << "the deployment isn't served\n";
+    return 2;
+  }
+  sleep_ms(500);
+  std::mutex mutex;
+  std::set<std::string> unanswered;  // sent on a kept connection that ended before their answers
+  int sent_count = 0;
+  std::vector<std::thread> threads;
+  const auto end = now_ms() + length_ms;
+  for (int i = 0; i < clients_count; ++i) {
+    threads.emplace_back([&, i] {
+      while (now_ms() < end) {
+        const int fd = connect_to(at.callers);
+        if (fd < 0) continue;
+        reader in(fd);
+        bool open = true;
+        bool kept = false;
+        while (open && now_ms() < end) {
+          std::vector<std::string> sent;
+          std::string text;
+          for (int j = 0; j < ahead; ++j) {
+            sent.push_back(new_request_id("c" + std::to_string(i)));
+            text += format_request("GET", "omega", "report", sent.back(), 5000, -1);
+            clients.note({{"ev", "sent"}, {"request", sent.back()}, {"kept", kept}});
+          }
+          open = send_all(fd, text);
+          for (const auto& id : sent) {
+            message answer;
+            const auto until = now_ms() + 7000;
+            const bool begun = open && in.head(answer, until);
+            const bool whole = begun && in.body(answer, until);
+            open = whole;
+            clients.note({{"ev", whole ? "answered" : (begun ? "broken" : "unanswered")},
+                          {"request", id},
+                          {"status", begun ? answer.status : 0}});
+            const std::lock_guard lock(mutex);
+            ++sent_count;
+            if (!begun && kept) unanswered.insert(id);
+            kept = kept || whole;
+          }
+          sleep_ms(100);
+        }
+        ::close(fd);
+      }
+    });
+  }
+  for (auto& one : threads) one.join();
+  sleep_ms(500);
+  auto events = collect(here, ids, clients);
+  int lost = 0, cut = 0;
+  for (const auto& event : events) {
+    const std::string ev(event.at("ev").as_string());
+    cut += ev == "cut" ? 1 : 0;
+    if (ev != "run" || sound.count(std::string(event.at("id").as_string())) == 0) continue;
+    lost += unanswered.count(std::string(event.at("request").as_string())) != 0 ? 1 : 0;
+  }
+  const std::vector<std::string> lines{
+      "requests sent: " + std::to_string(sent_count),
+      "answers that servers broke off: " + std::to_string(cut),
+      "requests from a kept connection that a sound server ran and that got no answer, as their "
+      "connection was closed: " +
+          std::to_string(lost),
+      lost > allowed ? "LOST: the rule was broken" : "the rule held"};
+  write_record(record, std::move(events), here.began(), lines);
+  for (const auto& line : lines) std::cout << line << '\n';
+  return lost > allowed ? 1 : 0;
+}
+
 }  // namespace lab
--- a/review/common-2/lab.cc
+++ b/review/common-2/lab.cc
@@ -32,6 +32,7 @@
       if (name == "body") options.body = std::stoll(value);
       if (name == "pause_after") options.pause_after = std::stoll(value);
       if (name == "pause_ms") options.pause_ms = std::stoll(value);
+      if (name == "cut") options.cut = std::stod(value);
       if (name == "slots") options.slots = std::stoi(value);
       if (name == "sharded") options.sharded = value == "1";
       if (name == "registers") options.registers = value == "1";
--- a/review/common-2/server.h
+++ b/review/common-2/server.h
@@ -22,6 +22,7 @@
   std::int64_t body = 100;       // bytes of an answer
   std::int64_t pause_after = 0;  // bytes of a body after which it waits for pause_ms; 0: never
   std::int64_t pause_ms = 0;
+  double cut = 0;  // share of its answers that it breaks off
   int slots = 6;
   bool sharded = true;
   bool registers = true;
@@ -223,6 +224,11 @@
         std::to_string(running) + ",0," + std::to_string(options_.slots);
     const auto bytes = body_of(id, static_cast<std::size_t>(options_.body));
     const auto text = format_response(200, head, bytes);
+    if (is_cut_off(id)) {
+      note({{"ev", "cut"}, {"request", id}});
+      send_all(fd, text.substr(0, text.size() - bytes.size() / 2));
+      return false;
+    }
     if (options_.pause_after == 0) return send_all(fd, text);
     const auto first = text.size() - bytes.size() + static_cast<std::size_t>(options_.pause_after);
     if (!send_all(fd, text.substr(0, first))) return false;
@@ -230,6 +236,13 @@
     return send_all(fd, text.substr(first));
   }
 
+  // Follows from the request's id.
+  bool is_cut_off(const std::string& id) const {
+    constexpr double steps = 10000;
+    const auto drawn = std::hash<std::string>{}(options_.id + "/" + id) % 10000;
+    return static_cast<double>(drawn) < options_.cut * steps;
+  }
+
   // A path that ends in "/w300" takes 300 ms, any other one the usual time.
   std::int64_t work_of(const std::string& target) const {
     const auto at = target.rfind("/w");
