review: case 8, OWNER by an entry without a field

Another writer's entry without a version is used as a server, and a server of another service is granted keys that others hold.

--- a/review/common-2/cases.h
+++ b/review/common-2/cases.h
@@ -13,6 +13,8 @@
 int play_foreign_entry(const std::string& self, const std::string& entry, const std::string& record,
                        bool trouble);
 
+int play_incomplete_entry(const std::string& self, const std::string& entry,
+                          const std::string& record, bool trouble);
 int play_interim_response(const std::string& self, const std::string& entry,
                           const std::string& record, bool trouble);
 int play_pipeline_left(const std::string& self, const std::string& entry, const std::string& record,
@@ -22,11 +24,9 @@
                       bool trouble);
 
 inline std::map<std::string, case_runner> all_cases() {
-  return {{"reused-address", play_reused_address},
-          {"foreign-entry", play_foreign_entry},
-          {"interim-response", play_interim_response},
-          {"pipeline-left", play_pipeline_left},
-          {"pipeline-cut", play_pipeline_cut}};
+  return {{"reused-address", play_reused_address},     {"foreign-entry", play_foreign_entry},
+          {"incomplete-entry", play_incomplete_entry}, {"interim-response", play_interim_response},
+          {"pipeline-left", play_pipeline_left},       {"pipeline-cut", play_pipeline_cut}};
 }
 
 }  // namespace lab
--- a/review/common-2/owner_cases.cc
+++ b/review/common-2/owner_cases.cc
@@ -211,4 +211,56 @@
   return finish(here, ids, clients, lines, {}, record);
 }
 
+// Two services are divided by key. Another writer's entry, which lacks a field, is of the first
+// service and has the address of a server of the second.
+int play_incomplete_entry(const std::string& self, const std::string& entry,
+                          const std::string& record, bool trouble) {
+  site here(self, entry);
+  client_log clients;
+  const service_row first{.name = "alpha", .sharded = true};
+  const service_row second{.name = "beta", .sharded = true};
+  here.start_store();
+  here.put_config({first, second});
+  const std::vector<std::string> usual{"heartbeat=1500"};
+  std::vector<std::string> ids;
+  std::vector<server_row> servers;
+  const auto add = [&](const std::string& id, const service_row& service) {
+    servers.push_back(here.start_server(id, service, free_address(), usual));
+    ids.push_back(id);
+  };
+  for (int i = 1; i <= 4; ++i) add("b" + std::to_string(i), second);
+  for (int i = 1; i <= 6; ++i) add("a" + std::to_string(i), first);
+  std::vector<entry_row> entries;
+  for (const char* zone : {"z-a", "z-b", "z-c"}) {
+    entries.push_back(here.start_entry(std::string("edge-") + zone, zone));
+  }
+  if (!wait_until_served(entries, {"alpha", "beta"}, 30000)) {
+    std::cout << "the deployment isn't served\n";
+    return 2;
+  }
+  std::vector<std::string> lines;
+  {
+    key_traffic traffic(clients, entries, {"alpha", "beta"}, 12);
+    sleep_ms(3000);
+    if (trouble) {
+      // There is no `version`.
+      here.put("servers/x-1", json::serialize(json::object{{"service", "alpha"},
+                                                           {"address", servers[0].address},
+                                                           {"zone", "z-a"},
+                                                           {"max-concurrency", 6},
+                                                           {"state", "ready"},
+                                                           {"warmup-left", "0ms"},
+                                                           {"sequence", 1},
+                                                           {"born", 1790000000000}}));
+      lines.push_back("another writer's entry written at " +
+                      std::to_string(now_ms() - here.began()) + " ms");
+    }
+    sleep_ms(8000);
+  }
+  for (const auto& one : entries) {
+    if (here.has_ended(one.pid)) lines.push_back(one.name + " has ended by itself");
+  }
+  return finish(here, ids, clients, lines, {}, record);
+}
+
 }  // namespace lab
