--- a/review/common-2/cases.h
+++ b/review/common-2/cases.h
@@ -10,23 +10,21 @@
 
 int play_reused_address(const std::string& self, const std::string& entry,
                         const std::string& record, bool trouble);
-int play_foreign_entry(const std::string& self, const std::string& entry, const std::string& record,
-                       bool trouble);
-
 int play_incomplete_entry(const std::string& self, const std::string& entry,
                           const std::string& record, bool trouble);
 int play_interim_response(const std::string& self, const std::string& entry,
                           const std::string& record, bool trouble);
-int play_pipeline_left(const std::string& self, const std::string& entry, const std::string& record,
-                       bool trouble);
-
+int play_unread_pipelines(const std::string& self, const std::string& entry,
+                          const std::string& record, bool trouble);
 int play_pipeline_cut(const std::string& self, const std::string& entry, const std::string& record,
                       bool trouble);
 
 inline std::map<std::string, case_runner> all_cases() {
-  return {{"reused-address", play_reused_address},     {"foreign-entry", play_foreign_entry},
-          {"incomplete-entry", play_incomplete_entry}, {"interim-response", play_interim_response},
-          {"pipeline-left", play_pipeline_left},       {"pipeline-cut", play_pipeline_cut}};
+  return {{"reused-address", play_reused_address},
+          {"incomplete-entry", play_incomplete_entry},
+          {"interim-response", play_interim_response},
+          {"unread-pipelines", play_unread_pipelines},
+          {"pipeline-cut", play_pipeline_cut}};
 }
 
 }  // namespace lab
--- a/review/common-2/owner_cases.cc
+++ b/review/common-2/owner_cases.cc
@@ -155,62 +155,6 @@
   return finish(here, ids, clients, lines, killed, record);
 }
 
-// A server of a service that is divided by key loses its way to the store, and its entry goes after
-// three ping intervals; it still serves. Another writer's entry, of a service that isn't named in
-// the desired state, has the same address.
-int play_foreign_entry(const std::string& self, const std::string& entry, const std::string& record,
-                       bool trouble) {
-  constexpr std::int64_t heartbeat_ms = 1500;
-  site here(self, entry);
-  client_log clients;
-  const service_row service{.name = "alpha", .sharded = true};
-  here.start_store();
-  here.put_config({service});
-  const std::vector<std::string> usual{"heartbeat=" + std::to_string(heartbeat_ms)};
-  std::vector<std::string> ids;
-  std::vector<server_row> servers;
-  for (int i = 1; i <= 6; ++i) {
-    const auto id = "a" + std::to_string(i);
-    servers.push_back(here.start_server(id, service, free_address(), usual));
-    ids.push_back(id);
-  }
-  std::vector<entry_row> entries;
-  for (const char* zone : {"z-a", "z-b", "z-c"}) {
-    entries.push_back(here.start_entry(std::string("edge-") + zone, zone));
-  }
-  if (!wait_until_served(entries, {"alpha"}, 30000)) {
-    std::cout << "the deployment isn't served\n";
-    return 2;
-  }
-  std::vector<std::string> lines;
-  {
-    key_traffic traffic(clients, entries, {"alpha"}, 8);
-    sleep_ms(3000);
-    if (trouble) {
-      here.put("servers/x-inventory", json::serialize(json::object{{"service", "inventory"},
-                                                                   {"address", servers[0].address},
-                                                                   {"zone", "z-a"},
-                                                                   {"version", "v1"},
-                                                                   {"max-concurrency", 6},
-                                                                   {"state", "ready"},
-                                                                   {"warmup-left", "0ms"},
-                                                                   {"sequence", 1},
-                                                                   {"born", 1790000000000}}));
-      lines.push_back("another writer's entry written at " +
-                      std::to_string(now_ms() - here.began()) + " ms");
-    }
-    sleep_ms(3000);
-    here.kill(servers[0].pid, SIGUSR1);
-    lines.push_back("a1 was cut off from the store at " + std::to_string(now_ms() - here.began()) +
-                    " ms");
-    sleep_ms(3 * heartbeat_ms + 4500);  // `srv_cut` lasts up to 10 s
-  }
-  for (const auto& one : entries) {
-    if (here.has_ended(one.pid)) lines.push_back(one.name + " has ended by itself");
-  }
-  return finish(here, ids, clients, lines, {}, record);
-}
-
 // Two services are divided by key. Another writer's entry, which lacks a field, is of the first
 // service and has the address of a server of the second.
 int play_incomplete_entry(const std::string& self, const std::string& entry,
--- a/review/common-2/site.h
+++ b/review/common-2/site.h
@@ -40,6 +40,7 @@
   bool sharded = false;
   std::string timeout = "5000ms";
   int connections = 120;
+  int priority = 1;
 };
 
 struct server_row {
@@ -134,7 +135,7 @@
                                     {"route-type", one.kind},
                                     {"timeout", one.timeout},
                                     {"target-latency", "1000ms"},
-                                    {"priority", 1},
+                                    {"priority", one.priority},
                                     {"service", one.name},
                                     {"max-attempts", 2}});
       json::object row{{"name", one.name},
