--- /dev/null
+++ b/review/common-3/cases.h
@@ -0,0 +1,21 @@
+// The cases by name.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "world.h"
+
+namespace lab {
+
+int late_for_leaving_server(setting& world);
+int first_era_is_zero(setting& world);
+int answer_behind_slow_one(setting& world);
+
+inline std::map<std::string, int (*)(setting&)> cases() {
+  return {{"leaving", late_for_leaving_server},
+          {"era", first_era_is_zero},
+          {"behind", answer_behind_slow_one}};
+}
+
+}  // namespace lab
