--- a/review/common-3/store.h
+++ b/review/common-3/store.h
@@ -66,13 +66,16 @@
   std::uint64_t write(const std::string& key, const std::string& value) {
     const std::lock_guard lock(mutex_);
     if (away_) return 0;
+    ++revision_;
     put(key, value, 0);
+    heard_[key] = now_ms();
     changed_.notify_all();
     return revision_;
   }
   std::uint64_t remove(const std::string& key) {
     const std::lock_guard lock(mutex_);
     if (away_) return 0;
+    ++revision_;
     erase(key);
     changed_.notify_all();
     return revision_;
@@ -108,6 +111,7 @@
     revision_ = copied_revision_;
     events_.clear();
     first_event_ = revision_;
+    heard_.clear();
     ++era_;
     changed_.notify_all();
   }
@@ -130,9 +134,10 @@
     long ends = 0;
   };
 
+  // The changes of one call share a revision.
   void put(const std::string& key, const std::string& value, std::uint64_t held_by) {
     auto& one = items_[key];
-    one.revision = ++revision_;
+    one.revision = revision_;
     if (one.created == 0) one.created = revision_;
     one.value = value;
     one.lease = held_by;
@@ -140,13 +145,14 @@
   }
   void erase(const std::string& key) {
     if (items_.erase(key) == 0) return;
-    events_.push_back({key, true, {}, ++revision_});
+    events_.push_back({key, true, {}, revision_});
   }
   void end_lease(std::uint64_t id) {
     std::vector<std::string> keys;
     for (const auto& [key, one] : items_) {
       if (one.lease == id) keys.push_back(key);
     }
+    if (!keys.empty()) ++revision_;
     for (const auto& key : keys) erase(key);
     leases_.erase(id);
   }
@@ -158,7 +164,20 @@
       if (now_ms() >= one.ends) ended.push_back(id);
     }
     for (const auto id : ended) end_lease(id);
-    if (!ended.empty()) changed_.notify_all();
+    // A server's entry is removed after three heartbeats of silence.
+    std::vector<std::string> silent;
+    for (const auto& [key, one] : items_) {
+      if (!key.starts_with("servers/")) continue;
+      auto& heard = heard_[key];
+      if (heard == 0) heard = now_ms();
+      if (now_ms() - heard > entry_life_ms) silent.push_back(key);
+    }
+    for (const auto& key : silent) {
+      ++revision_;
+      erase(key);
+      heard_.erase(key);
+    }
+    if (!ended.empty() || !silent.empty()) changed_.notify_all();
   }
 
   static json::object show(const std::string& key, const item& one) {
@@ -308,6 +327,7 @@
     for (const auto& row : list("put-items")) {
       if (lease_of(row) != 0 && !leases_.contains(lease_of(row))) return {404, {}};
     }
+    ++revision_;
     for (const auto& row : list("put-items")) {
       put(std::string(row.as_object().at("key").as_string()),
           from_base64(row.as_object().at("value").as_string()), lease_of(row));
@@ -320,6 +340,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, item> items_;
+  static constexpr long entry_life_ms = 3000;  // of servers that write every second
+  std::map<std::string, long> heard_;           // when a server wrote its entry last
   std::map<std::string, item> copied_items_;
   std::uint64_t copied_revision_ = 0;
   std::vector<event> events_;
