--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -121,6 +122,16 @@
     for (auto* open : open_) ::shutdown(open->fd(), SHUT_RDWR);
     free_.notify_all();
   }
+  // It is partitioned from the store for so long. Requests and orders still reach it.
+  void cut_from_store(long ms) {
+    cut_until_ = now_ms() + ms;
+    log_.add("server " + plan_.id + " is partitioned from the store");
+  }
+  // Whether it holds the key now.
+  bool holds_key(int key) {
+    const std::lock_guard lock(mutex_);
+    return !ended_ && holds_now(key);
+  }
   std::vector<arrival> arrivals() {
     const std::lock_guard lock(mutex_);
     return arrivals_;
@@ -145,8 +156,8 @@
   }
   void beat_loop() {
     while (!ended_) {
-      report();
-      sleep_ms(plan_.beat_ms);
+      const bool reached = now_ms() >= cut_until_ && report() != 0;
+      sleep_ms(reached ? plan_.beat_ms : 20);
     }
   }
   void serve(link& connection) {
@@ -236,7 +247,9 @@
     long until = 0;
   };
   bool holds(const message& request) {
-    const auto key = std::atoi(request.header("X-Plantainpaddle-Shard-Key").c_str());
+    return holds_now(std::atoi(request.header("X-Plantainpaddle-Shard-Key").c_str()));
+  }
+  bool holds_now(int key) const {
     const auto it = holds_.upper_bound(key);
     if (it == holds_.begin()) return false;
     const auto& [first, one] = *std::prev(it);
@@ -251,6 +264,8 @@
     if (request.second == "/api/release") {
       cut(from, to);
       note_fence(from, to, fence);
+      log_.add("server " + plan_.id + " releases " + std::to_string(from) + " to " +
+               std::to_string(to) + ", fence " + std::to_string(fence));
       return connection.write(render("HTTP/1.1 200 OK", usual_headers(request), ""));
     }
     for (int key = from; key <= to; ++key) {
@@ -261,6 +276,8 @@
     const auto text = std::string(body.at("hold_time").as_string());
     cut(from, to);
     holds_[from] = {to, {fence, now_ms() + std::atol(text.c_str())}};
+    log_.add("server " + plan_.id + " is granted " + std::to_string(from) + " to " +
+             std::to_string(to) + ", fence " + std::to_string(fence) + ", for " + text);
     return connection.write(render("HTTP/1.1 200 OK", usual_headers(request), ""));
   }
   void note_fence(int from, int to, std::uint64_t fence) {
@@ -288,6 +305,7 @@
   plan plan_;
   std::uint64_t born_ = 0;
   std::atomic<std::uint64_t> sequence_{0};
+  std::atomic<long> cut_until_{0};
   std::atomic<bool> leaving_{false};
   std::atomic<bool> ended_{false};
   std::mutex mutex_;
@@ -307,7 +325,7 @@
 class entry {
  public:
   entry(const std::string& name, std::uint16_t store_port, const std::string& folder,
-        const std::string& zone = "erie-yard")
+        const std::string& zone = "erie-yard", long bound_ms = 2500)
       : folder_(folder + "/" + name), front_(free_port()), ready_(free_port()), peers_(free_port()) {
     std::filesystem::create_directories(folder_);
     const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
@@ -359,6 +377,7 @@
   void start() {
     pid_ = ::fork();
     if (pid_ != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the case
     const int out = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, 1);
     ::dup2(out, 2);
