--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -326,36 +326,18 @@
  public:
   entry(const std::string& name, std::uint16_t store_port, const std::string& folder,
         const std::string& zone = "erie-yard", long bound_ms = 2500)
-      : folder_(folder + "/" + name), front_(free_port()), ready_(free_port()), peers_(free_port()) {
+      : folder_(folder + "/" + name) {
     std::filesystem::create_directories(folder_);
-    const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
-    const json::object settings{
-        {"name", name},
-        {"cluster", "main"},
-        {"region", "great-lakes"},
-        {"domain", zone},
-        {"log_level", "debug"},
-        {"listen",
-         {{"callers", address(front_)}, {"operators", address(ready_)}, {"peers", address(peers_)}}},
-        {"platform",
-         {{"form", "items"},
-          {"store", json::array{address(store_port)}},
-          {"contracts", json::array{"base", "drain", "config", "cost", "retry", "recover", "own",
-                                    "platform"}},
-          {"bounds",
-           {{"drain", "2500ms"},
-            {"apply", "2500ms"},
-            {"shutdown", "6s"},
-            {"hold_max", "10000ms"},
-            {"lease_min", "1000ms"},
-            {"reuse_after", "2s"},
-            {"retry_share", 0.2},
-            {"retry_burst", 214},
-            {"memory_mb", 260},
-            {"descriptors", 4100},
-            {"cores", 0.2}}}}}};
-    std::ofstream(folder_ + "/settings.json") << json::serialize(settings) << "\n";
-    start();
+    // A free port may be taken by another process before the entry listens there.
+    for (int tries = 0; tries < 5; ++tries) {
+      front_ = free_port();
+      ready_ = free_port();
+      peers_ = free_port();
+      write_settings(name, store_port, zone, bound_ms);
+      start();
+      for (int i = 0; i < 100 && is_running() && !listens(); ++i) sleep_ms(10);
+      if (is_running()) return;
+    }
   }
   ~entry() { stop(); }
   std::uint16_t front() const { return front_; }
@@ -366,8 +348,10 @@
     asked.write(render("GET /api/readyz HTTP/1.1", {{"Host", "x"}, {"Connection", "close"}}, ""));
     return asked.read(now_ms() + 1000, true).status() == 200;
   }
-  bool is_running() { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
-  void send(int signal) { ::kill(pid_, signal); }
+  bool is_running() {
+    if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) != 0) pid_ = -1;
+    return pid_ > 0;
+  }
   void stop() {
     if (pid_ <= 0) return;
     ::kill(pid_, SIGKILL);
@@ -387,8 +371,44 @@
   }
 
  private:
+  bool listens() {
+    const int fd = connect_to(front_);
+    if (fd >= 0) ::close(fd);
+    return fd >= 0;
+  }
+  void write_settings(const std::string& name, std::uint16_t store_port, const std::string& zone,
+                      long bound_ms) {
+    const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
+    const json::object settings{
+        {"name", name},
+        {"cluster", "main"},
+        {"region", "great-lakes"},
+        {"domain", zone},
+        {"log_level", "debug"},
+        {"listen",
+         {{"callers", address(front_)}, {"operators", address(ready_)}, {"peers", address(peers_)}}},
+        {"platform",
+         {{"form", "items"},
+          {"store", json::array{address(store_port)}},
+          {"contracts", json::array{"base", "drain", "config", "cost", "retry", "recover", "own",
+                                    "platform"}},
+          {"bounds",
+           {{"drain", std::to_string(bound_ms) + "ms"},
+            {"apply", std::to_string(bound_ms) + "ms"},
+            {"shutdown", "6s"},
+            {"hold_max", "10000ms"},
+            {"lease_min", "1000ms"},
+            {"reuse_after", "2s"},
+            {"retry_share", 0.2},
+            {"retry_burst", 214},
+            {"memory_mb", 260},
+            {"descriptors", 4100},
+            {"cores", 0.2}}}}}};
+    std::ofstream(folder_ + "/settings.json") << json::serialize(settings) << "\n";
+  }
+
   std::string folder_;
-  std::uint16_t front_, ready_, peers_;
+  std::uint16_t front_ = 0, ready_ = 0, peers_ = 0;
   pid_t pid_ = -1;
 };
 
