--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -38,6 +38,7 @@
 struct route_plan {
   std::string name, prefix, service, kind;
   std::string timeout = "12000ms";
+  int priority = 1;
 };
 inline std::string desired_state(std::uint64_t version, const std::vector<route_plan>& routes,
                                  const std::vector<std::pair<std::string, bool>>& services,
@@ -50,7 +51,7 @@
                                       {"route-type", one.kind},
                                       {"timeout", one.timeout},
                                       {"target-latency", "2000ms"},
-                                      {"priority", 1},
+                                      {"priority", one.priority},
                                       {"service", one.service},
                                       {"max-attempts", 2}});
   }
