--- a/review/common-3/starved_case.cc
+++ b/review/common-3/starved_case.cc
@@ -5,45 +5,44 @@
 
 namespace {
 
-const long hot_ms = std::getenv("HOT") ? std::atol(std::getenv("HOT")) : 6000;
-constexpr long recover_ms = 15000;
-constexpr long calm_ms = 25000;
+constexpr int crowd = 40;          // clients
+constexpr long crowd_ms = 5000;    // for which they ask
+constexpr int hot_of_ten = 4;      // of their requests are for the key
 constexpr int hot_key = 20000;
+constexpr int steady = 6;          // clients that go on asking for the key only
+constexpr long work_ms = 200;
+constexpr long recover_ms = 15000; // `recovery`
+constexpr long after_ms = 25000;   // the time that is watched after the crowd
 
 }  // namespace
 
 int hot_key_stays_refused(setting& world) {
   auto& kept = *new store(1);
-  std::vector<route_plan> routes{{"views", "/views/", "roster-svc", "safe", "4000ms"}};
-  routes.front().priority = 0;
-  kept.write("op/config", desired_state(3, routes, {{"roster-svc", true}}, 440));
-  std::vector<server*> servers;
-  for (const char* id : {"roster-a", "roster-b", "roster-c", "roster-d"})
-    servers.push_back(new server(kept, world.log,
-                                 {.id = id, .service = "roster-svc", .slots = std::getenv("SLOTS") ? std::atoi(std::getenv("SLOTS")) : 4, .queue = 12, .sharded = true,
-                                  .work_ms = [](const message&) { return std::getenv("WORK") ? std::atol(std::getenv("WORK")) : 200L; }}));
+  const std::vector<route_plan> routes{
+      {"views", "/views/", "roster-svc", "safe", "4000ms", 0},
+      {"wages", "/wages/", "payroll-svc", "unsafe", "4000ms", 1}};
+  kept.write("op/config",
+             desired_state(3, routes, {{"roster-svc", true}, {"payroll-svc", false}}, 440));
+  new server(kept, world.log, {.id = "payroll-a", .service = "payroll-svc"});
+  auto& only = *new server(kept, world.log,
+                           {.id = "roster-a", .service = "roster-svc", .slots = 4, .sharded = true,
+                            .work_ms = [](const message&) { return work_ms; }});
   std::vector<std::unique_ptr<entry>> entries;
-  const int entry_count = std::getenv("ENTRIES") ? std::atoi(std::getenv("ENTRIES")) : 3;
-  for (int i = 0; i < entry_count; ++i) {
-    const std::string name = "edge-" + std::to_string(i + 1);
+  for (const char* name : {"edge-1", "edge-2", "edge-3"})
     entries.push_back(std::make_unique<entry>(name, kept.port(), world.temporary));
-  }
   if (!wait_ready(entries, 10000)) return 2;
 
   std::mutex mutex;
   std::vector<outcome> hot;
   std::vector<std::thread> clients;
-  std::atomic<bool> over{false};
-  std::atomic<int> crowd{0};
-  // Asks for the hot key and then for other keys, with a pause between two requests.
-  const auto client = [&](int number, long until, long pause_ms, bool only_hot) {
+  const auto client = [&](int number, long until, long pause_ms, int hot_turns) {
     for (int turn = 0; now_ms() < until; ++turn) {
-      const bool is_hot = only_hot || turn % 2 == 0;
+      const bool is_hot = (turn * 7 + number) % 10 < hot_turns;
       request_plan asked{.path = "/views/x", .id = new_id(is_hot ? "hot" : "other"),
                          .key = is_hot ? hot_key : (turn * 7919 + number * 13007) % 65536,
                          .budget_ms = 4000};
-      const auto answer =
-          ask(world.log, entries[static_cast<std::size_t>(number) % entries.size()]->front(), asked);
+      const auto at = static_cast<std::size_t>(number) % entries.size();
+      const auto answer = ask(world.log, entries[at]->front(), asked);
       if (is_hot) {
         const std::lock_guard lock(mutex);
         hot.push_back(answer);
@@ -53,28 +52,45 @@
   };
   sleep_ms(4000);
   const long begin = now_ms();
-  if (world.trouble) {
-    for (int i = 0; i < (std::getenv("CROWD") ? std::atoi(std::getenv("CROWD")) : 60); ++i)
-      clients.emplace_back([&, i] { client(i, begin + hot_ms, 150, false); });
-  }
-  sleep_until_ms(begin + hot_ms);
+  const long calm = begin + crowd_ms;
+  for (int i = 0; world.trouble && i < crowd; ++i)
+    clients.emplace_back([&, i] { client(i, calm, 150, hot_of_ten); });
+  sleep_until_ms(calm);
   world.log.add("the crowd has left");
-  std::vector<std::thread> steady;
-  for (int i = 0; i < 6; ++i)
-    steady.emplace_back([&, i] { client(i, begin + hot_ms + calm_ms, 400, true); });
+  for (int i = 0; i < steady; ++i)
+    clients.emplace_back([&, i] { client(i, calm + after_ms, 400, 10); });
+  std::vector<outcome> wages;
+  clients.emplace_back([&] {
+    for (int turn = 0; now_ms() < calm + after_ms; ++turn) {
+      const request_plan asked{.method = "POST", .path = "/wages/x", .id = new_id("wage"),
+                               .body = "w", .budget_ms = 4000};
+      const auto at = static_cast<std::size_t>(turn) % entries.size();
+      wages.push_back(ask(world.log, entries[at]->front(), asked));
+      sleep_ms(130);
+    }
+  });
   for (auto& one : clients) one.join();
-  for (auto& one : steady) one.join();
 
-  int all = 0;
-  int served = 0;
-  for (const auto& one : hot) {
-    if (one.sent_at < begin + hot_ms + recover_ms) continue;
-    ++all;
-    served += one.status == 200 && one.whole ? 1 : 0;
-  }
-  world.log.add("requests for the key later than recovery after the crowd: " + std::to_string(all) +
-                ", served: " + std::to_string(served));
-  return 4 * served < all ? 1 : 0;
+  const auto count = [&](const std::vector<outcome>& from) {
+    std::pair<int, int> found{0, 0};  // served, all
+    for (const auto& one : from) {
+      if (one.sent_at < calm + recover_ms) continue;
+      ++found.second;
+      found.first += one.status == 200 && one.whole ? 1 : 0;
+    }
+    return found;
+  };
+  const auto [served, all] = count(hot);
+  const auto [paid, wages_sent] = count(wages);
+  int arrived = 0;
+  for (const auto& one : only.arrivals()) arrived += one.at >= calm + recover_ms ? 1 : 0;
+  const auto text = [](int number) { return std::to_string(number); };
+  world.log.add("later than recovery after the crowd: " + text(all) + " requests for the key, served " +
+                text(served) + "; its server, which had nothing else to do, got " + text(arrived) +
+                "; " + text(wages_sent) + " wages, served " + text(paid));
+  const double kind = 1.0 * served / std::max(1, all);
+  const double whole = 1.0 * (served + paid) / std::max(1, all + wages_sent);
+  return kind < whole / 4 ? 1 : 0;
 }
 
 }  // namespace lab
