--- a/review/common-3/leaving_case.cc
+++ b/review/common-3/leaving_case.cc
@@ -61,9 +61,9 @@
     world.log.add("plan-a ends");
     first.end();
   });
-  for (long at = 0; at < traffic_ms; at += 30) {
+  for (long at = 0; at < traffic_ms; at += 25) {
     sleep_until_ms(begin + at);
-    send(at % 60 == 30);
+    send(at % 75 != 0);
   }
   for (auto& one : clients) one.join();
   operation.join();
