--- a/review/common-3/starved_case.cc
+++ b/review/common-3/starved_case.cc
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr int crowd = 40;          // clients
+constexpr int crowd = 60;          // clients
 constexpr long crowd_ms = 5000;    // for which they ask
 constexpr int hot_of_ten = 4;      // of their requests are for the key
 constexpr int hot_key = 20000;
