--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -471,9 +471,8 @@
   record log;
   std::string temporary;
 
-  explicit setting(const std::string& f) : folder(f), log(f + "/record.txt") {
-    const char* wanted = std::getenv("TROUBLE");
-    trouble = wanted == nullptr || std::string_view(wanted) != "0";
+  setting(const std::string& f, bool with_trouble)
+      : folder(f), trouble(with_trouble), log(f + "/record.txt") {
     std::string name = "/tmp/review-3.XXXXXX";
     temporary = ::mkdtemp(name.data());
     log.add(trouble ? "with the disruption" : "without the disruption");
