--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -205,7 +205,8 @@
 }
 
 // Sets connection_ to an idle or a new connection. Waits for one until the deadline if the limit of
-// connections is reached, and fails at once if too many requests wait already.
+// connections is reached, unless the upstream leaves, and fails at once if too many requests wait
+// already.
 task<std::optional<exchange::attempt_end>> exchange::connect(const destination& to) {
   const auto& limits = worker_.settings().limits;
   const std::size_t limit =
@@ -228,9 +229,13 @@
       if (auto* waiting = target.find(id)) waiting->wake();
     });
     if (ticket != 0) {
+      worker_.add_connection_waiter(ticket, {caller_.id(), view_, match_.service, to.upstream});
       co_await caller_.pause_until(deadline_);
+      worker_.remove_connection_waiter(ticket);
       const bool in_time = monotonic_now() < deadline_ && !caller_.caller_gone();
-      worker_.pool().stop_waiting(to.address, ticket, in_time);
+      auto closed = in_time ? check_still_open(to) : std::nullopt;
+      worker_.pool().stop_waiting(to.address, ticket, in_time && !closed);
+      if (closed) co_return *closed;
       if (in_time) continue;
     }
     co_return failed(to, step::connect, run_state::not_run, "all connections are in use",
--- a/src/entry/exchange_check.cc
+++ b/src/entry/exchange_check.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Each choice is made from the newest view, so a second one is rare. The bound keeps a request from
-// choosing for ever while views and the placement disagree.
+// Each choice is made from the newest view. The bound keeps a request from choosing for ever while
+// views and the placement disagree.
 constexpr std::uint32_t max_unsent_attempts = 3;
 
 const char* detail_of(send_reason reason) {
@@ -28,11 +28,12 @@
 std::optional<exchange::attempt_end> exchange::check_still_open(const destination& to) {
   if (!traffic().placed) return std::nullopt;
   const auto latest = worker_.view();
-  const auto decision =
-      check_upstream(*latest->snapshot, service().service.name,
-                     service().upstreams[to.upstream].name, monotonic_now(), permitted_until_);
+  const auto decision = check_upstream(*latest->snapshot,
+                                       {view_->snapshot.get(), service().service.name,
+                                        service().upstreams[to.upstream].name, to.address},
+                                       monotonic_now(), permitted_until_);
   if (decision.verdict == send_verdict::send) return std::nullopt;
-  release_connection(true);
+  if (connection_) release_connection(true);
   worker_.counters().add("requests_held_back_total",
                          {{"reason", std::string(reason_name(decision.reason))}});
   auto end =
@@ -47,6 +48,8 @@
   has_retry_token_ = --attempts_ > 0;
   const bool key_moves = service().service.keyed && end.unsent != send_reason::cold;
   if (key_moves) co_return co_await wait_for_owner(end.cause);
+  // One after the other may leave while the request waits.
+  if (worker_.view()->snapshot != view_->snapshot) unsent_attempts_ = 0;
   if (++unsent_attempts_ >= max_unsent_attempts) {
     auto refusal = unavailable_response(end.cause.detail, end.cause.peer);
     refusal.retry_after = spread_retry_after(duration::zero());
--- a/src/entry/testing/evacuation_test.cc
+++ b/src/entry/testing/evacuation_test.cc
@@ -1,6 +1,7 @@
 // Requests to upstreams whose failure domain is evacuated while they wait.
 #include <boost/test/unit_test.hpp>
 
+#include "entry/testing/counted_upstream.h"
 #include "entry/testing/shared_fixture.h"
 
 namespace plantainpaddle::testing {
@@ -9,22 +10,6 @@
 
 const domain_id d1{"d1"};
 
-// An upstream that counts its requests and answers each with `name` once it is let go.
-struct counted_upstream {
-  explicit counted_upstream(std::string name, bool holds = false)
-      : free(!holds), upstream([this, name](scripted_connection& side) {
-          for (auto head = side.read_request(); !head.empty(); head = side.read_request()) {
-            ++arrivals;
-            while (!free) std::this_thread::sleep_for(milliseconds(2));
-            side.answer(name, echo_id(head));
-          }
-        }) {}
-
-  std::atomic<int> arrivals{0};
-  std::atomic<bool> free;
-  scripted_upstream upstream;
-};
-
 registered_upstream elsewhere(const std::string& id, const std::string& address) {
   return {.id = {id}, .service = {"desk"}, .address = address, .domain = {"d2"}, .slots = 6};
 }
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -11,6 +11,7 @@
 #include "entry/prober.h"
 #include "entry/request_scope.h"
 #include "entry/session.h"
+#include "routing/upstream_check.h"
 
 namespace plantainpaddle {
 
@@ -111,6 +112,7 @@
   asio::post(io_, [this, view = std::move(view)]() mutable {
     view_ = thread_local_copy(std::move(view));
     wake_owner_waiters();
+    wake_connection_waiters();
     const auto& limits = view_->snapshot->limits;
     if (!limits || *limits == limits_) return;
     limits_ = *limits;
@@ -124,6 +126,25 @@
   }
 }
 
+// Most wait for few upstreams, each of which is checked once.
+void worker::wake_connection_waiters() {
+  const auto now = monotonic_now();
+  std::map<upstream_id, bool> closed;
+  for (const auto& [ticket, waiter] : waiting_for_connection_) {
+    const auto& row = waiter.service->upstreams[waiter.upstream];
+    const auto [place, added] = closed.try_emplace(row.name);
+    if (added) {
+      const auto decision = check_upstream(
+          *view_->snapshot,
+          {waiter.view->snapshot.get(), waiter.service->service.name, row.name, row.address}, now,
+          monotonic_time::max());
+      place->second = decision.verdict == send_verdict::refuse;
+    }
+    if (!place->second) continue;
+    if (auto* waiting = find(waiter.scope)) waiting->wake();
+  }
+}
+
 std::optional<duration> worker::since_drain_began(monotonic_time at) const {
   if (!draining()) return std::nullopt;
   return at - drain_began_;
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -113,6 +114,19 @@
   // Whether skipped_line_period has passed since the last line about a skipped response.
   bool may_log_skipped_response(monotonic_time now);
 
+  // Requests that wait for a connection to an upstream, by their tickets from the pool. They are
+  // woken in that order if a new view closes the upstream.
+  struct connection_waiter {
+    std::uint64_t scope = 0;
+    std::shared_ptr<const traffic_view> view;  // that the upstream was chosen from
+    const service_snapshot* service = nullptr;
+    std::size_t upstream = 0;
+  };
+  void add_connection_waiter(std::uint64_t ticket, connection_waiter waiter) {
+    waiting_for_connection_.emplace(ticket, std::move(waiter));
+  }
+  void remove_connection_waiter(std::uint64_t ticket) { waiting_for_connection_.erase(ticket); }
+
   // Ids of the scopes of requests that wait for a view in which their key has an owner.
   std::set<std::uint64_t>& waiting_for_owner() { return waiting_for_owner_; }
 
@@ -123,6 +137,7 @@
   void probe_shared_upstreams(const service_traffic& service, const service_snapshot& snapshot,
                               monotonic_time now);
   void wake_owner_waiters();
+  void wake_connection_waiters();
   void abort_sessions();
   void stop_if_finished();
 
@@ -147,6 +162,7 @@
   monotonic_time next_retire_{};
   monotonic_time next_skipped_line_{};
   std::set<std::uint64_t> waiting_for_owner_;
+  std::map<std::uint64_t, connection_waiter> waiting_for_connection_;
   std::unordered_map<std::uint64_t, request_scope*> scopes_;
   caller_limits limits_;
   memory_budget memory_;
--- a/src/routing/testing/registry_snapshot_test.cc
+++ b/src/routing/testing/registry_snapshot_test.cc
@@ -13,6 +13,7 @@
 monotonic_time at(std::int64_t ms) { return monotonic_time(milliseconds(1'000'000 + ms)); }
 
 const service_id desk{"desk"};
+const std::string address = "10.0.0.1:80";
 const upstream_id a{"a"};
 const upstream_id b{"b"};
 
@@ -35,8 +36,7 @@
   }
 
   void add(const upstream_id& id, const std::string& domain) {
-    upstreams.on_entry({.id = id, .service = desk, .address = "10.0.0.1:80", .domain = {domain}},
-                       at(0));
+    upstreams.on_entry({.id = id, .service = desk, .address = address, .domain = {domain}}, at(0));
   }
   routing_snapshot make(std::int64_t ms) const {
     return make_registry_snapshot(desired, upstreams, ranges, {}, config, at(ms));
@@ -44,7 +44,7 @@
 };
 
 send_verdict verdict(const routing_snapshot& latest, const upstream_id& upstream, std::int64_t ms) {
-  return check_upstream(latest, desk, upstream, at(ms)).verdict;
+  return check_upstream(latest, {nullptr, desk, upstream, address}, at(ms)).verdict;
 }
 
 }  // namespace
@@ -59,7 +59,7 @@
   const auto snapshot = world.make(0);
   BOOST_TEST((snapshot.services[0].upstreams[0].state == upstream_state::drain));
   BOOST_TEST((snapshot.services[0].upstreams[1].state == upstream_state::active));
-  BOOST_TEST((check_upstream(snapshot, desk, a, at(0)) ==
+  BOOST_TEST((check_upstream(snapshot, {nullptr, desk, a, address}, at(0)) ==
               send_decision{send_verdict::refuse, send_reason::evacuated, {}}));
   BOOST_TEST((verdict(snapshot, b, 0) == send_verdict::send));
 }
@@ -112,12 +112,23 @@
   two_domains world(false);
   world.upstreams.on_notice(a, 0, at(5));
   const auto snapshot = world.make(10);
-  BOOST_TEST((check_upstream(snapshot, desk, a, at(10)).reason == send_reason::leaving));
+  const auto check = [&](const service_id& service, const upstream_id& upstream) {
+    return check_upstream(snapshot, {nullptr, service, upstream, address}, at(10));
+  };
+  BOOST_TEST((check(desk, a).reason == send_reason::leaving));
   BOOST_TEST((verdict(snapshot, {"gone"}, 10) == send_verdict::refuse));
-  BOOST_TEST((check_upstream(snapshot, {"gone"}, b, at(10)).verdict == send_verdict::refuse));
-  // Where the platform orders no evacuations, nothing is checked again.
+  BOOST_TEST((check({"gone"}, b).verdict == send_verdict::refuse));
+  BOOST_TEST((check(desk, b).verdict == send_verdict::send));
+  // The same where the platform orders no evacuations, but under the snapshot of the choice.
   world.config.evacuates = false;
-  BOOST_TEST((verdict(world.make(10), a, 10) == send_verdict::send));
+  const auto calm = world.make(10);
+  BOOST_TEST((verdict(calm, a, 10) == send_verdict::refuse));
+  BOOST_TEST((verdict(calm, {"gone"}, 10) == send_verdict::refuse));
+  BOOST_TEST(
+      (check_upstream(calm, {&calm, desk, a, address}, at(10)).verdict == send_verdict::send));
+  // The name may have passed to a life at another address.
+  BOOST_TEST((check_upstream(calm, {nullptr, desk, b, "10.0.0.2:80"}, at(10)).reason ==
+              send_reason::leaving));
 }
 
 // Guards against upstreams that return from an evacuation cold and get requests as warm ones until
@@ -133,7 +144,7 @@
   BOOST_TEST((snapshot.services[0].warm_since[0] == at(2000)));
   BOOST_TEST((snapshot.services[0].warm_since[1] == at(0)));
   const auto check = [&](std::int64_t ms, std::optional<monotonic_time> permitted_until) {
-    return check_upstream(snapshot, desk, a, at(ms), permitted_until).verdict;
+    return check_upstream(snapshot, {nullptr, desk, a, address}, at(ms), permitted_until).verdict;
   };
   BOOST_TEST((check(1999, {}) == send_verdict::wait));
   BOOST_TEST((check(1999, at(1999)) == send_verdict::wait));
--- a/src/soak/check.cc
+++ b/src/soak/check.cc
@@ -28,6 +28,7 @@
 namespace {
 
 constexpr duration quiet_period = seconds(3);
+constexpr duration notice_time = milliseconds(200);  // from the setting to the store's answer
 constexpr duration double_hold_allowed = milliseconds(500);
 constexpr std::string_view keyed_service = "counter-desk";
 constexpr duration loss_slack = milliseconds(200);
@@ -84,6 +85,21 @@
     }
   }
 
+  // Counted are requests that instances in touch send on, as the upstreams saw them arrive.
+  void check_notices(const soak_request& request) {
+    if (is_impaired(request.seen) || !is_calm(request)) return;
+    if (overlaps(history_->store_impairments, request.seen)) return;
+    for (const auto* run : runs_of(request.seen.id)) {
+      for (const auto& notice : history_->notices) {
+        const bool late = run->arrived > notice.from + notice_time + upstream_drain;
+        if (run->upstream != notice.upstream || !late || run->arrived > notice.to) continue;
+        verdict.add("DRAIN", "arrived " + in_ms(run->arrived - notice.from) +
+                                 " ms after the notice of " + run->upstream + ": " +
+                                 describe(request));
+      }
+    }
+  }
+
   void find(const std::string& promise, const soak_request& request) {
     verdict.add(promise, describe(request));
   }
@@ -274,6 +290,7 @@
       records.back().outcome = load_outcome::unknown;
     }
     checker.check(request);
+    checker.check_notices(request);
   }
   soak_verdict verdict = std::move(checker.verdict);
   // The others have been found request by request.
--- a/src/soak/check.h
+++ b/src/soak/check.h
@@ -16,6 +16,9 @@
 
 namespace plantainpaddle {
 
+// For which an upstream serves after its notice.
+inline constexpr duration upstream_drain = seconds(2);
+
 // From the signal that stops a process to the SIGKILL that may follow.
 inline constexpr duration shutdown_time = seconds(6);
 
@@ -37,7 +40,14 @@
     duration from{0};
     duration to{0};
   };
+  // An upstream has said that it leaves. `to`: its process ended.
+  struct notice {
+    std::string upstream;
+    duration from{0};
+    duration to{0};
+  };
   std::map<std::string, std::string> instances;  // names by address
+  std::vector<notice> notices;
   std::vector<signal> signals;
   std::vector<duration> state_changes;
   std::vector<impairment> impairments;
--- a/src/soak/layout.cc
+++ b/src/soak/layout.cc
@@ -22,6 +22,9 @@
   adjust.row.once = adjust_route.once;
   adjust.policy.max_attempts = 3;
   layout.desired->routes.push_back(std::move(adjust));
+  if (plan.connections != 0) {
+    for (auto& service : layout.desired->services) service.connections = plan.connections;
+  }
   return layout;
 }
 
--- a/src/soak/plan.cc
+++ b/src/soak/plan.cc
@@ -5,6 +5,8 @@
 #include <random>
 #include <sstream>
 
+#include "soak/check.h"
+
 namespace plantainpaddle {
 namespace {
 
@@ -12,8 +14,8 @@
 constexpr std::size_t services = 3;
 constexpr duration quiet_start = seconds(1);
 constexpr duration quiet_end = seconds(3);
-constexpr duration reuse_after = seconds(2);     // as cluster_layout::entry_bounds states it
-constexpr duration upstream_drain = seconds(2);  // from its notice to its last new request
+constexpr duration restore_time = seconds(16);  // of restore_after_join()
+constexpr duration reuse_after = seconds(2);    // as cluster_layout::entry_bounds states it
 
 // Draws series of faults that begin at any time.
 class fault_writer {
@@ -45,6 +47,9 @@
       }
     }
     if (plan_.unplanned) reuse_addresses(length);
+    // Drawn last, so that the other faults of a seed stay as they were.
+    if (chance(50)) replace_in_series(length);
+    if (plan_.unplanned && length >= restore_time && chance(60)) restore_after_join(length);
     std::stable_sort(plan_.events.begin(), plan_.events.end(),
                      [](const auto& a, const auto& b) { return a.at < b.at; });
   }
@@ -110,7 +115,6 @@
     }
   }
 
-  // Drawn last, so that the other faults of a seed stay as they were.
   void reuse_addresses(duration length) {
     for (std::size_t i = between(1, 2); i > 0; --i) {
       const duration at = between(quiet_start, length - quiet_end);
@@ -119,6 +123,44 @@
     }
   }
 
+  // Upstreams with few connections are replaced one after the other while requests wait for them.
+  void replace_in_series(duration length) {
+    const auto instances = static_cast<std::uint32_t>(domains * plan_.entries_per_domain);
+    plan_.connections = instances + instances * static_cast<std::uint32_t>(between(0, 2));
+    duration at = between(quiet_start, seconds(3));
+    const duration serves = upstream_drain + between(milliseconds(500), seconds(3));
+    const duration gap = between(milliseconds(300), seconds(3));
+    for (std::size_t i = between(2, 4); i > 0 && at + serves < length; --i) {
+      const std::size_t leaving = upstream();
+      add(at, soak_fault::set_upstream{leaving, R"({"slowness":30})"});
+      const char* notice = chance(50) ? R"({"drain":true})" : R"({"drain":true,"leaving":true})";
+      add(at + between(milliseconds(300), seconds(1)), soak_fault::set_upstream{leaving, notice});
+      add(at + seconds(1) + serves,
+          soak_fault::signal_upstream{leaving, SIGTERM, between(milliseconds(0), seconds(2))});
+      at += gap;
+    }
+  }
+
+  // An upstream joins, the store comes back from a copy that is older, the upstream can't write its
+  // entry, and all instances are killed.
+  void restore_after_join(duration length) {
+    const std::size_t keyed = domains * plan_.upstreams_per_domain;
+    const std::size_t ended = keyed + random_() % (2 * keyed);  // of a service without keys
+    const duration at = between(quiet_start, length - restore_time);
+    add(at, soak_fault::reuse_address{ended, reuse_after + milliseconds(100)});
+    add(at + seconds(1), soak_fault::set_platform{R"({"copy":true})"});
+    const duration away = at + seconds(6);
+    add(away, soak_fault::cut_entry{ended, true});
+    add(away, soak_fault::set_platform{R"({"down":"hang"})"});
+    const duration killed = away + between(milliseconds(100), milliseconds(2500));
+    for (std::size_t i = 0; i < domains * plan_.entries_per_domain; ++i) {
+      add(killed, soak_fault::signal_entry{i, SIGKILL});
+    }
+    add(away + between(milliseconds(500), seconds(3)),
+        soak_fault::set_platform{R"({"down":"no","restore":true})"});
+    add(at + restore_time, soak_fault::cut_entry{ended, false});
+  }
+
   void stop_in_series(duration at) {
     const std::size_t stopped = entry();
     add(at, soak_fault::signal_entry{stopped, SIGTERM});
@@ -230,6 +272,10 @@
     out << "upstream " << f.upstream << " is killed, another service has its address after "
         << f.absent.count() << " us";
   }
+  void operator()(const soak_fault::cut_entry& f) const {
+    out << "the successor of upstream " << f.former
+        << (f.cut ? " can't write its entry" : " writes its entry again");
+  }
   void operator()(const soak_fault::set_upstream& f) const {
     out << "upstream " << f.upstream << " " << f.settings;
   }
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -32,6 +32,11 @@
   int signal = 0;
   duration absent{0};
 };
+// The upstream that has the address of another one after reuse_address can't write its entry.
+struct cut_entry {
+  std::size_t former = 0;
+  bool cut = false;
+};
 // The process is killed for good. After the time, a new upstream of another service starts at its
 // address.
 struct reuse_address {
@@ -67,8 +72,8 @@
 
 using any_soak_fault =
     std::variant<soak_fault::signal_entry, soak_fault::signal_upstream, soak_fault::reuse_address,
-                 soak_fault::set_upstream, soak_fault::set_platform, soak_fault::set_relay,
-                 soak_fault::change_settings, soak_fault::change_state>;
+                 soak_fault::cut_entry, soak_fault::set_upstream, soak_fault::set_platform,
+                 soak_fault::set_relay, soak_fault::change_settings, soak_fault::change_state>;
 
 struct soak_event {
   duration at{0};
@@ -89,6 +94,7 @@
   std::size_t entries_per_domain = 2;
   std::size_t upstreams_per_domain = 2;  // of each service
   std::size_t clients_per_entry = 15;
+  std::uint32_t connections = 0;  // that each upstream accepts from all instances; 0: plenty
   std::string upstream_settings;
   std::vector<soak_event> events;  // by time
 };
--- a/src/soak/run.cc
+++ b/src/soak/run.cc
@@ -139,6 +139,9 @@
   }
 
   void note_end(const std::string& upstream) {
+    for (auto& notice : history.notices) {
+      if (notice.upstream == upstream) notice.to = std::min(notice.to, now());
+    }
     system_.upstreams.at(upstream).ended.push_back(now());
   }
 
@@ -199,8 +202,22 @@
   void make(const soak_fault::set_upstream& fault) {
     const auto& state = upstreams_[fault.upstream];
     if (state.start || state.paused || state.replaced) return;
-    const http_request request{"POST", "/control/settings", {}, fault.settings, ""};
-    web_call(system_.upstreams.at(state.name).address, request, milliseconds(200));
+    const bool leaves = fault.settings.find("\"drain\":true") != std::string::npos;
+    if (!set(state.name, fault.settings) || !leaves) return;
+    history.notices.push_back({state.name, now(), no_end});
+  }
+
+  void make(const soak_fault::cut_entry& fault) {
+    const std::string name = upstreams_[fault.former].name + std::string(successor_suffix);
+    if (!system_.upstreams.contains(name)) return;
+    set(name, fault.cut ? R"({"registers":false})" : R"({"registers":true})");
+  }
+
+  bool set(const std::string& upstream, const std::string& settings) {
+    const http_request request{"POST", "/control/settings", {}, settings, ""};
+    const auto answer =
+        web_call(system_.upstreams.at(upstream).address, request, milliseconds(200));
+    return answer.has_value() && answer->status == 200;
   }
 
   void make(const soak_fault::set_platform& fault) {
--- a/src/standin/journal.cc
+++ b/src/standin/journal.cc
@@ -25,6 +25,7 @@
                                       {"shard", run.shard},
                                       {"fence", run.fence},
                                       {"fenced", run.fenced},
+                                      {"arrived", run.arrived.count()},
                                       {"t", run.start.count()}}) +
          "\n";
 }
@@ -37,8 +38,8 @@
          "\n";
 }
 
-duration read_time(object_reader& reader) {
-  return duration(reader.integer("t", 0, std::numeric_limits<std::int64_t>::max()));
+duration read_time(object_reader& reader, std::string_view name = "t") {
+  return duration(reader.integer(name, 0, std::numeric_limits<std::int64_t>::max()));
 }
 
 // Runs of one life of a process by number; a file may hold several lives.
@@ -63,6 +64,7 @@
       run.shard = static_cast<std::uint32_t>(reader.unsigned_integer("shard"));
       run.fence = reader.unsigned_integer("fence");
       run.fenced = reader.boolean("fenced");
+      run.arrived = read_time(reader, "arrived");
       run.start = read_time(reader);
       places[number] = runs.size();
       runs.push_back(std::move(run));
--- a/src/standin/journal.h
+++ b/src/standin/journal.h
@@ -36,6 +36,7 @@
   std::uint32_t shard = 0;
   std::uint64_t fence = 0;
   bool fenced = false;  // the request named a shard and a fence
+  duration arrived{0};  // its head was read
   duration start{0};
   std::optional<duration> end;  // none: still running, or the process died
   run_end how = run_end::complete;
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -102,6 +102,7 @@
   std::string expected;  // the upstream that is meant
   std::uint64_t size = 0;
   duration busy{0};
+  monotonic_time arrived;
   monotonic_time deadline;
   bool keep_alive = true;
   bool expects_continue = false;
@@ -451,6 +452,7 @@
     facts.keep_alive = head.keep_alive() && !is_leaving();
     facts.expects_continue = beast::iequals(head[http::field::expect], "100-continue");
     const auto deadline_ms = number_field(head, names.deadline);
+    facts.arrived = now;
     facts.deadline =
         now + (deadline_ms
                    ? duration(milliseconds(std::min<std::uint64_t>(*deadline_ms, 86'400'000)))
@@ -573,7 +575,8 @@
                                  .service = service,
                                  .shard = admitted->shard,
                                  .fence = admitted->fence,
-                                 .fenced = admitted->fenced},
+                                 .fenced = admitted->fenced,
+                                 .arrived = facts.arrived.time_since_epoch()},
                                 now);
     s.grant_ended.reset();
     s.run = admitted;
