--- a/src/ownership/testing/range_record_test.cc
+++ b/src/ownership/testing/range_record_test.cc
@@ -49,6 +49,10 @@
     BOOST_TEST(!parse_range_record(head + ranges + "}").has_value(), ranges);
   }
   BOOST_TEST(parse_range_record(head + "[[0,0,5],[9,-1,0]]}").has_value());
+  for (const auto* lives : {"7", "[]", "{\"a\":\"x\"}", "{\"a\":-1}"}) {
+    const auto text = head + "[[0,0,5]],\"lives\":" + lives + "}";
+    BOOST_TEST(!parse_range_record(text).has_value(), lives);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(a_move_raises_the_fence_and_remembers_the_former_owner) {
--- a/src/standin/testing/upstream_test.cc
+++ b/src/standin/testing/upstream_test.cc
@@ -236,9 +236,10 @@
       "{\"event\":\"open\",\"upstream\":\"u\"}\n"
       "{\"event\":\"start\",\"run\":0,\"upstream\":\"u\",\"id\":\"a\",\"service\":\"s\",\"shard\":"
       "1,"
-      "\"fence\":2,\"fenced\":true,\"t\":5}\n{\"event\":\"end\",\"ru");
+      "\"fence\":2,\"fenced\":true,\"arrived\":4,\"t\":5}\n{\"event\":\"end\",\"ru");
   BOOST_REQUIRE(read.has_value());
   BOOST_REQUIRE(read->size() == 1U);
+  BOOST_TEST((read->front().arrived == duration(4)));
   BOOST_TEST(!read->front().end.has_value());
   BOOST_TEST(
       parse_journal("{\"event\":\"end\",\"run\":3,\"how\":\"complete\",\"t\":5}\n").has_error());
