--- a/src/ownership/range_assigner_doubts.cc
+++ b/src/ownership/range_assigner_doubts.cc
@@ -6,19 +6,20 @@
 // the restore, and lasts for proof_validity. So a range is in doubt until then, unless its owner
 // shows that it still holds the range:
 //
-// 1. Keys go to another owner after their owner has released them, under a fence above its own, or
-//    has failed to release them until its hold has expired, or has ended.
-// 2. An upstream that has released keys refuses the fence of the record. One that takes a grant
-//    under it hasn't released them, or has started again since and forgotten. Lives tells the two
-//    apart: the owner must be in the life that the record states, and a heartbeat of that life
-//    must be from after the link was opened.
+// 1. Keys go to another owner after their owner has released them, or has failed to release them
+//    until its hold has expired, or has ended.
+// 2. An upstream that has released keys refuses claim_fence(). One that takes a grant under it
+//    hasn't released them, or has started again since and forgotten. Lives tell the two apart: the
+//    owner must be in the life that the record states, and a heartbeat of that life must be from
+//    after the link was opened.
 // 3. A release by an assigner of an earlier era may be on its way. None is sent without a proof of
 //    leadership that is younger than outage_after, and it arrives within release_timeout. A grant
 //    counts that is sent after that.
-// 4. An owner that didn't release its keys in time can't be recognized. So for copy_age after
-//    another upstream has got such keys, they are granted for a short hold and with a recent proof
-//    only. These grants have run out by the same time. The record says that there are such grants,
-//    for the next assigner.
+// 4. An owner that failed to release its keys doesn't know that it lost them. claim_fence() is
+//    above the fences of the next owners, which stay within the block. For copy_age these get their
+//    grants for a short hold and with a recent proof only, which have run out when the former owner
+//    is asked. Later, any copy has the move. The record says that there are such grants, for the
+//    next assigner.
 //
 // A range of which the owner refuses a grant is halved, to find the keys that it still holds. The
 // rest waits for the end of all unknown grants, and gets new fences then.
