--- a/src/entry/testing/leaving_upstream_test.cc
+++ b/src/entry/testing/leaving_upstream_test.cc
@@ -35,6 +35,8 @@
     while (busy.arrivals == 0) std::this_thread::sleep_for(milliseconds(2));
   }
   ~busy_upstream() { busy.free = true; }
+  busy_upstream(const busy_upstream&) = delete;
+  busy_upstream& operator=(const busy_upstream&) = delete;
 
   // Sends a request, which waits for the connection.
   static void wait_for_connection(raw_caller& caller, const std::string& id) {
