After a restore, an assigner that goes on confirms its ranges at once again

Its memory is newer than the copy, so that nobody else has granted its ranges without its owners' releases, which their refusals show.

--- a/src/ownership/range_assigner_doubts.cc
+++ b/src/ownership/range_assigner_doubts.cc
@@ -26,7 +26,7 @@
 //
 // An assigner that goes on has a memory that is newer than the copy. A successor may have taken
 // over unseen before the store was lost, but can't have waited for the end of its grants. Renewals
-// over a link from before need no sign of life.
+// over a link from before need no sign of life. Its grants count at once.
 #include <algorithm>
 
 #include "ownership/range_assigner.h"
@@ -49,6 +49,7 @@
   const auto last_restricted = timing_.outage_after + longest_hold(timing_, timing_.hold);
   claims_from_ = since + last_restricted;
   settled_from_ = since + std::max(last_release, record_.lapsed ? timing_.copy_age : last_release);
+  if (suspended_) claims_from_ = settled_from_ = since;
   doubt_ends_ = since + timing_.proof_validity + longest_predecessor_hold();
 }
 
--- a/src/ownership/range_record.cc
+++ b/src/ownership/range_record.cc
@@ -26,7 +26,6 @@
 fence_number era_start(std::uint64_t era) { return {era << fence_bits_in_era}; }
 
 void enter_era(range_record& record, std::uint64_t era) {
-  if (record.unsettled) record.claims_from = era_start(record.era);
   record.era = era;
   record.last_fence = std::max(record.last_fence, era_start(era));
   record.unsettled = true;
@@ -314,7 +313,10 @@
 
 range_record take_over(range_record record, const instance_id& assigner, const std::string& address,
                        std::uint64_t era) {
-  if (record.era != era) enter_era(record, era);
+  if (record.era != era) {
+    if (record.unsettled) record.claims_from = era_start(record.era);
+    enter_era(record, era);
+  }
   ++record.term.value;
   record.assigner = assigner;
   record.address = address;
