--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -554,6 +554,32 @@
   BOOST_TEST(same_block(granted[0].fence, first[0].fence));
 }
 
+// Guards against the same where an earlier assigner began the move: the fence by which a copy names
+// the former owner isn't known, so that the move must be older than any copy.
+BOOST_AUTO_TEST_CASE(keys_of_an_unknown_fence_wait_until_any_copy_has_the_move) {
+  const range_timing timing;
+  range_assigner assigner(timing);
+  const key_load load{seconds(2)};
+  auto record = make_range_record();
+  move_range(record, 0, last_numbered_key, a);
+  move_range(record, 0, last_numbered_key, b);
+  record.assigner = {"e@1"};
+  assigner.start(record, 10, {.exists = true, .relinquished = true, .lapses_in = milliseconds(100)},
+                 at(0));
+  assigner.set_upstreams({{a, 6}, {b, 6}}, at(0));
+  assigner.on_link(b, 2, at(0));
+  assigner.confirm(at(1));
+  const auto writes = only<write>(assigner.tick(load, at(2)));
+  BOOST_TEST_REQUIRE(writes.size() == 1U);
+  BOOST_TEST(writes[0].record.lapsed);
+  assigner.on_written(11, at(3));
+  assigner.confirm(at(300));
+  BOOST_TEST(only<grant>(assigner.tick(load, at(300))).empty());
+  const auto copied = at(10) + timing.copy_age;
+  assigner.confirm(copied);
+  BOOST_TEST(only<grant>(assigner.tick(load, copied)).size() == 1U);
+}
+
 // Guards against a move that goes on while the store may be losing its record.
 BOOST_AUTO_TEST_CASE(no_release_is_sent_without_a_recent_proof_of_leadership) {
   one_owner world;
