--- a/src/ownership/range_assigner_doubts.cc
+++ b/src/ownership/range_assigner_doubts.cc
@@ -231,9 +231,11 @@
   }
 }
 
-// Whether a write may be under way that gives the entry a lower fence.
+// Whether a write may be under way that gives the entry a lower fence. next_ is empty if the
+// outcome of a write from before a restore gets unknown after a later one has succeeded.
 bool range_assigner::is_taken_back(const range_entry& entry) const {
-  return write_ != write_state::idle && entry_of(next_, entry.first).fence < entry.fence;
+  if (write_ == write_state::idle || next_.ranges.empty()) return false;
+  return entry_of(next_, entry.first).fence < entry.fence;
 }
 
 // Whether the entry's next owner will probably get the keys without a release.
