range_fuzz doesn't shrink what a mutant is noticed by

Two mutants crashed in a run of ctest after some 110 s, suspected in the shrinking of long scenarios, of which only the first failure counts.

--- a/src/ownership/testing/range_fuzz_main.cc
+++ b/src/ownership/testing/range_fuzz_main.cc
@@ -151,8 +151,7 @@
                                      [](int kind) { return static_cast<fault_kind>(kind); });
   const auto any_fault = gen_fault(any_kind, 1000, 32000, rc::gen::inRange(0U, 32U));
   passed = passed && rc::check("no key has two holders", [&] {
-             if (expect_violation && counts.failed)
-               RC_FAIL("not run: a violation was already found");
+             if (expect_violation && counts.failed) return;  // nothing is to be shrunk
              const scenario s{
                  *rc::gen::arbitrary<std::uint64_t>(),
                  *rc::gen::oneOf(rc::gen::container<std::vector<fault>>(any_fault), gen_restore())};
