--- a/src/ownership/testing/range_fuzz_main.cc
+++ b/src/ownership/testing/range_fuzz_main.cc
@@ -130,6 +130,14 @@
   return true;
 }
 
+// Returns the exit code. What a mutant is noticed by isn't shrunk.
+int print_caught(const totals& counts, bool caught) {
+  std::printf("{\"caught\": %s, \"steps\": %llu, \"scenarios\": %llu, \"violation\": \"%s\"}\n",
+              caught ? "true" : "false", static_cast<unsigned long long>(counts.steps),
+              static_cast<unsigned long long>(counts.scenarios), counts.violation.c_str());
+  return caught ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -151,17 +159,15 @@
                                      [](int kind) { return static_cast<fault_kind>(kind); });
   const auto any_fault = gen_fault(any_kind, 1000, 32000, rc::gen::inRange(0U, 32U));
   passed = passed && rc::check("no key has two holders", [&] {
-             if (expect_violation && counts.failed) return;  // nothing is to be shrunk
              const scenario s{
                  *rc::gen::arbitrary<std::uint64_t>(),
                  *rc::gen::oneOf(rc::gen::container<std::vector<fault>>(any_fault), gen_restore())};
-             if (!run_one(s, counts)) RC_FAIL(counts.violation);
+             if (run_one(s, counts)) return;
+             if (expect_violation) std::exit(print_caught(counts, true));
+             RC_FAIL(counts.violation);
            });
   if (expect_violation) {
-    std::printf("{\"caught\": %s, \"steps\": %llu, \"scenarios\": %llu, \"violation\": \"%s\"}\n",
-                passed ? "false" : "true", static_cast<unsigned long long>(counts.steps),
-                static_cast<unsigned long long>(counts.scenarios), counts.violation.c_str());
-    return passed ? 1 : 0;
+    return print_caught(counts, !passed);
   }
   if (!passed && counts.failed) print_failure(*counts.failed, counts.violation);
   std::printf(
