Ask for an era by the fence, and for a claim by the owner's state

is_inherited() took an entry of the record, and one caller made an entry up to ask it about a fence; next_claim() looked up the owner that its caller had at hand; begin_doubts() set two times and then overwrote them for an assigner that goes on. range_fuzz played each scenario of a restore twice.

--- a/src/ownership/range_assigner.cc
+++ b/src/ownership/range_assigner.cc
@@ -175,7 +175,8 @@
       const auto longest = std::min(now + longest_predecessor_hold(), predecessors_expire_at_);
       state.held_until = std::max(state.held_until, longest);
     }
-    if (now >= doubt_ends_ || !is_inherited(record_, entry)) state.predecessor_may_renew = false;
+    if (now >= doubt_ends_ || !is_inherited(record_, entry.fence))
+      state.predecessor_may_renew = false;
     state.under_way = false;
     state.handover.clear();
     state.renew_at = std::max(state.renew_at, now);
@@ -419,7 +420,8 @@
   if (bound.empty()) return;
   renew_fences(next, [&](std::size_t i) {
     if (states_[i].in_doubt || !bound.contains(*next.ranges[i].owner)) return fence_change::none;
-    const bool restricted = is_restricted(states_[i]) && !is_inherited(record_, record_.ranges[i]);
+    const bool restricted =
+        is_restricted(states_[i]) && !is_inherited(record_, record_.ranges[i].fence);
     return restricted ? fence_change::same_block : fence_change::next_block;
   });
 }
@@ -519,7 +521,7 @@
     const auto link = owner.link;
     if (state.link != link && confirmed_ <= owner.linked_since) continue;
     if (state.in_doubt && (state.link != link || !state.claims.empty())) {
-      if (auto* claim = next_claim(i, link, now)) {
+      if (auto* claim = next_claim(i, owner, now)) {
         claim->under_way = true;
         claim->renew_at = now + timing_.renew;
         auto order = make_grant(i, owner, now);
--- a/src/ownership/range_assigner.h
+++ b/src/ownership/range_assigner.h
@@ -269,7 +269,7 @@
   bool has_doubt() const { return ranges_in_doubt() != 0; }
   void note_lives(range_record& next) const;
   bool shows_its_life(const upstream_id& name, const upstream_state& state) const;
-  key_claim* next_claim(std::size_t index, link_number link, monotonic_time now);
+  key_claim* next_claim(std::size_t index, const upstream_state& owner, monotonic_time now);
   bool end_claim(std::size_t index, const range_action::grant& order, bool accepted);
   duration hold_for(const range_state& state, monotonic_time now) const;
   range_action::grant make_grant(std::size_t index, upstream_state& to, monotonic_time now);
--- a/src/ownership/range_assigner_doubts.cc
+++ b/src/ownership/range_assigner_doubts.cc
@@ -42,15 +42,17 @@
 
 void range_assigner::begin_doubts(monotonic_time since) {
   for (std::size_t i = 0; i < states_.size(); ++i) {
-    states_[i].in_doubt = suspended_ || is_inherited(record_, record_.ranges[i]);
+    states_[i].in_doubt = suspended_ || is_inherited(record_, record_.ranges[i].fence);
     states_[i].claims.clear();
   }
-  const auto last_release = timing_.outage_after + timing_.release_timeout + timing_.margin;
+  doubt_ends_ = since + timing_.proof_validity + longest_predecessor_hold();
+  claims_from_ = settled_from_ = since;
+  if (suspended_) return;
   const auto last_restricted = timing_.outage_after + longest_hold(timing_, timing_.hold);
+  const auto last_release = timing_.outage_after + timing_.release_timeout + timing_.margin;
   claims_from_ = since + last_restricted;
-  settled_from_ = since + std::max(last_release, record_.lapsed ? timing_.copy_age : last_release);
-  if (suspended_) claims_from_ = settled_from_ = since;
-  doubt_ends_ = since + timing_.proof_validity + longest_predecessor_hold();
+  settled_from_ =
+      since + (record_.lapsed ? std::max(last_release, timing_.copy_age) : last_release);
 }
 
 void range_assigner::end_doubts(monotonic_time now) {
@@ -112,16 +114,16 @@
 }
 
 // Returns the part of the range to be granted next; null if none may be now.
-range_assigner::key_claim* range_assigner::next_claim(std::size_t index, link_number link,
+range_assigner::key_claim* range_assigner::next_claim(std::size_t index,
+                                                      const upstream_state& owner,
                                                       monotonic_time now) {
   const auto& entry = record_.ranges[index];
   auto& state = states_[index];
-  const bool inherited = suspended_ || is_inherited(record_, entry);
+  const bool inherited = suspended_ || is_inherited(record_, entry.fence);
   // An owner with former owners may never have had a grant.
   if (!inherited || entry.fence < record_.claims_from || !entry.former.empty()) return nullptr;
-  const auto owner = upstreams_.find(*entry.owner);
-  if (state.link != link) {
-    if (now < claims_from_ || !shows_its_life(owner->first, owner->second)) return nullptr;
+  if (state.link != owner.link) {
+    if (now < claims_from_ || !shows_its_life(*entry.owner, owner)) return nullptr;
     state.claims = {{entry.first, entry.last}};
   }
   key_claim* found = nullptr;
@@ -189,7 +191,7 @@
   const auto it = upstreams_.find(former.name);
   const bool ended = it != upstreams_.end() && it->second.ended;
   const bool is_copied = now - state.named_at >= timing_.copy_age;
-  const bool was_in_doubt = former.fence && is_inherited(record_, {.fence = *former.fence});
+  const bool was_in_doubt = former.fence && is_inherited(record_, *former.fence);
   return former.may_claim && !former.has_released && !ended && !is_copied && !was_in_doubt;
 }
 
@@ -242,7 +244,7 @@
 bool range_assigner::is_lapsing(const range_entry& entry) const {
   const auto index =
       static_cast<std::size_t>(&entry_of(record_, entry.first) - record_.ranges.data());
-  if (is_inherited(record_, record_.ranges[index])) return false;
+  if (is_inherited(record_, record_.ranges[index].fence)) return false;
   if (is_restricted(states_[index])) return true;
   const auto owner = entry.owner ? upstreams_.find(*entry.owner) : upstreams_.end();
   return owner != upstreams_.end() && owner->second.link == 0 && !owner->second.ended;
--- a/src/ownership/range_record.cc
+++ b/src/ownership/range_record.cc
@@ -307,8 +307,8 @@
   }
 }
 
-bool is_inherited(const range_record& record, const range_entry& entry) {
-  return entry.fence < era_start(record.era);
+bool is_inherited(const range_record& record, fence_number fence) {
+  return fence < era_start(record.era);
 }
 
 range_record take_over(range_record record, const instance_id& assigner, const std::string& address,
@@ -322,7 +322,7 @@
   record.address = address;
   record.lapses_in.reset();
   renew_fences(record, [&](std::size_t i) {
-    if (record.unsettled && is_inherited(record, record.ranges[i])) return fence_change::none;
+    if (record.unsettled && is_inherited(record, record.ranges[i].fence)) return fence_change::none;
     return record.lapsed ? fence_change::same_block : fence_change::next_block;
   });
   return record;
--- a/src/ownership/range_record.h
+++ b/src/ownership/range_record.h
@@ -73,8 +73,8 @@
   fence_number claims_from;
   // Lately, a range went to another owner although its former owner hadn't released it.
   bool lapsed = false;
-  // The incarnations of owners that have had no other one before the record was written, as far as
-  // they are known.
+  // The incarnation of each owner when the record was written, or an earlier one. Owners of which
+  // none is known are left out.
   std::map<upstream_id, std::uint64_t> lives;
   std::vector<range_entry> ranges;
 
@@ -126,8 +126,8 @@
 // their blocks get the same fence.
 enum class fence_change { none, same_block, next_block };
 void renew_fences(range_record& record, const std::function<fence_change(std::size_t)>& change);
-// Returns whether the entry's fence, or its lack of an owner, is from before the record's era.
-bool is_inherited(const range_record& record, const range_entry& entry);
+// Returns whether the fence of an owner, or the lack of one, is from before the record's era.
+bool is_inherited(const range_record& record, fence_number fence);
 // Returns the fence under which the owner of an entry with an inherited fence is asked whether it
 // has kept the keys: an owner that has released them refuses it. It is above the fences of owners
 // that got the keys without a release, and above that of former eras.
--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -435,7 +435,7 @@
   const auto writes = only<write>(world.assigner.tick(world.load, at(ends + 200)));
   BOOST_TEST_REQUIRE(writes.size() == 1U);
   BOOST_TEST(!writes[0].record.unsettled);
-  BOOST_TEST(!is_inherited(writes[0].record, writes[0].record.ranges.front()));
+  BOOST_TEST(!is_inherited(writes[0].record, writes[0].record.ranges.front().fence));
 }
 
 // Guards against two holders: an owner that has started again has forgotten what it released.
--- a/src/ownership/testing/range_fuzz_main.cc
+++ b/src/ownership/testing/range_fuzz_main.cc
@@ -88,24 +88,25 @@
       });
 }
 
-// Runs one scenario and adds its figures to the totals. False if it has a violation.
-bool run_one(const scenario& s, totals& counts) {
-  const verdict v = run(s);
+// Runs one scenario and adds its figures to the totals.
+verdict run_one(const scenario& s, totals& counts) {
+  verdict v = run(s);
   ++counts.scenarios;
   counts.steps += v.steps;
   counts.moves += v.moves;
   counts.served += v.served;
-  if (!v.violation) return true;
-  counts.failed = s;
-  counts.violation = *v.violation;
-  return false;
+  if (v.violation) {
+    counts.failed = s;
+    counts.violation = *v.violation;
+  }
+  return v;
 }
 
 // Runs the known scenarios under the first `seeds` seeds, until one has a violation.
 bool run_known(totals& counts, std::uint64_t seeds) {
   for (std::uint64_t seed = 0; seed < seeds; ++seed) {
     for (const auto& faults : known_scenarios()) {
-      if (!run_one({seed, faults}, counts)) return false;
+      if (run_one({seed, faults}, counts).violation) return false;
     }
   }
   return true;
@@ -118,8 +119,8 @@
   for (std::uint64_t seed = 0; seed < seeds; ++seed) {
     for (const auto& [faults, unmoved, longest] : restored_scenarios()) {
       const scenario s{seed, faults};
-      if (!run_one(s, counts)) return false;
-      const verdict v = run(s);
+      const verdict v = run_one(s, counts);
+      if (v.violation) return false;
       if (v.unmoved_gap <= unmoved && v.longest_gap <= longest) continue;
       counts.failed = s;
       counts.violation = "keys without a holder: " + in_ms(v.unmoved_gap) + " of unmoved ones, " +
@@ -162,13 +163,11 @@
              const scenario s{
                  *rc::gen::arbitrary<std::uint64_t>(),
                  *rc::gen::oneOf(rc::gen::container<std::vector<fault>>(any_fault), gen_restore())};
-             if (run_one(s, counts)) return;
+             if (!run_one(s, counts).violation) return;
              if (expect_violation) std::exit(print_caught(counts, true));
              RC_FAIL(counts.violation);
            });
-  if (expect_violation) {
-    return print_caught(counts, !passed);
-  }
+  if (expect_violation) return print_caught(counts, !passed);
   if (!passed && counts.failed) print_failure(*counts.failed, counts.violation);
   std::printf(
       "{\"scenarios\": %llu, \"steps\": %llu, \"moves\": %llu, \"served\": %.3f, "
--- a/src/ownership/testing/range_record_test.cc
+++ b/src/ownership/testing/range_record_test.cc
@@ -185,7 +185,7 @@
   const auto restored = take_over(settled, {"e@2"}, "", 2);
   BOOST_TEST(restored.unsettled);
   BOOST_TEST((restored.ranges.front().fence == settled.ranges.front().fence));
-  BOOST_TEST(is_inherited(restored, restored.ranges.front()));
+  BOOST_TEST(is_inherited(restored, restored.ranges.front().fence));
   auto partly = restored;
   move_range(partly, 0, 99, b);
   const auto again = take_over(partly, {"e@3"}, "", 2);
