range_fuzz: no look at keys' moves before the store has a record

range_fuzz crashed after some 110 s under max_success=5000, unmutated too: a restore of the store before the first campaign had written anything looked up the keys' entries in a record without ranges (note_moves). The causes that (a write that gets unknown late) and (shrinking) name for the same crash were wrong.

The guard of stays and gets the test that it lacked, an_outcome_that_gets_unknown_after_a_later_write_is_read_back, which crashes without it (mutant range_late_unknown).

--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -710,6 +710,24 @@
   BOOST_TEST(world.assigner.tick(world.load, at(5000)).empty());
 }
 
+// Guards against a look at the record that is being written when none is.
+BOOST_AUTO_TEST_CASE(an_outcome_that_gets_unknown_after_a_later_write_is_read_back) {
+  one_owner world;
+  world.assigner.on_granted(only<grant>(world.assigner.tick(world.load, at(2)))[0], at(3));
+  world.move_to_b(10);
+  world.assigner.on_write_unknown();  // of a write from before a restore of the store
+  const auto orders = world.assigner.tick(world.load, at(12));
+  const auto releases = only<release>(orders);
+  BOOST_TEST_REQUIRE(!releases.empty());
+  BOOST_TEST(only<grant>(orders).empty());
+  BOOST_TEST(world.assigner.needs_read());
+  BOOST_TEST(world.assigner.on_read({"e@1"}, world.assigner.record(), 11, at(13)));
+  for (const auto& order : releases) world.assigner.on_released(order, "", at(14));
+  const auto granted = only<grant>(world.assigner.tick(world.load, at(15)));
+  BOOST_TEST_REQUIRE(!granted.empty());
+  BOOST_TEST((granted[0].upstream == b));
+}
+
 BOOST_AUTO_TEST_CASE(an_isolated_assigner_moves_nothing) {
   one_owner world;
   world.assigner.on_link(a, 0, at(10));
--- a/src/ownership/testing/range_simulation.cc
+++ b/src/ownership/testing/range_simulation.cc
@@ -257,8 +257,11 @@
     });
   }
 
-  // Remembers which sample keys the record of the copy leaves as they were.
+  // Remembers which sample keys the record of the copy leaves as they were. Before the first
+  // campaign the store has no record.
   void note_moves(const range_record& copied) {
+    unmoved_ = {};
+    if (store_.record.ranges.empty() || copied.ranges.empty()) return;
     for (int i = 0; i < sample_count; ++i) {
       const auto& before = entry_of(store_.record, sample_key(i));
       const auto& after = entry_of(copied, sample_key(i));
