Lint checks a test once, not again for each mutant

clang-tidy checks a source once for each of its compile commands: in a fresh clone test_main.cc 104 times and range_assigner_test.cc 16 times, since each mutant that is noticed by a test compiles them again. Mutants no longer export compile commands: 356 in place of 706 for the same 341 sources of src/ (the rest were generated mutants, which lint has never read).

--- a/src/ownership/testing/fuzz.cmake
+++ b/src/ownership/testing/fuzz.cmake
@@ -58,8 +58,9 @@
       -P ${testing}/mutate.cmake
     DEPENDS ${mutant} ${source} ${testing}/mutate.cmake)
   add_executable(ownership_mutant_${name} ${mutated})
+  # Without compile commands, so that lint checks a test once and not again for each mutant.
   set_target_properties(ownership_mutant_${name} PROPERTIES
-    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/mutants)
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/mutants EXPORT_COMPILE_COMMANDS OFF)
   # Removing a guard may leave names unused, which would be a warning.
   target_compile_options(ownership_mutant_${name} PRIVATE -w)
   file(STRINGS ${mutant} test_line REGEX "^test " LIMIT_COUNT 1)
