A second restore doesn't shorten the wait of the first

What callers could see: requests for a key run at two upstreams, if the store comes back from an older copy twice within 4.3 s and the assigner of the time between goes on.

Cause: on_store_restored() set the time from which owners are asked to the present one, although the short grants of keys that had lapsed before the first restore are held, and releases from before it may arrive, until later.

The test failed before: owners were asked after 3.0 s instead of 4.25 s.

--- a/src/ownership/range_assigner_doubts.cc
+++ b/src/ownership/range_assigner_doubts.cc
@@ -46,7 +46,9 @@
     states_[i].claims.clear();
   }
   doubt_ends_ = since + timing_.proof_validity + longest_predecessor_hold();
-  claims_from_ = settled_from_ = since;
+  // Grants and releases from before an earlier restore may still count.
+  claims_from_ = std::max(claims_from_, since);
+  settled_from_ = std::max(settled_from_, since);
   if (suspended_) return;
   const auto last_restricted = timing_.outage_after + longest_hold(timing_, timing_.hold);
   const auto last_release = timing_.outage_after + timing_.release_timeout + timing_.margin;
--- a/src/ownership/testing/range_assigner_test.cc
+++ b/src/ownership/testing/range_assigner_test.cc
@@ -464,6 +464,28 @@
   BOOST_TEST(world.grants(world.asked_from() + 10).empty());
 }
 
+// Guards against a second restore that makes an assigner forget how long grants from before the
+// first one are held, and which releases may be on their way.
+BOOST_AUTO_TEST_CASE(a_second_restore_does_not_ask_owners_earlier) {
+  restored world;
+  const std::int64_t second = 1500;
+  world.hear(second - 100);
+  world.assigner.on_store_restored(at(second));
+  world.assigner.regain(carry_over(world.assigner.record(), 3), 5);
+  world.hear(second + 200);
+  std::int64_t now = second + 300;
+  std::vector<grant> asked;
+  for (; now < 20'000 && asked.empty(); now += 10) {
+    if (now % 1000 == 0) world.hear(now);
+    asked = world.grants(now);
+  }
+  BOOST_TEST(now >= world.asked_from());
+  BOOST_TEST(now < world.asked_from() + 100);
+  BOOST_TEST_REQUIRE(now < world.settled_from());
+  world.assigner.on_granted(asked.at(0), at(now));
+  BOOST_TEST(world.assigner.ranges_in_doubt() == 1U);
+}
+
 // Guards against two holders after a second restore: keys in doubt may have been granted since.
 BOOST_AUTO_TEST_CASE(keys_that_were_in_doubt_before_a_second_restore_are_not_asked_for) {
   auto record = make_range_record();
