A pushed record states only the lives that have changed

Cause: a change of one upstream's life, or of who owns keys at all, put the lives of all 280 upstreams into each push to all 63 instances. Where the assigner has a link of 10 Mbit/s, its links to upstreams timed out (460 in the first 4 s), then its lease.

Now a delta has the lives that differ, and 0 for removed ones.

--- a/src/ownership/range_record.cc
+++ b/src/ownership/range_record.cc
@@ -65,6 +65,7 @@
 };
 
 constexpr std::int64_t no_owner = -1;
+constexpr std::uint64_t no_life = 0;  // of an upstream whose life a delta removes
 
 // Formats an entry as [first key, owner, fence, former owners ...]. Owners are indices of names.
 json::array format_entry(const range_entry& entry, name_table& names) {
@@ -142,6 +143,21 @@
   return {};
 }
 
+// Returns what has changed; removed lives are no_life.
+std::map<upstream_id, std::uint64_t> changed_lives(
+    const std::map<upstream_id, std::uint64_t>& before,
+    const std::map<upstream_id, std::uint64_t>& after) {
+  std::map<upstream_id, std::uint64_t> changed;
+  for (const auto& [name, life] : before) {
+    if (!after.contains(name)) changed[name] = no_life;
+  }
+  for (const auto& [name, life] : after) {
+    const auto known = before.find(name);
+    if (known == before.end() || known->second != life) changed[name] = life;
+  }
+  return changed;
+}
+
 }  // namespace
 
 record_position position_of(const range_record& record) {
@@ -206,7 +222,7 @@
 
 range_delta make_delta(const range_record& before, const range_record& after) {
   range_delta delta{.changes = after};
-  if (after.lives == before.lives) delta.changes.lives.clear();
+  delta.changes.lives = changed_lives(before.lives, after.lives);
   auto& entries = delta.changes.ranges;
   entries.clear();
   for (const auto& entry : after.ranges) {
@@ -227,7 +243,14 @@
 
 result<range_record> apply_delta(const range_record& before, const range_delta& delta) {
   range_record after = delta.changes;
-  if (after.lives.empty()) after.lives = before.lives;
+  after.lives = before.lives;
+  for (const auto& [name, life] : delta.changes.lives) {
+    if (life == no_life) {
+      after.lives.erase(name);
+    } else {
+      after.lives[name] = life;
+    }
+  }
   after.ranges.clear();
   auto unchanged = delta.unchanged.begin();
   for (std::size_t i = 0; i < delta.changes.ranges.size(); ++i) {
--- a/src/ownership/range_record.h
+++ b/src/ownership/range_record.h
@@ -102,8 +102,8 @@
 
 // What has changed from one record to the next.
 struct range_delta {
-  // The next record, in which each run of unchanged ranges is one entry; without lives if these
-  // are unchanged.
+  // The next record, in which each run of unchanged ranges is one entry, and with the changed lives
+  // only: 0 is the life of an upstream that the record states none of.
   range_record changes;
   std::vector<std::size_t> unchanged;  // the indexes of these entries, rising
   bool operator==(const range_delta&) const = default;
